Start the workspace, the shared interfaces and the design page

Cause: the parts are written in parallel, so their contracts have to exist first. Conclusion: the contracts compile; implementations follow package by package.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Commands of the project. README.md describes them.
+
+MODULES := . ./cmd/zinniabench ./cmd/zinniactl ./cmd/zinniastand ./cmd/zinniatide
+PACKAGES := ./... $(foreach m,$(filter-out .,$(MODULES)),$(m)/...)
+GOBIN := $(shell go env GOPATH)/bin
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(GOBIN)/golangci-lint
+SEED ?= 1
+SCENARIO ?=
+export CGO_ENABLED := 1
+
+.PHONY: build test lint model bench demo clean
+
+build:
+	@mkdir -p bin
+	go build -o bin/ ./cmd/zinniatide ./cmd/zinniactl ./cmd/zinniastand ./cmd/zinniabench
+
+test:
+	go test -count=1 -timeout 9m $(PACKAGES)
+
+$(GOLANGCI):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint: $(GOLANGCI)
+	@out=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	@for m in $(MODULES); do (cd $$m && $(GOLANGCI) run ./...) || exit 1; done
+
+model:
+	@./scripts/model
+
+bench: build
+	@./scripts/bench $(SCENARIO)
+
+demo: build
+	@SEED=$(SEED) ./scripts/demo
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/cmd/zinniastand/main.go
@@ -0,0 +1,4 @@
+// Command zinniastand is part of the zinniatide query tier.
+package main
+
+func main() {}
--- /dev/null
+++ b/common/clock/clock_test.go
@@ -0,0 +1,21 @@
+package clock_test
+
+import (
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+)
+
+// Guards against a manual clock that moves by itself, which would make
+// time-driven tests depend on the machine.
+func TestManualClockMovesOnlyByAdvance(t *testing.T) {
+	c := clock.NewManual(10, 1000)
+	c.Advance(5)
+	if got, want := c.Now(), zinniatide.Millis(15); got != want {
+		t.Errorf("Now() = %d, want %d", got, want)
+	}
+	if got, want := c.Unix(), zinniatide.Millis(1005); got != want {
+		t.Errorf("Unix() = %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/common/logger/logger.go
@@ -0,0 +1,20 @@
+// Package logger makes klog print JSON lines.
+package logger
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+)
+
+// Install directs klog's structured calls to w, one JSON object per line.
+// Each line carries the VM and its availability zone.
+func Install(w io.Writer, level slog.Level, vm zinniatide.VMID, zone zinniatide.ZoneID) {
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	bound := handler.WithAttrs([]slog.Attr{slog.String("vm", string(vm)), slog.String("zone", string(zone))})
+	klog.SetLogger(logr.FromSlogHandler(bound))
+}
--- /dev/null
+++ b/common/picker/picker.go
@@ -0,0 +1,28 @@
+// Package picker chooses among VMs by rendezvous hashing.
+package picker
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"zinniatide.example/zinniatide"
+)
+
+// Pick returns the candidate with the highest rendezvous hash for key, or the
+// empty id when there are no candidates. When a candidate is added or removed
+// only the keys that it wins or won move.
+func Pick(key string, candidates []zinniatide.VMID) zinniatide.VMID {
+	var best zinniatide.VMID
+	var bestHash uint64
+	for _, candidate := range candidates {
+		var d xxhash.Digest
+		d.Reset()
+		_, _ = d.WriteString(key)
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(string(candidate))
+		hash := d.Sum64()
+		if best == "" || hash > bestHash || (hash == bestHash && candidate < best) {
+			best, bestHash = candidate, hash
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/configuration.go
@@ -0,0 +1,162 @@
+package zinniatide
+
+import "github.com/cespare/xxhash/v2"
+
+// IndexVersionSetting describes one allowed index version of a service.
+// Exactly one of ShardCount and ShardBounds is set.
+type IndexVersionSetting struct {
+	Version IndexVersion `json:"version"`
+	// ShardCount divides the key space into equal ranges.
+	ShardCount uint32 `json:"shard-count,omitempty"`
+	// ShardBounds lists the first key of each shard, ascending from 0.
+	ShardBounds []uint32 `json:"shard-bounds,omitempty"`
+}
+
+// Shards returns the key range of every shard of the version, in order.
+func (v *IndexVersionSetting) Shards() []KeyRange {
+	if v.ShardCount > 0 {
+		shards := make([]KeyRange, v.ShardCount)
+		for i := range shards {
+			shards[i].First = uint32(uint64(i) * KeySpace / uint64(v.ShardCount))
+			shards[i].Last = uint32(uint64(i+1) * KeySpace / uint64(v.ShardCount))
+		}
+		return shards
+	}
+	shards := make([]KeyRange, len(v.ShardBounds))
+	for i, first := range v.ShardBounds {
+		shards[i] = KeyRange{First: first, Last: KeySpace}
+		if i > 0 {
+			shards[i-1].Last = first
+		}
+	}
+	return shards
+}
+
+// ColdStartSetting bounds the request rate of a freshly started backend
+// server. The bound starts at InitialRate and doubles after every
+// DoubleAfter successful requests until it reaches FullRate, from where only
+// slots bound the server.
+type ColdStartSetting struct {
+	InitialRate uint32 `json:"initial-rate"` // requests per second
+	DoubleAfter uint32 `json:"double-after"` // successful requests
+	FullRate    uint32 `json:"full-rate"`    // requests per second
+}
+
+// ClassSetting bounds the requests of one class.
+type ClassSetting struct {
+	MaxDeadline Millis `json:"max-deadline-ms"`
+	// Weight is the class's part of a tenant's share under overload.
+	Weight uint32 `json:"weight"`
+}
+
+// TenantSetting gives a tenant its share of a service under overload.
+type TenantSetting struct {
+	Share uint32 `json:"share"`
+}
+
+// ServiceSetting is the whole configuration of one service.
+type ServiceSetting struct {
+	Versions    []IndexVersionSetting      `json:"versions"`
+	Slots       uint16                     `json:"slots"`       // per backend server
+	Connections uint16                     `json:"connections"` // per backend server
+	ColdStart   ColdStartSetting           `json:"cold-start"`
+	Classes     map[ClassID]ClassSetting   `json:"classes"`
+	Tenants     map[TenantID]TenantSetting `json:"tenants"`
+}
+
+// ServingState says whether a VM, backend server or availability zone takes new work.
+type ServingState string
+
+const (
+	// StateIn is the default: new work is accepted.
+	StateIn ServingState = "in"
+	// StateOut marks an availability zone that operators have taken out.
+	StateOut ServingState = "out"
+	// StateLeaving marks a VM or backend server that finishes its work and goes.
+	StateLeaving ServingState = "leaving"
+)
+
+// StateSetting is the configuration of a zone, VM or backend server.
+type StateSetting struct {
+	State ServingState `json:"state"`
+}
+
+// ControlVM names a VM that takes part in the replicated log.
+type ControlVM struct {
+	VM          VMID   `json:"vm"`
+	PeerAddress string `json:"peer-address"`
+}
+
+// Ticket is an operator's change. Each entity that it names is replaced as a
+// whole; a null value removes the entity.
+type Ticket struct {
+	Number            TicketNumber                      `json:"ticket"`
+	Services          map[ServiceID]*ServiceSetting     `json:"services,omitempty"`
+	AvailabilityZones map[ZoneID]*StateSetting          `json:"availability-zones,omitempty"`
+	VMs               map[VMID]*StateSetting            `json:"vms,omitempty"`
+	BackendServers    map[BackendServerID]*StateSetting `json:"backend-servers,omitempty"`
+	ControlVMs        []ControlVM                       `json:"control-vms,omitempty"`
+}
+
+// Member is a VM with a live session.
+type Member struct {
+	VM          VMID         `json:"vm"`
+	Incarnation Incarnation  `json:"incarnation"`
+	Zone        ZoneID       `json:"zone"`
+	HTTPAddress string       `json:"http-address"`
+	PeerAddress string       `json:"peer-address"`
+	Entry       bool         `json:"entry"` // serves callers and owns buckets
+	State       ServingState `json:"state"` // StateIn or StateLeaving
+}
+
+// BucketsPerZone is the number of buckets into which the backend servers of
+// one zone are hashed. Ownership moves by bucket.
+const BucketsPerZone = 64
+
+// Bucket records which VM may send work to the backend servers of a bucket.
+type Bucket struct {
+	// Owner alone may send. Empty when no VM owns the bucket.
+	Owner VMID `json:"owner"`
+	// OwnerIncarnation is the incarnation of Owner that holds the bucket.
+	OwnerIncarnation Incarnation `json:"owner-incarnation"`
+	// Next is the VM that takes over once Owner has released the bucket.
+	// Empty when no move is pending. A non-empty Next forbids Owner to start
+	// new work.
+	Next VMID `json:"next"`
+}
+
+// Configuration is the state in force at one epoch. It is immutable once
+// published.
+type Configuration struct {
+	Epoch             Epoch                            `json:"epoch"`
+	Services          map[ServiceID]ServiceSetting     `json:"services"`
+	AvailabilityZones map[ZoneID]StateSetting          `json:"availability-zones"`
+	VMs               map[VMID]StateSetting            `json:"vms"`
+	BackendServers    map[BackendServerID]StateSetting `json:"backend-servers"`
+	ControlVMs        []ControlVM                      `json:"control-vms"`
+	Members           map[VMID]Member                  `json:"members"`
+	// Buckets holds BucketsPerZone entries for every zone that has or had a member.
+	Buckets map[ZoneID][]Bucket `json:"buckets"`
+}
+
+// ZoneIn reports whether zone takes new work.
+func (c *Configuration) ZoneIn(zone ZoneID) bool {
+	return c.AvailabilityZones[zone].State != StateOut
+}
+
+// VMServing reports whether vm may take new work from callers and own buckets.
+func (c *Configuration) VMServing(vm VMID) bool {
+	m, ok := c.Members[vm]
+	return ok && m.Entry && m.State == StateIn &&
+		c.VMs[vm].State != StateLeaving && c.ZoneIn(m.Zone)
+}
+
+// BackendServerServing reports whether the server may get new work.
+func (c *Configuration) BackendServerServing(id BackendServerID, zone ZoneID) bool {
+	return c.ZoneIn(zone) && c.BackendServers[id].State != StateLeaving
+}
+
+// BucketOf returns the bucket of a backend server within its zone.
+func BucketOf(id BackendServerID) int {
+	return int(xxhash.Sum64String(string(id)) % BucketsPerZone)
+}
