--- a/cmd/zinniastand/main.go
+++ b/cmd/zinniastand/main.go
@@ -1,4 +1,11 @@
-// Command zinniastand is part of the zinniatide query tier.
+// Command zinniastand runs stand-in backend servers and a checking load
+// caller for the demo and the measurements.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"zinniatide.example/zinniatide/cmd/zinniastand/commands"
+)
+
+func main() { os.Exit(commands.Execute(os.Args[1:])) }
