--- /dev/null
+++ b/logkeeper/harness_test.go
@@ -0,0 +1,384 @@
+package logkeeper
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/journal/journaltest"
+	"zinniatide.example/zinniatide/replicator"
+)
+
+// cluster runs keepers on one goroutine, with a manual clock, disks in memory
+// and a network that loses, delays, duplicates and reorders messages.
+type cluster struct {
+	t      *testing.T
+	random *rand.Rand
+	clock  *clock.Clock
+	nodes  []*node
+	events []event
+	cut    map[[2]zinniatide.VMID]bool // from, to
+	every  uint64                      // entries between snapshots
+
+	dropPercent, duplicatePercent int
+	maxDelay                      int // of a message, in ms
+	maxSync                       int // of a write, in ms
+
+	applied map[uint64]string          // what was applied at each index, anywhere
+	leaders map[uint64]zinniatide.VMID // of each term
+}
+
+type event struct {
+	at  zinniatide.Millis
+	run func()
+}
+
+type node struct {
+	c       *cluster
+	vm      zinniatide.VMID
+	disk    *journaltest.Disk
+	keeper  *Keeper // nil while down
+	machine *register
+	handler zinniatide.LinkHandler
+	life    int // counts starts; events of former lives are void
+	open    *write
+}
+
+// register is a state machine of a few registers. It keeps all operations, so
+// that a lost or repeated one shows.
+type register struct {
+	node    *node
+	Values  map[uint8]uint64
+	Applied []string
+}
+
+type operation struct {
+	Key   uint8  `cbor:"1,keyasint"`
+	Value uint64 `cbor:"2,keyasint"`
+}
+
+func (r *register) Apply(index uint64, data []byte) any {
+	r.Applied = append(r.Applied, fmt.Sprintf("%d:%x", index, data))
+	r.node.c.checkApplied(r.node, index, string(data))
+	var op operation
+	if err := cbor.Unmarshal(data, &op); err != nil {
+		r.node.c.t.Fatalf("entry %d: %v", index, err)
+	}
+	old := r.Values[op.Key]
+	r.Values[op.Key] = op.Value
+	return old
+}
+
+func (r *register) Snapshot() ([]byte, error) { return cbor.Marshal([]any{r.Values, r.Applied}) }
+
+func (r *register) Restore(data []byte) error {
+	var parts []cbor.RawMessage
+	if err := cbor.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	r.Values, r.Applied = nil, nil
+	if err := cbor.Unmarshal(parts[0], &r.Values); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(parts[1], &r.Applied)
+}
+
+func newCluster(t *testing.T, seed uint64, vms int) *cluster {
+	c := &cluster{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(1000, 1_700_000_000_000),
+		cut: map[[2]zinniatide.VMID]bool{}, every: 50, maxDelay: 10, maxSync: 8,
+		applied: map[uint64]string{}, leaders: map[uint64]zinniatide.VMID{},
+	}
+	var wanted []zinniatide.ControlVM
+	for i := range vms {
+		vm := zinniatide.VMID(fmt.Sprintf("c%d", i+1))
+		wanted = append(wanted, zinniatide.ControlVM{VM: vm, PeerAddress: "127.0.0.1:1"})
+		c.nodes = append(c.nodes, &node{c: c, vm: vm, disk: journaltest.NewDisk()})
+	}
+	if err := Init(c.nodes[0].disk, "data", c.nodes[0].vm, wanted); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range c.nodes {
+		n.start()
+	}
+	return c
+}
+
+func (n *node) start() {
+	n.c.t.Helper()
+	if err := n.tryStart(); err != nil {
+		n.c.t.Fatalf("start %s: %v", n.vm, err)
+	}
+}
+
+func (n *node) tryStart() error {
+	n.life++
+	n.machine = &register{node: n, Values: map[uint8]uint64{}}
+	var peers []zinniatide.VMID
+	for _, o := range n.c.nodes {
+		peers = append(peers, o.vm)
+	}
+	k, err := New(Config{
+		VM: n.vm, Folder: "data", Files: n.disk, ControlVMs: peers, Linker: n, Clock: n.c.clock, Machine: n.machine,
+		Rand: rand.New(rand.NewPCG(n.c.random.Uint64(), 2)), SnapshotEvery: n.c.every,
+	})
+	if err != nil {
+		return err
+	}
+	k.disk = func(w write) {
+		n.open = &w
+		n.after(n.c.random.IntN(n.c.maxSync+1), func() {
+			n.open = nil
+			k.finishWrite(w, k.perform(w))
+		})
+	}
+	n.keeper = k
+	n.after(n.c.random.IntN(20), n.tick)
+	return nil
+}
+
+func (n *node) tick() {
+	n.keeper.tick()
+	n.after(int(zinniatide.TickInterval), n.tick)
+}
+
+// after runs f on n's control thread unless n was stopped in the meantime.
+func (n *node) after(delay int, f func()) {
+	life := n.life
+	n.c.events = append(n.c.events, event{n.c.clock.Now() + zinniatide.Millis(delay), func() {
+		if n.life == life && n.keeper != nil {
+			f()
+			n.settle()
+		}
+	}})
+}
+
+func (n *node) settle() {
+	n.keeper.drain()
+	n.keeper.pump()
+	n.keeper.drain()
+	n.keeper.pump()
+	n.c.checkLeaders()
+}
+
+// crash stops n. Half of the time a write under way has reached the file but
+// was not synced, or was synced but not yet reported.
+func (n *node) crash() {
+	if n.keeper == nil {
+		return
+	}
+	if n.open != nil {
+		switch n.c.random.IntN(3) {
+		case 0:
+			n.disk.FailSyncs = true
+			_ = n.keeper.perform(*n.open)
+			n.disk.FailSyncs = false
+		case 1:
+			_ = n.keeper.perform(*n.open)
+		}
+	}
+	n.keeper, n.open = nil, nil
+	n.life++
+	n.disk.Crash(n.c.random)
+}
+
+// replaceDisk stops n and gives it an empty data folder.
+func (n *node) replaceDisk() {
+	n.crash()
+	n.disk = journaltest.NewDisk()
+	n.start()
+}
+
+// Linker of a node.
+
+func (n *node) Handle(_ zinniatide.MessageKind, h zinniatide.LinkHandler) { n.handler = h }
+func (n *node) SetPeers(map[zinniatide.VMID]string)                       {}
+func (n *node) Connected(zinniatide.VMID) bool                            { return true }
+
+func (n *node) Call(zinniatide.VMID, zinniatide.MessageKind, any, zinniatide.Millis, func([]byte, error)) {
+	n.c.t.Fatal("the log sends one-way messages only")
+}
+
+func (n *node) Send(peer zinniatide.VMID, kind zinniatide.MessageKind, body any) error {
+	if kind != zinniatide.KindReplicate {
+		n.c.t.Fatalf("message of kind %d", kind)
+	}
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		n.c.t.Fatal(err)
+	}
+	copies := 1
+	if n.c.random.IntN(100) < n.c.duplicatePercent {
+		copies = 2
+	}
+	for range copies {
+		if n.c.cut[[2]zinniatide.VMID{n.vm, peer}] || n.c.random.IntN(100) < n.c.dropPercent {
+			continue
+		}
+		to := n.c.node(peer)
+		at := n.c.clock.Now() + zinniatide.Millis(n.c.random.IntN(n.c.maxDelay+1))
+		n.c.events = append(n.c.events, event{at, func() {
+			if to.keeper != nil {
+				to.handler(n.vm, data, nil)
+				to.settle()
+			}
+		}})
+	}
+	return nil
+}
+
+func (c *cluster) node(vm zinniatide.VMID) *node {
+	for _, n := range c.nodes {
+		if n.vm == vm {
+			return n
+		}
+	}
+	c.t.Fatalf("no VM %s", vm)
+	return nil
+}
+
+// run passes d of time, event by event.
+func (c *cluster) run(d zinniatide.Millis) {
+	for end := c.clock.Now() + d; c.clock.Now() < end; c.clock.Advance(1) {
+		for c.step() {
+		}
+	}
+}
+
+// step runs one event that is due, in random order among them.
+func (c *cluster) step() bool {
+	var due []int
+	for i, e := range c.events {
+		if e.at <= c.clock.Now() {
+			due = append(due, i)
+		}
+	}
+	if len(due) == 0 {
+		return false
+	}
+	i := due[c.random.IntN(len(due))]
+	e := c.events[i]
+	c.events = slices.Delete(c.events, i, i+1)
+	e.run()
+	return true
+}
+
+// until runs until cond holds, or fails after limit.
+func (c *cluster) until(what string, limit zinniatide.Millis, cond func() bool) {
+	c.t.Helper()
+	for end := c.clock.Now() + limit; !cond(); c.run(5) {
+		if c.clock.Now() >= end {
+			c.t.Fatalf("after %d ms not: %s; %s", limit, what, c.describe())
+		}
+	}
+}
+
+func (c *cluster) describe() string {
+	s := ""
+	for _, n := range c.nodes {
+		if n.keeper == nil {
+			s += fmt.Sprintf("[%s down] ", n.vm)
+		} else {
+			st := n.keeper.Status()
+			s += fmt.Sprintf("[%s %+v role %d] ", n.vm, st, n.keeper.machine.Status().Role)
+		}
+	}
+	return s
+}
+
+func (c *cluster) leader() *node {
+	for _, n := range c.nodes {
+		if n.keeper != nil && n.keeper.Status().Leading {
+			return n
+		}
+	}
+	return nil
+}
+
+// waitVoters waits for a leader whose committed voters are the current
+// identities of exactly these nodes.
+func (c *cluster) waitVoters(nodes ...*node) {
+	c.t.Helper()
+	c.until("voters match", 20_000, func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		s := l.keeper.Status()
+		if len(s.Voters) != len(nodes) || s.Commit != s.Applied {
+			return false
+		}
+		for _, n := range nodes {
+			if n.keeper == nil || !slices.Contains(s.Voters, n.keeper.Identity()) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) propose(n *node, op operation, done func(any, error)) {
+	data, err := cbor.Marshal(op)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.keeper.Propose(data, done)
+	n.settle()
+}
+
+// write proposes until a leader has committed the value.
+func (c *cluster) write(value uint64) {
+	c.t.Helper()
+	finished := false
+	c.until(fmt.Sprintf("value %d committed", value), 20_000, func() bool {
+		if l := c.leader(); l != nil && !finished {
+			replied := false
+			c.propose(l, operation{1, value}, func(_ any, err error) { replied, finished = true, err == nil })
+			c.until("reply", 20_000, func() bool { return replied || l.keeper == nil })
+		}
+		return finished
+	})
+}
+
+// checkApplied guards the central property: an index holds one entry for ever.
+func (c *cluster) checkApplied(n *node, index uint64, data string) {
+	if old, ok := c.applied[index]; ok && old != data {
+		c.t.Fatalf("%s applied %x at %d, where %x was applied before", n.vm, data, index, old)
+	}
+	c.applied[index] = data
+}
+
+func (c *cluster) checkLeaders() {
+	for _, n := range c.nodes {
+		if n.keeper == nil || n.keeper.failure != nil {
+			continue
+		}
+		s := n.keeper.machine.Status()
+		if s.Role != replicator.Leader {
+			continue
+		}
+		if other, ok := c.leaders[s.Term]; ok && other != n.vm {
+			c.t.Fatalf("term %d has the leaders %s and %s", s.Term, other, n.vm)
+		}
+		c.leaders[s.Term] = n.vm
+	}
+}
+
+// checkEqual waits until all running nodes have applied the same operations.
+func (c *cluster) checkEqual() {
+	c.t.Helper()
+	c.until("all have applied the same", 20_000, func() bool {
+		l := c.leader()
+		for _, n := range c.nodes {
+			if l == nil || (n.keeper != nil && n.keeper.failure == nil && !slices.Equal(n.machine.Applied, l.machine.Applied)) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/logkeeper/metrics.go
@@ -0,0 +1,45 @@
+package logkeeper
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	syncSeconds   prometheus.Histogram
+	syncedEntries prometheus.Counter
+	applied       prometheus.Counter
+	snapshots     prometheus.Counter
+	leading       prometheus.Gauge
+}
+
+// newMetrics registers the metrics; without a registerer they are only counted.
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		syncSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "zinniatide_log_sync_seconds", Help: "Time to write and sync one group of log records.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+		}),
+		syncedEntries: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_log_synced_entries_total", Help: "Log entries made durable on this VM.",
+		}),
+		applied: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_log_applied_entries_total", Help: "Committed log entries applied on this VM.",
+		}),
+		snapshots: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_log_snapshots_total", Help: "Snapshots taken on this VM.",
+		}),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "zinniatide_log_leading", Help: "1 while this VM leads the replicated log with a quorum.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.syncSeconds, m.syncedEntries, m.applied, m.snapshots, m.leading)
+	}
+	return m
+}
+
+func (m *metrics) setLeading(leading bool) {
+	if leading {
+		m.leading.Set(1)
+	} else {
+		m.leading.Set(0)
+	}
+}
