--- a/logkeeper/harness_test.go
+++ b/logkeeper/harness_test.go
@@ -1,9 +1,11 @@
 package logkeeper
 
 import (
+	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,8 +31,9 @@
 	maxDelay                      int // of a message, in ms
 	maxSync                       int // of a write, in ms
 
-	applied map[uint64]string          // what was applied at each index, anywhere
-	leaders map[uint64]zinniatide.VMID // of each term
+	applied      map[uint64]string          // what was applied at each index, anywhere
+	leaders      map[uint64]zinniatide.VMID // of each term
+	acknowledged []uint64                   // values whose write was acknowledged
 }
 
 type event struct {
@@ -55,6 +58,9 @@
 	node    *node
 	Values  map[uint8]uint64
 	Applied []string
+
+	padding  int // bytes added to snapshots
+	restored int // size of the last snapshot restored
 }
 
 type operation struct {
@@ -74,14 +80,16 @@
 	return old
 }
 
-func (r *register) Snapshot() ([]byte, error) { return cbor.Marshal([]any{r.Values, r.Applied}) }
+func (r *register) Snapshot() ([]byte, error) {
+	return cbor.Marshal([]any{r.Values, r.Applied, make([]byte, r.padding)})
+}
 
 func (r *register) Restore(data []byte) error {
 	var parts []cbor.RawMessage
 	if err := cbor.Unmarshal(data, &parts); err != nil {
 		return err
 	}
-	r.Values, r.Applied = nil, nil
+	r.Values, r.Applied, r.restored = nil, nil, len(data)
 	if err := cbor.Unmarshal(parts[0], &r.Values); err != nil {
 		return err
 	}
@@ -335,6 +343,7 @@
 func (c *cluster) write(value uint64) {
 	c.t.Helper()
 	finished := false
+	c.acknowledged = append(c.acknowledged, value)
 	c.until(fmt.Sprintf("value %d committed", value), 20_000, func() bool {
 		if l := c.leader(); l != nil && !finished {
 			replied := false
@@ -382,3 +391,32 @@
 		return true
 	})
 }
+
+// checkContains requires that every acknowledged value was applied on every
+// running VM.
+func (c *cluster) checkContains(values []uint64) {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		if n.keeper == nil {
+			continue
+		}
+		have := map[uint64]bool{}
+		for _, line := range n.machine.Applied {
+			var op operation
+			_, text, _ := strings.Cut(line, ":")
+			data, err := hex.DecodeString(text)
+			if err == nil {
+				err = cbor.Unmarshal(data, &op)
+			}
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			have[op.Value] = true
+		}
+		for _, v := range values {
+			if !have[v] {
+				c.t.Fatalf("%s lost the acknowledged value %d", n.vm, v)
+			}
+		}
+	}
+}
--- a/logkeeper/keeper_test.go
+++ b/logkeeper/keeper_test.go
@@ -1,6 +1,17 @@
 package logkeeper
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+	"k8s.io/klog/v2"
+)
+
+func TestMain(m *testing.M) {
+	klog.SetLogger(logr.Discard())
+	goleak.VerifyTestMain(m)
+}
 
 // Guards the whole path: three empty or initialised folders become three
 // voters, commit, survive the loss of all processes and catch up.
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -59,10 +59,8 @@
 	}
 }
 
-func (r *Replicator) addPeer(id zinniatide.Voter) *peer {
-	p := &peer{id: id, next: r.log.last() + 1, probing: true, ackedAt: r.electedAt, heard: r.now}
-	r.peers = append(r.peers, p)
-	return p
+func (r *Replicator) addPeer(id zinniatide.Voter) {
+	r.peers = append(r.peers, &peer{id: id, next: r.log.last() + 1, probing: true, ackedAt: r.electedAt, heard: r.now})
 }
 
 func (r *Replicator) findPeer(id zinniatide.Voter) *peer {
