--- /dev/null
+++ b/checker/checker.go
@@ -0,0 +1,168 @@
+// Package checker decodes and validates tickets, and tells what they change.
+package checker
+
+import (
+	"bytes"
+	_ "embed" // ticket-schema.json
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+
+	"zinniatide.example/zinniatide"
+)
+
+//go:embed ticket-schema.json
+var schemaSource []byte
+
+// Schema returns the JSON schema of tickets.
+func Schema() []byte { return bytes.Clone(schemaSource) }
+
+// MaxTicketSize is the largest ticket accepted, in bytes.
+const MaxTicketSize = zinniatide.MaxRequestBody
+
+// Checker validates tickets. It is safe for concurrent use.
+type Checker struct {
+	schema *jsonschema.Schema
+}
+
+// New compiles the schema.
+func New() (*Checker, error) {
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaSource))
+	if err != nil {
+		return nil, fmt.Errorf("parse ticket schema: %w", err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource("ticket-schema.json", document); err != nil {
+		return nil, fmt.Errorf("add ticket schema: %w", err)
+	}
+	schema, err := compiler.Compile("ticket-schema.json")
+	if err != nil {
+		return nil, fmt.Errorf("compile ticket schema: %w", err)
+	}
+	return &Checker{schema: schema}, nil
+}
+
+// Decode reads a ticket and its digest. The error is a *zinniatide.Refusal
+// whose message lists everything that is wrong, separated by semicolons.
+func (c *Checker) Decode(raw []byte) (*zinniatide.Ticket, Digest, error) {
+	if len(raw) > MaxTicketSize {
+		return nil, Digest{}, zinniatide.Refuse(zinniatide.CodeTooLarge, "ticket has %d bytes, the limit is %d", len(raw), MaxTicketSize)
+	}
+	if err := checkDuplicateKeys(raw); err != nil {
+		return nil, Digest{}, refuse([]string{err.Error()})
+	}
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
+	if err != nil {
+		return nil, Digest{}, refuse([]string{err.Error()})
+	}
+	problems := c.schemaProblems(document)
+	ticket := &zinniatide.Ticket{}
+	if err := json.Unmarshal(raw, ticket); err != nil {
+		if len(problems) == 0 {
+			problems = append(problems, err.Error())
+		}
+		return nil, Digest{}, refuse(problems)
+	}
+	problems = append(problems, semanticProblems(ticket)...)
+	if len(problems) > 0 {
+		return nil, Digest{}, refuse(problems)
+	}
+	digest, err := digestOf(document)
+	if err != nil {
+		return nil, Digest{}, refuse([]string{err.Error()})
+	}
+	return ticket, digest, nil
+}
+
+func refuse(problems []string) error {
+	return zinniatide.Refuse(zinniatide.CodeBadRequest, "%s", strings.Join(problems, "; "))
+}
+
+// schemaProblems returns one line for each violation of the schema.
+func (c *Checker) schemaProblems(document any) []string {
+	err := c.schema.Validate(document)
+	if err == nil {
+		return nil
+	}
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return []string{err.Error()}
+	}
+	problems := leaves(invalid, nil)
+	slices.Sort(problems)
+	return slices.Compact(problems)
+}
+
+// leaves appends the innermost causes of e, each with its place in the ticket.
+func leaves(e *jsonschema.ValidationError, out []string) []string {
+	if len(e.Causes) == 0 {
+		printer := message.NewPrinter(language.English)
+		return append(out, "at "+place(e.InstanceLocation)+": "+e.ErrorKind.LocalizedString(printer))
+	}
+	causes := e.Causes
+	if _, either := e.ErrorKind.(*kind.AnyOf); either && len(causes) > 1 {
+		// The first alternative is null; its failure only repeats that the
+		// entity has a value.
+		causes = causes[1:]
+	}
+	for _, cause := range causes {
+		out = leaves(cause, out)
+	}
+	return out
+}
+
+func place(location []string) string {
+	if len(location) == 0 {
+		return "the top level"
+	}
+	return strings.Join(location, ".")
+}
+
+// checkDuplicateKeys refuses an object that names a key twice, because JSON
+// decoders differ in which value they take.
+func checkDuplicateKeys(raw []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	return checkValue(decoder, "")
+}
+
+func checkValue(decoder *json.Decoder, path string) error {
+	token, err := decoder.Token()
+	if err != nil {
+		return fmt.Errorf("ticket is not JSON: %w", err)
+	}
+	delim, ok := token.(json.Delim)
+	if !ok {
+		return nil
+	}
+	keys := map[string]bool{}
+	for decoder.More() {
+		inner := path
+		if delim == '{' {
+			token, err := decoder.Token()
+			if err != nil {
+				return fmt.Errorf("ticket is not JSON: %w", err)
+			}
+			key, _ := token.(string)
+			inner = strings.TrimPrefix(path+"."+key, ".")
+			if keys[key] {
+				return fmt.Errorf("at %s: key appears twice", inner)
+			}
+			keys[key] = true
+		}
+		if err := checkValue(decoder, inner); err != nil {
+			return err
+		}
+	}
+	if _, err := decoder.Token(); err != nil {
+		return fmt.Errorf("ticket is not JSON: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/checker/entity.go
@@ -0,0 +1,58 @@
+package checker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"zinniatide.example/zinniatide"
+)
+
+// Entity names one thing that a ticket replaces as a whole.
+type Entity struct {
+	// Kind is the ticket's field, such as "services".
+	Kind string `cbor:"1,keyasint"`
+	// ID is empty for the set of control VMs.
+	ID string `cbor:"2,keyasint,omitempty"`
+}
+
+func (e Entity) String() string {
+	if e.ID == "" {
+		return e.Kind
+	}
+	return e.Kind + " " + e.ID
+}
+
+// Compare orders entities by kind and id.
+func (e Entity) Compare(other Entity) int {
+	return cmp.Or(cmp.Compare(e.Kind, other.Kind), cmp.Compare(e.ID, other.ID))
+}
+
+// Kinds of entities, named as the fields of a ticket.
+const (
+	kindServices       = "services"
+	kindZones          = "availability-zones"
+	kindVMs            = "vms"
+	kindBackendServers = "backend-servers"
+	kindControlVMs     = "control-vms"
+)
+
+// Entities returns the entities that t touches, in order.
+func Entities(t *zinniatide.Ticket) []Entity {
+	out := entitiesOf(kindServices, t.Services)
+	out = append(out, entitiesOf(kindZones, t.AvailabilityZones)...)
+	out = append(out, entitiesOf(kindVMs, t.VMs)...)
+	out = append(out, entitiesOf(kindBackendServers, t.BackendServers)...)
+	if len(t.ControlVMs) > 0 {
+		out = append(out, Entity{Kind: kindControlVMs})
+	}
+	return out
+}
+
+func entitiesOf[K ~string, V any](kind string, settings map[K]V) []Entity {
+	var out []Entity
+	for _, id := range slices.Sorted(maps.Keys(settings)) {
+		out = append(out, Entity{Kind: kind, ID: string(id)})
+	}
+	return out
+}
--- /dev/null
+++ b/controller/claims.go
@@ -0,0 +1,54 @@
+package controller
+
+import (
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/registrar"
+)
+
+func (c *Controller) claimHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
+	var claim zinniatide.Claim
+	if err := codec.Decode(body, &claim); err != nil {
+		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode claim of %s: %v", from, err))
+		return
+	}
+	if claim.VM != from {
+		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "claim of VM %q came over the link of %q", claim.VM, from))
+		return
+	}
+	c.log.Post(func() {
+		if lead := c.leadership(); !lead.Leading {
+			reply(&controlproto.ClaimReply{Leadership: lead}, nil)
+			return
+		}
+		c.propose(&registrar.Command{Claim: &claim}, func(result any, err error) {
+			answer := &controlproto.ClaimReply{Leadership: c.leadership(), Refusal: controlproto.FromError(err)}
+			if err == nil {
+				// A committed claim is decided, whoever leads now.
+				answer.Leading = true
+				answer.Reply, _ = result.(zinniatide.ClaimReply)
+			}
+			reply(answer, nil)
+		})
+	})
+}
+
+func (c *Controller) claimResultHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
+	var result zinniatide.ClaimResult
+	if err := codec.Decode(body, &result); err != nil {
+		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode claim result of %s: %v", from, err))
+		return
+	}
+	c.log.Post(func() {
+		if lead := c.leadership(); !lead.Leading {
+			reply(&controlproto.ClaimResultReply{Leadership: lead}, nil)
+			return
+		}
+		c.propose(&registrar.Command{Result: &result}, func(_ any, err error) {
+			answer := &controlproto.ClaimResultReply{Leadership: c.leadership(), Refusal: controlproto.FromError(err)}
+			answer.Leading = answer.Leading || err == nil
+			reply(answer, nil)
+		})
+	})
+}
--- /dev/null
+++ b/controller/metrics.go
@@ -0,0 +1,27 @@
+package controller
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// Registerer is where New registers its metrics.
+type Registerer = prometheus.Registerer
+
+type metrics struct {
+	epoch        prometheus.Gauge
+	expired      prometheus.Counter
+	pushFailures prometheus.Counter
+}
+
+func newMetrics(registerer Registerer) *metrics {
+	factory := promauto.With(registerer)
+	return &metrics{
+		epoch: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "zinniatide_control_epoch", Help: "Newest accepted configuration epoch."}),
+		expired: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_control_expired_leases_total", Help: "Members removed because their lease expired."}),
+		pushFailures: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_control_push_failures_total", Help: "Configuration pushes without acknowledgement of a newer epoch."}),
+	}
+}
--- /dev/null
+++ b/registrar/claims.go
@@ -0,0 +1,203 @@
+package registrar
+
+import (
+	"container/heap"
+	"strconv"
+	"strings"
+
+	"zinniatide.example/zinniatide"
+)
+
+// Bounds of the claim table. They are part of the deterministic rules: every
+// control VM must run with the same values.
+const (
+	// claimRetention is how long a claim outlives its expiry.
+	claimRetention zinniatide.Millis = 60_000
+	// clockSlack is by how much the clock of a coordinator may be ahead of the
+	// log clock when it checks the lifetime of a request id.
+	clockSlack zinniatide.Millis = 60_000
+	// maxClaims and maxClaimBytes bound the memory of the table and the size
+	// of a snapshot, which is encoded on the control thread.
+	maxClaims     = 200_000
+	maxClaimBytes = 32 << 20
+	// claimOverhead is charged for each claim beside its id, holder and body.
+	claimOverhead = 96
+)
+
+// claimRecord is one claimed request id.
+type claimRecord struct {
+	ID      zinniatide.RequestID   `cbor:"1,keyasint"`
+	Expires zinniatide.Millis      `cbor:"2,keyasint"`
+	Digest  zinniatide.Fingerprint `cbor:"3,keyasint"`
+	Holder  zinniatide.VMID        `cbor:"4,keyasint"`
+	Token   uint64                 `cbor:"5,keyasint"`
+	// Outcome is empty until a result is recorded.
+	Outcome zinniatide.Outcome `cbor:"6,keyasint,omitempty"`
+	Body    []byte             `cbor:"7,keyasint,omitempty"`
+	// Freed is set by a not-run result. The record stays to keep a late copy
+	// of the claim with the same token from taking the id again.
+	Freed bool `cbor:"8,keyasint,omitempty"`
+}
+
+func (c *claimRecord) size() int {
+	return claimOverhead + len(c.ID) + len(c.Holder) + len(c.Body)
+}
+
+// claimTable holds the claims that have not been dropped.
+type claimTable struct {
+	maxClaims, maxBytes int
+	byID                map[zinniatide.RequestID]*claimRecord
+	byExpiry            expiryHeap
+	bytes               int
+}
+
+func newClaimTable() claimTable {
+	return claimTable{maxClaims: maxClaims, maxBytes: maxClaimBytes, byID: map[zinniatide.RequestID]*claimRecord{}}
+}
+
+// applyClaim decides a claim. The reply is a zinniatide.ClaimReply, or a
+// *zinniatide.Refusal when the claim is malformed or the table is full.
+func (r *Registrar) applyClaim(c *zinniatide.Claim) any {
+	if refusal := checkClaim(c, r.clock); refusal != nil {
+		return refusal
+	}
+	record, known := r.claims.byID[c.RequestID]
+	if known && (!record.Freed || record.Token == c.Token) {
+		return record.reply(c, r.clock)
+	}
+	if c.Expires <= r.clock {
+		return expiredReply(c.VM)
+	}
+	if !known {
+		record = &claimRecord{ID: c.RequestID, Expires: c.Expires, Holder: c.VM}
+		if !r.claims.add(record) {
+			return zinniatide.Refuse(zinniatide.CodeOverloaded,
+				"%d claims with %d bytes are kept, the bounds are %d and %d; retry when older request ids have expired",
+				len(r.claims.byID), r.claims.bytes, r.claims.maxClaims, r.claims.maxBytes)
+		}
+	}
+	r.claims.bytes += len(c.VM) - len(record.Holder)
+	record.Holder, record.Token, record.Digest, record.Freed = c.VM, c.Token, c.Digest, false
+	return zinniatide.ClaimReply{Granted: true, Holder: c.VM}
+}
+
+// checkClaim refuses a claim whose expiry is not the one in its request id.
+// Otherwise the same id could be claimed again after its claim was dropped.
+func checkClaim(c *zinniatide.Claim, now zinniatide.Millis) *zinniatide.Refusal {
+	expires, ok := requestExpiry(c.RequestID)
+	switch {
+	case !ok || expires != c.Expires:
+		return zinniatide.Refuse(zinniatide.CodeBadRequest,
+			"request id %q must have the form <expiry in unix ms>-<8 or more characters>", c.RequestID)
+	case c.Expires > now+zinniatide.MaxClaimLifetime+clockSlack:
+		return zinniatide.Refuse(zinniatide.CodeBadRequest,
+			"request id %q expires more than %d ms ahead", c.RequestID, zinniatide.MaxClaimLifetime)
+	}
+	return nil
+}
+
+// requestExpiry returns the expiry that starts a request id.
+func requestExpiry(id zinniatide.RequestID) (zinniatide.Millis, bool) {
+	digits, rest, found := strings.Cut(string(id), "-")
+	if !found || len(rest) < 8 || len(id) > zinniatide.MaxIDLength {
+		return 0, false
+	}
+	expires, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil || expires <= 0 || strconv.FormatInt(expires, 10) != digits {
+		return 0, false
+	}
+	return zinniatide.Millis(expires), true
+}
+
+// reply answers a claim of an id that has a record.
+func (c *claimRecord) reply(claim *zinniatide.Claim, now zinniatide.Millis) zinniatide.ClaimReply {
+	switch {
+	case c.Freed: // a late copy of the attempt that gave up
+		return zinniatide.ClaimReply{Holder: c.Holder, Outcome: zinniatide.OutcomeNotRun}
+	case c.Digest != claim.Digest:
+		return zinniatide.ClaimReply{Holder: c.Holder, Code: zinniatide.CodeRequestIDReused, Outcome: zinniatide.OutcomeNotRun}
+	case c.Outcome != "":
+		return zinniatide.ClaimReply{Holder: c.Holder, Outcome: c.Outcome, Body: c.Body}
+	case c.Token == claim.Token:
+		return zinniatide.ClaimReply{Granted: true, Holder: c.Holder}
+	case c.Expires <= now:
+		return expiredReply(c.Holder)
+	}
+	return zinniatide.ClaimReply{Holder: c.Holder, Code: zinniatide.CodeInProgress, Outcome: zinniatide.OutcomeUnknown}
+}
+
+// expiredReply says that an earlier attempt may have run.
+func expiredReply(holder zinniatide.VMID) zinniatide.ClaimReply {
+	return zinniatide.ClaimReply{Holder: holder, Code: zinniatide.CodeRequestIDExpired, Outcome: zinniatide.OutcomeUnknown}
+}
+
+// finish records the result of the token that holds the claim. The first
+// result stays, except that an unknown outcome may become known.
+func (t *claimTable) finish(result *zinniatide.ClaimResult, now zinniatide.Millis) {
+	record, known := t.byID[result.RequestID]
+	if !known {
+		t.refuseLate(result, now)
+		return
+	}
+	if record.Freed || record.Token != result.Token || (record.Outcome != "" && record.Outcome != zinniatide.OutcomeUnknown) {
+		return
+	}
+	switch result.Outcome {
+	case zinniatide.OutcomeNotRun:
+		record.Freed, record.Outcome = true, ""
+	case zinniatide.OutcomeDone, zinniatide.OutcomeUnknown:
+		record.Outcome = result.Outcome
+		if len(result.Body) <= zinniatide.MaxRecordedBody && t.bytes+len(result.Body) <= t.maxBytes {
+			t.bytes += len(result.Body) - len(record.Body)
+			record.Body = result.Body
+		}
+	}
+}
+
+// refuseLate remembers a not-run result that overtook its claim, so that the
+// claim is not granted when it arrives.
+func (t *claimTable) refuseLate(result *zinniatide.ClaimResult, now zinniatide.Millis) {
+	expires, ok := requestExpiry(result.RequestID)
+	if !ok || result.Outcome != zinniatide.OutcomeNotRun || expires <= now || expires > now+zinniatide.MaxClaimLifetime+clockSlack {
+		return
+	}
+	t.add(&claimRecord{ID: result.RequestID, Expires: expires, Token: result.Token, Freed: true})
+}
+
+// add inserts a record and returns false when the table is full.
+func (t *claimTable) add(c *claimRecord) bool {
+	if len(t.byID) >= t.maxClaims || t.bytes+c.size() > t.maxBytes {
+		return false
+	}
+	t.byID[c.ID] = c
+	t.bytes += c.size()
+	heap.Push(&t.byExpiry, c)
+	return true
+}
+
+// dropExpired drops claims whose retention has ended.
+func (t *claimTable) dropExpired(now zinniatide.Millis) {
+	for len(t.byExpiry) > 0 && t.byExpiry[0].Expires+claimRetention <= now {
+		c := heap.Pop(&t.byExpiry).(*claimRecord)
+		t.bytes -= c.size()
+		delete(t.byID, c.ID)
+	}
+}
+
+// expiryHeap orders claims by expiry. It implements heap.Interface.
+type expiryHeap []*claimRecord
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].Expires < h[j].Expires }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*claimRecord)) }
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	(*h)[len(*h)-1] = nil
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- /dev/null
+++ b/registrar/command.go
@@ -0,0 +1,71 @@
+package registrar
+
+import (
+	"fmt"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/controlproto"
+)
+
+// Command is one entry of the replicated log. Exactly one of its pointers is
+// set.
+type Command struct {
+	// Now is the leader's wall clock in unix milliseconds when it proposed
+	// the entry. It moves the log clock, which never goes back.
+	Now       zinniatide.Millis           `cbor:"1,keyasint"`
+	Ticket    *TicketEntry                `cbor:"2,keyasint,omitempty"`
+	Join      *zinniatide.Member          `cbor:"3,keyasint,omitempty"`
+	Remove    *Removal                    `cbor:"4,keyasint,omitempty"`
+	Release   *controlproto.BucketRelease `cbor:"5,keyasint,omitempty"`
+	Claim     *zinniatide.Claim           `cbor:"6,keyasint,omitempty"`
+	Result    *zinniatide.ClaimResult     `cbor:"7,keyasint,omitempty"`
+	Bootstrap *Bootstrap                  `cbor:"8,keyasint,omitempty"`
+}
+
+// TicketEntry is a ticket that has passed the checker. The digest is taken
+// from the filed text, so it does not depend on the version of the program that
+// applies the entry.
+type TicketEntry struct {
+	Ticket zinniatide.Ticket `cbor:"1,keyasint"`
+	Digest checker.Digest    `cbor:"2,keyasint"`
+}
+
+// Removal removes members whose lease has expired or that have left.
+type Removal struct {
+	Sessions []Session `cbor:"1,keyasint"`
+}
+
+// Session identifies one process of a VM.
+type Session struct {
+	VM          zinniatide.VMID        `cbor:"1,keyasint"`
+	Incarnation zinniatide.Incarnation `cbor:"2,keyasint"`
+}
+
+// Bootstrap sets the control VMs of a system that has none configured.
+type Bootstrap struct {
+	ControlVMs []zinniatide.ControlVM `cbor:"1,keyasint"`
+}
+
+// Encode returns the entry of c.
+func (c *Command) Encode() ([]byte, error) { return codec.Encode(c) }
+
+// DecodeCommand reads an entry. It fails unless exactly one command is set.
+func DecodeCommand(data []byte) (*Command, error) {
+	c := &Command{}
+	if err := codec.Decode(data, c); err != nil {
+		return nil, fmt.Errorf("decode command: %w", err)
+	}
+	set := 0
+	for _, present := range []bool{c.Ticket != nil, c.Join != nil, c.Remove != nil, c.Release != nil,
+		c.Claim != nil, c.Result != nil, c.Bootstrap != nil} {
+		if present {
+			set++
+		}
+	}
+	if set != 1 {
+		return nil, fmt.Errorf("decode command: %d commands in one entry, want 1", set)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/subscriber/install.go
@@ -0,0 +1,92 @@
+package subscriber
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/registrar"
+)
+
+// pushHandler installs a push and acknowledges the epoch that is then in force
+// here.
+func (s *Subscriber) pushHandler(_ zinniatide.VMID, body []byte, reply func(any, error)) {
+	body = bytes.Clone(body)
+	s.post(func() {
+		var push controlproto.ConfigurationPush
+		err := codec.Decode(body, &push)
+		if err == nil {
+			s.install(&push)
+		}
+		if reply != nil {
+			reply(&controlproto.PushReply{Epoch: s.Configuration().Epoch, Incarnation: s.config.Member.Incarnation}, err)
+		}
+	})
+}
+
+// install puts the newest configuration of push in force. What is old, or
+// leaves a gap, changes nothing.
+func (s *Subscriber) install(push *controlproto.ConfigurationPush) {
+	current := s.Configuration()
+	next, err := decodePush(current, push)
+	if err != nil {
+		klog.ErrorS(err, "cannot install a pushed configuration", "step", "install", "epoch", current.Epoch)
+		return
+	}
+	if next.Epoch <= current.Epoch {
+		return
+	}
+	s.installed.Store(next)
+	if peersChanged(current, next) {
+		s.links.SetPeers(s.Peers())
+	}
+	s.forgetReleases()
+	s.extendLease()
+	for _, f := range s.observers {
+		f(next)
+	}
+}
+
+// decodePush returns current when push holds nothing newer.
+func decodePush(current *zinniatide.Configuration, push *controlproto.ConfigurationPush) (*zinniatide.Configuration, error) {
+	if len(push.Full) > 0 {
+		full := registrar.NewConfiguration()
+		if err := codec.Decode(push.Full, full); err != nil {
+			return nil, fmt.Errorf("decode configuration: %w", err)
+		}
+		if full.Epoch > current.Epoch {
+			current = full
+		}
+	}
+	var deltas []registrar.Delta
+	epoch := current.Epoch
+	for _, raw := range push.Deltas {
+		var delta registrar.Delta
+		if err := codec.Decode(raw, &delta); err != nil {
+			return nil, fmt.Errorf("decode configuration delta: %w", err)
+		}
+		if delta.Epoch <= epoch {
+			continue
+		}
+		if delta.Epoch != epoch+1 {
+			break // a gap: the acknowledged epoch tells the leader what is missing
+		}
+		deltas = append(deltas, delta)
+		epoch = delta.Epoch
+	}
+	if len(deltas) == 0 {
+		return current, nil
+	}
+	return registrar.ApplyDeltas(current, deltas), nil
+}
+
+func peersChanged(before, after *zinniatide.Configuration) bool {
+	samePeer := func(a, b zinniatide.Member) bool { return a.PeerAddress == b.PeerAddress }
+	return !maps.EqualFunc(before.Members, after.Members, samePeer) ||
+		fmt.Sprint(before.ControlVMs) != fmt.Sprint(after.ControlVMs)
+}
--- /dev/null
+++ b/subscriber/release.go
@@ -0,0 +1,79 @@
+package subscriber
+
+import (
+	"slices"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/controlproto"
+)
+
+type bucketID = controlproto.BucketID
+
+// owns reports whether this process owns b.
+func (s *Subscriber) owns(b *zinniatide.Bucket) bool {
+	return b.Owner == s.config.Member.VM && b.OwnerIncarnation == s.config.Member.Incarnation
+}
+
+// ReleaseBucket tells that this VM has drained a bucket that it owns and whose
+// Next is set: nothing is in flight, and its connections are closed. The
+// release is repeated until a configuration shows the new owner. A call for
+// another bucket has no effect.
+func (s *Subscriber) ReleaseBucket(zone zinniatide.ZoneID, index int) {
+	// The epoch is read here: the caller has drained the bucket for the move
+	// that this configuration shows, not for a later one.
+	c := s.Configuration()
+	if !s.releasable(c, bucketID{Zone: zone, Index: index}) {
+		return
+	}
+	s.post(func() {
+		bucket := bucketID{Zone: zone, Index: index}
+		if !slices.Contains(s.releases[c.Epoch], bucket) {
+			s.releases[c.Epoch] = append(s.releases[c.Epoch], bucket)
+		}
+	})
+}
+
+func (s *Subscriber) releasable(c *zinniatide.Configuration, bucket bucketID) bool {
+	table := c.Buckets[bucket.Zone]
+	return bucket.Index >= 0 && bucket.Index < len(table) && s.owns(&table[bucket.Index]) && table[bucket.Index].Next != ""
+}
+
+// forgetReleases drops the releases that the installed configuration shows as
+// done.
+func (s *Subscriber) forgetReleases() {
+	c := s.Configuration()
+	for epoch, buckets := range s.releases {
+		buckets = slices.DeleteFunc(buckets, func(b bucketID) bool { return !s.releasable(c, b) })
+		if len(buckets) == 0 {
+			delete(s.releases, epoch)
+		} else {
+			s.releases[epoch] = buckets
+		}
+	}
+}
+
+// tickReleases sends the releases of one epoch at a time.
+func (s *Subscriber) tickReleases(now zinniatide.Millis) {
+	if len(s.releases) == 0 || s.releasing || now < s.nextRelease {
+		return
+	}
+	leader := s.leader()
+	if leader == "" {
+		return
+	}
+	for epoch, buckets := range s.releases {
+		s.releasing = true
+		s.nextRelease = now + releaseTimeout
+		message := &controlproto.BucketRelease{
+			VM: s.config.Member.VM, Incarnation: s.config.Member.Incarnation, Epoch: epoch, Buckets: slices.Clone(buckets),
+		}
+		call(s, leader, zinniatide.KindControlRelease, message, releaseTimeout, func(reply *controlproto.ReleaseReply, err error) {
+			s.releasing = false
+			if err == nil && !reply.Leading && reply.Leader != "" {
+				s.nextRelease = 0
+				s.changeLeader(leader, reply.Leader)
+			}
+		})
+		return
+	}
+}
