--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,355 @@
+package registrar
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/controlproto"
+)
+
+const start zinniatide.Millis = 1_800_000_000_000
+
+func apply(t testing.TB, r *Registrar, now zinniatide.Millis, c Command) any {
+	t.Helper()
+	c.Now = start + now
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Apply(1, data)
+}
+
+func entry(t testing.TB, text string) *TicketEntry {
+	t.Helper()
+	tickets, err := checker.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ticket, digest, err := tickets.Decode([]byte(text))
+	if err != nil {
+		t.Fatalf("ticket %s: %v", text, err)
+	}
+	return &TicketEntry{Ticket: *ticket, Digest: digest}
+}
+
+// outcome shortens a result for comparison.
+func outcome(result any) string {
+	switch result := result.(type) {
+	case *zinniatide.Refusal:
+		return string(result.Code)
+	case zinniatide.TicketReply:
+		return fmt.Sprintf("epoch %d repeated %v", result.Epoch, result.Repeated)
+	}
+	return fmt.Sprint(result)
+}
+
+// restore returns a state rebuilt from a snapshot of r.
+func restore(t testing.TB, r *Registrar) *Registrar {
+	t.Helper()
+	data, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fresh := New()
+	fresh.tickets.kept, fresh.claims.maxClaims, fresh.claims.maxBytes = r.tickets.kept, r.claims.maxClaims, r.claims.maxBytes
+	if err := fresh.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	again, err := fresh.Snapshot()
+	if err != nil || !bytes.Equal(data, again) {
+		t.Fatalf("snapshot of the restored state differs (error %v)", err)
+	}
+	return fresh
+}
+
+// Guards against number rules evaluated in another order, and against rules
+// that change after a snapshot. Four digests are kept instead of 50,000.
+func TestTicketNumberRules(t *testing.T) {
+	zone := func(number int, zone, state string) string {
+		return fmt.Sprintf(`{"ticket": %d, "availability-zones": {%q: {"state": %q}}}`, number, zone, state)
+	}
+	steps := []struct{ name, text, want string }{
+		{"first", zone(10, "a", "out"), "epoch 1 repeated false"},
+		{"same content in other notation", `{"availability-zones":{"a":{"state":"out"}},"ticket":10}`, "epoch 1 repeated true"},
+		{"same number, other content", zone(10, "a", "in"), "ticket-conflict"},
+		{"lower number, same entity", zone(9, "a", "in"), "superseded"},
+		{"lower number, other entity", zone(9, "b", "out"), "epoch 2 repeated false"},
+		{"lower number, one of two entities", `{"ticket": 8, "availability-zones": {"c": {"state": "out"}, "b": {"state": "in"}}}`, "superseded"},
+		{"no effect", zone(11, "a", "out"), "epoch 2 repeated false"},
+		{"removal", `{"ticket": 12, "availability-zones": {"a": null}}`, "epoch 3 repeated false"},
+		{"old ticket for a removed entity", zone(7, "a", "out"), "superseded"},
+		{"fifth ticket drops 10", zone(13, "d", "out"), "epoch 4 repeated false"},
+		{"dropped digest", zone(10, "a", "out"), "superseded"},
+		{"kept, though below the highest dropped", zone(9, "b", "out"), "epoch 2 repeated true"},
+		{"unknown, below the highest dropped", zone(6, "new", "out"), "superseded"},
+		{"two control VMs at once are fine for the first set", `{"ticket": 20, "control-vms": [{"vm": "c1", "peer-address": "h:1"}, {"vm": "c2", "peer-address": "h:2"}]}`, "epoch 5 repeated false"},
+		{"two control VMs replaced", `{"ticket": 21, "control-vms": [{"vm": "c1", "peer-address": "h:1"}, {"vm": "c3", "peer-address": "h:3"}]}`, "bad-request"},
+		{"one control VM removed", `{"ticket": 22, "control-vms": [{"vm": "c1", "peer-address": "h:1"}]}`, "epoch 6 repeated false"},
+	}
+	plain, restored := New(), New()
+	plain.tickets.kept, restored.tickets.kept = 4, 4
+	for _, step := range steps {
+		e := entry(t, step.text)
+		for name, r := range map[string]*Registrar{"plain": plain, "restored": restored} {
+			if got := outcome(apply(t, r, 0, Command{Ticket: e})); got != step.want {
+				t.Errorf("%s (%s): got %q, want %q", step.name, name, got, step.want)
+			}
+		}
+		restored = restore(t, restored)
+	}
+}
+
+// Guards against a conflict that does not tell the operator which content won.
+func TestConflictNamesTheWinner(t *testing.T) {
+	r := New()
+	winner := entry(t, `{"ticket": 1, "vms": {"e1": {"state": "leaving"}}}`)
+	apply(t, r, 0, Command{Ticket: winner})
+	refusal, ok := apply(t, r, 0, Command{Ticket: entry(t, `{"ticket": 1, "vms": {"e2": {"state": "leaving"}}}`)}).(*zinniatide.Refusal)
+	if !ok || !strings.Contains(refusal.Message, winner.Digest.String()) {
+		t.Errorf("got %v, want a refusal that names %s", refusal, winner.Digest)
+	}
+	if got, want := r.History(5), 1; len(got) != want {
+		t.Errorf("history %v, want %d ticket", got, want)
+	}
+}
+
+func claim(id string, token uint64, digest zinniatide.Fingerprint) *zinniatide.Claim {
+	expires, _ := requestExpiry(zinniatide.RequestID(id))
+	return &zinniatide.Claim{RequestID: zinniatide.RequestID(id), Expires: expires, Digest: digest, VM: "e1", Token: token}
+}
+
+// Guards against a second run of a non-idempotent request, and against denials
+// that claim to know more than the log does.
+func TestClaimRules(t *testing.T) {
+	id := fmt.Sprintf("%d-abcdefgh", start+10_000)
+	other := fmt.Sprintf("%d-stuvwxyz", start+10_000)
+	finish := func(token uint64, o zinniatide.Outcome, body string) Command {
+		return Command{Result: &zinniatide.ClaimResult{RequestID: zinniatide.RequestID(id), Token: token, Outcome: o, Body: []byte(body)}}
+	}
+	steps := []struct {
+		name    string
+		now     zinniatide.Millis
+		command Command
+		want    string // granted code outcome body
+	}{
+		{"first token", 0, Command{Claim: claim(id, 1, 5)}, "true   "},
+		{"same token", 1, Command{Claim: claim(id, 1, 5)}, "true   "},
+		{"second token", 2, Command{Claim: claim(id, 2, 5)}, "false in-progress unknown "},
+		{"other digest", 3, Command{Claim: claim(id, 3, 6)}, "false request-id-reused not-run "},
+		{"result of a token without claim", 4, finish(2, zinniatide.OutcomeDone, "x"), ""},
+		{"still in progress", 5, Command{Claim: claim(id, 2, 5)}, "false in-progress unknown "},
+		{"not-run frees", 6, finish(1, zinniatide.OutcomeNotRun, ""), ""},
+		{"late copy of the freed token", 7, Command{Claim: claim(id, 1, 5)}, "false  not-run "},
+		{"next attempt", 8, Command{Claim: claim(id, 4, 5)}, "true   "},
+		{"late result of the freed token", 9, finish(1, zinniatide.OutcomeDone, "wrong"), ""},
+		{"done", 10, finish(4, zinniatide.OutcomeDone, "result"), ""},
+		{"second result", 11, finish(4, zinniatide.OutcomeNotRun, ""), ""},
+		{"recorded result", 12, Command{Claim: claim(id, 5, 5)}, "false  done result"},
+		{"recorded result after expiry", 10_001, Command{Claim: claim(id, 6, 5)}, "false  done result"},
+		{"unclaimed id after expiry", 10_002, Command{Claim: claim(other, 7, 5)}, "false request-id-expired unknown "},
+		{"clock of a new leader is behind", 20, Command{Claim: claim(other, 8, 5)}, "false request-id-expired unknown "},
+		{"dropped after a minute", 70_000, Command{Claim: claim(id, 9, 5)}, "false request-id-expired unknown "},
+	}
+	plain, restored := New(), New()
+	for _, step := range steps {
+		for name, r := range map[string]*Registrar{"plain": plain, "restored": restored} {
+			got := ""
+			if reply, ok := apply(t, r, step.now, step.command).(zinniatide.ClaimReply); ok {
+				got = fmt.Sprintf("%v %s %s %s", reply.Granted, reply.Code, reply.Outcome, reply.Body)
+			}
+			if got != step.want {
+				t.Errorf("%s (%s): got %q, want %q", step.name, name, got, step.want)
+			}
+		}
+		restored = restore(t, restored)
+	}
+	if len(plain.claims.byID) != 0 || plain.claims.bytes != 0 {
+		t.Errorf("%d claims with %d bytes are left", len(plain.claims.byID), plain.claims.bytes)
+	}
+}
+
+// Guards against a claim that is granted after its coordinator has already
+// answered not-run.
+func TestNotRunOvertakesItsClaim(t *testing.T) {
+	r, id := New(), fmt.Sprintf("%d-abcdefgh", start+10_000)
+	apply(t, r, 0, Command{Result: &zinniatide.ClaimResult{RequestID: zinniatide.RequestID(id), Token: 1, Outcome: zinniatide.OutcomeNotRun}})
+	if reply := apply(t, r, 0, Command{Claim: claim(id, 1, 5)}).(zinniatide.ClaimReply); reply.Granted {
+		t.Error("the late claim was granted")
+	}
+	if reply := apply(t, r, 0, Command{Claim: claim(id, 2, 5)}).(zinniatide.ClaimReply); !reply.Granted {
+		t.Errorf("the next attempt was denied: %+v", reply)
+	}
+}
+
+// Guards against a claim table that grows without bound, a full table that
+// refuses known ids, and a result that breaks the bound.
+func TestClaimsAreBounded(t *testing.T) {
+	r := New()
+	r.claims.maxClaims, r.claims.maxBytes = 2, 400
+	ids := []string{fmt.Sprintf("%d-aaaaaaaa", start+100), fmt.Sprintf("%d-bbbbbbbb", start+200), fmt.Sprintf("%d-cccccccc", start+300)}
+	for i, want := range []string{"true", "true", "overloaded"} {
+		result := apply(t, r, 0, Command{Claim: claim(ids[i], 1, 1)})
+		got := outcome(result)
+		if reply, ok := result.(zinniatide.ClaimReply); ok {
+			got = fmt.Sprint(reply.Granted)
+		}
+		if got != want {
+			t.Errorf("claim %d: got %s, want %s", i, got, want)
+		}
+	}
+	big := &zinniatide.ClaimResult{RequestID: zinniatide.RequestID(ids[0]), Token: 1, Outcome: zinniatide.OutcomeDone, Body: make([]byte, 300)}
+	apply(t, r, 0, Command{Result: big})
+	if reply := apply(t, r, 0, Command{Claim: claim(ids[0], 2, 1)}).(zinniatide.ClaimReply); reply.Outcome != zinniatide.OutcomeDone || len(reply.Body) != 0 {
+		t.Errorf("got %+v, want outcome done without the body that exceeds the bound", reply)
+	}
+	if r.claims.bytes > r.claims.maxBytes {
+		t.Errorf("%d bytes are kept, the bound is %d", r.claims.bytes, r.claims.maxBytes)
+	}
+	if reply := apply(t, r, claimRetention+150, Command{Claim: claim(fmt.Sprintf("%d-dddddddd", start+100_000), 1, 1)}).(zinniatide.ClaimReply); !reply.Granted {
+		t.Error("a claim is refused after older ones were dropped")
+	}
+}
+
+func join(vm zinniatide.VMID, zone zinniatide.ZoneID, incarnation zinniatide.Incarnation) Command {
+	return Command{Join: &zinniatide.Member{VM: vm, Zone: zone, Incarnation: incarnation, Entry: true, State: zinniatide.StateIn}}
+}
+
+func countOwned(r *Registrar, zone zinniatide.ZoneID) (owned map[zinniatide.VMID]int, moving int) {
+	owned = map[zinniatide.VMID]int{}
+	for _, b := range r.Configuration().Buckets[zone] {
+		owned[b.Owner]++
+		if b.Next != "" {
+			moving++
+		}
+	}
+	return owned, moving
+}
+
+// Guards against buckets that move at once from a live owner, and against a
+// late release that ends a later move.
+func TestBucketsMoveInTwoEntries(t *testing.T) {
+	r := New()
+	apply(t, r, 0, join("e1", "a", 1))
+	apply(t, r, 0, join("e2", "a", 1))
+	owned, moving := countOwned(r, "a")
+	if owned["e1"] != zinniatide.BucketsPerZone || moving == 0 {
+		t.Fatalf("owners %v with %d moves, want all with e1 and some moving", owned, moving)
+	}
+	early := r.Configuration().Epoch
+	release := Command{Release: &controlproto.BucketRelease{VM: "e1", Incarnation: 1, Epoch: early}}
+	for i := range zinniatide.BucketsPerZone {
+		release.Release.Buckets = append(release.Release.Buckets, controlproto.BucketID{Zone: "a", Index: i})
+	}
+	apply(t, r, 0, release)
+	if got, _ := countOwned(r, "a"); got["e2"] != moving {
+		t.Fatalf("owners %v after the release, want %d with e2", got, moving)
+	}
+	// e2 dies, e1 takes over; e2 returns, and the old release arrives again.
+	apply(t, r, 0, Command{Remove: &Removal{Sessions: []Session{{VM: "e2", Incarnation: 1}}}})
+	apply(t, r, 0, join("e2", "a", 2))
+	before, _ := countOwned(r, "a")
+	apply(t, restore(t, r), 0, release)
+	apply(t, r, 0, release)
+	if after, _ := countOwned(r, "a"); after["e1"] != before["e1"] {
+		t.Errorf("a late release moved buckets: owners %v, want %v", after, before)
+	}
+}
+
+// Guards against buckets that stay with a lost process, and a zone without
+// serving VMs whose servers nobody owns.
+func TestBucketsOfLostOwners(t *testing.T) {
+	r := New()
+	apply(t, r, 0, join("e1", "a", 1))
+	apply(t, r, 0, join("e2", "b", 1))
+	apply(t, r, 0, join("e1", "a", 2))
+	if b := r.Configuration().Buckets["a"][0]; b.OwnerIncarnation != 2 || b.Next != "" {
+		t.Errorf("bucket after a restart: %+v, want incarnation 2", b)
+	}
+	apply(t, r, 0, Command{Remove: &Removal{Sessions: []Session{{VM: "e1", Incarnation: 1}}}})
+	if _, ok := r.Configuration().Members["e1"]; !ok {
+		t.Error("the removal of an old incarnation removed the new one")
+	}
+	apply(t, r, 0, Command{Remove: &Removal{Sessions: []Session{{VM: "e1", Incarnation: 2}}}})
+	if owned, moving := countOwned(r, "a"); owned["e2"] != zinniatide.BucketsPerZone || moving != 0 {
+		t.Errorf("owners %v with %d moves, want all with e2", owned, moving)
+	}
+	if got := outcome(apply(t, r, 0, join("e2", "b", 0))); got != string(zinniatide.CodeSuperseded) {
+		t.Errorf("join of an old incarnation: got %s, want superseded", got)
+	}
+}
+
+// Guards against a published configuration that changes afterwards, and
+// against deltas that build another configuration than the leader has.
+func TestDeltasRebuildTheConfiguration(t *testing.T) {
+	r := New()
+	var deltas []Delta
+	r.Observe(func(_ *zinniatide.Configuration, d *Delta) { deltas = append(deltas, *d) })
+	first := NewConfiguration()
+	apply(t, r, 0, Command{Bootstrap: &Bootstrap{ControlVMs: []zinniatide.ControlVM{{VM: "c1", PeerAddress: "h:1"}}}})
+	apply(t, r, 0, join("e1", "a", 1))
+	middle := r.Configuration()
+	printed := fmt.Sprint(*middle)
+	apply(t, r, 0, join("e2", "a", 1))
+	apply(t, r, 0, Command{Ticket: entry(t, `{"ticket": 1, "availability-zones": {"a": {"state": "out"}}}`)})
+	apply(t, r, 0, Command{Ticket: entry(t, `{"ticket": 2, "availability-zones": {"a": null}}`)})
+	if got := fmt.Sprint(*middle); got != printed {
+		t.Errorf("published configuration changed:\n%s\n%s", printed, got)
+	}
+	rebuilt := ApplyDeltas(first, deltas)
+	if got, want := fmt.Sprint(*rebuilt), fmt.Sprint(*r.Configuration()); got != want {
+		t.Errorf("deltas give\n%s\nwant\n%s", got, want)
+	}
+}
+
+// Guards against a snapshot that replaces good state by unreadable data.
+func TestRestoreRefusesDamage(t *testing.T) {
+	r := New()
+	apply(t, r, 0, join("e1", "a", 1))
+	data, _ := r.Snapshot()
+	for name, damaged := range map[string][]byte{"empty": nil, "short": data[:len(data)/2], "longer": append(bytes.Clone(data), 0)} {
+		if err := r.Restore(damaged); err == nil {
+			t.Errorf("%s snapshot was accepted", name)
+		}
+	}
+	if len(r.Configuration().Members) != 1 {
+		t.Error("a refused snapshot changed the state")
+	}
+}
+
+// Guards against log entries that crash a control VM or that differ after one
+// more round of encoding.
+func FuzzDecodeCommand(f *testing.F) {
+	for _, c := range []Command{join("e1", "a", 1), {Claim: claim("1-abcdefgh", 1, 1)}, {Remove: &Removal{}}, {Bootstrap: &Bootstrap{}},
+		{Release: &controlproto.BucketRelease{Buckets: []controlproto.BucketID{{Zone: "a", Index: -1}}}}, {Result: &zinniatide.ClaimResult{Body: []byte("x")}}} {
+		data, _ := c.Encode()
+		f.Add(data)
+	}
+	f.Add([]byte{0xa1, 0x02, 0xa1, 0x01, 0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := New()
+		result := r.Apply(1, data)
+		command, err := DecodeCommand(data)
+		if err != nil {
+			if _, refused := result.(*zinniatide.Refusal); len(data) > 0 && !refused {
+				t.Fatalf("malformed entry gave %v", result)
+			}
+			return
+		}
+		again, err := command.Encode()
+		if err != nil {
+			t.Fatalf("encode again: %v", err)
+		}
+		twin := New()
+		twin.Apply(1, again)
+		a, errA := r.Snapshot()
+		b, errB := twin.Snapshot()
+		if err := errors.Join(errA, errB); err != nil || !bytes.Equal(a, b) {
+			t.Fatalf("states differ after one more encoding (error %v)", err)
+		}
+	})
+}
