--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -6,11 +6,15 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"k8s.io/klog/v2"
+
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/checker"
 	"zinniatide.example/zinniatide/common/clock"
@@ -41,6 +45,7 @@
 	loss, duplicate float64
 	delay           zinniatide.Millis
 	calls           map[zinniatide.MessageKind]int
+	commitDelay     zinniatide.Millis
 }
 
 // vm is one process.
@@ -75,12 +80,17 @@
 	return last
 }
 
+func TestMain(m *testing.M) {
+	klog.SetLogger(logr.Discard())
+	os.Exit(m.Run())
+}
+
 // newWorld starts control VMs c1 to cN, which are not entry VMs. C1 leads.
 func newWorld(t testing.TB, controlVMs int) *world {
 	w := &world{
 		t: t, clock: clock.NewManual(1000, startUnix), random: rand.New(rand.NewPCG(1, 2)),
 		vms: map[zinniatide.VMID]*vm{}, cut: map[[2]zinniatide.VMID]bool{}, delay: 2,
-		calls: map[zinniatide.MessageKind]int{},
+		calls: map[zinniatide.MessageKind]int{}, commitDelay: 1,
 	}
 	for i := range controlVMs {
 		id := zinniatide.VMID(fmt.Sprintf("c%d", i+1))
@@ -271,8 +281,8 @@
 	}
 }
 
-// fakeLog is a replicated log whose entries commit after one millisecond on
-// the leader and two on the others.
+// fakeLog is a replicated log whose entries commit after commitDelay on the
+// leader and a millisecond later on the others.
 type fakeLog struct {
 	vm           *vm
 	applied      int
@@ -314,7 +324,7 @@
 		l.open = map[int]func(any, error){}
 	}
 	l.open[n] = done
-	w.after(1, func() {
+	w.after(w.commitDelay, func() {
 		if l.open[n] != nil {
 			delete(l.open, n)
 			l.catchUp(n - 1)
@@ -324,7 +334,7 @@
 	})
 	for _, c := range w.control {
 		if other := w.vms[c.VM]; other != l.vm {
-			w.after(2, func() { other.log.catchUp(n) })
+			w.after(w.commitDelay+1, func() { other.log.catchUp(n) })
 		}
 	}
 }
