--- /dev/null
+++ b/linker/frame.go
@@ -0,0 +1,147 @@
+package linker
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/gobwas/ws"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
+)
+
+// MaxMessage is the largest WebSocket message accepted or sent, in bytes. It
+// holds a backend server's answer twice over.
+const MaxMessage = 8 << 20
+
+// kindHello is the kind of the first frame in each direction.
+const kindHello zinniatide.MessageKind = 1
+
+// frameHeader starts each frame. The body, one CBOR item, follows it, so that
+// a handler reads the body where it was received.
+type frameHeader struct {
+	_    struct{} `cbor:",toarray"`
+	Kind zinniatide.MessageKind
+	// Call numbers the calls of the sender of the request. It is zero for
+	// one-way messages.
+	Call  uint64
+	Reply bool
+	// Code is set on a reply whose body is a failure.
+	Code zinniatide.Code
+}
+
+// failure is the body of an error reply.
+type failure struct {
+	Outcome zinniatide.Outcome `json:"outcome"`
+	Message string             `json:"message"`
+}
+
+// errorOf turns an error reply into the error that its caller gets.
+func (h *frameHeader) errorOf(body []byte) error {
+	var f failure
+	if err := encoder.Unmarshal(body, &f); err != nil {
+		return &zinniatide.Refusal{Code: zinniatide.CodeInternal, Outcome: zinniatide.OutcomeUnknown,
+			Message: "error reply not understood: " + err.Error()}
+	}
+	return &zinniatide.Refusal{Code: h.Code, Outcome: f.Outcome, Message: f.Message}
+}
+
+// refusalOf gives the code, outcome and message that err has on the wire.
+func refusalOf(err error) (zinniatide.Code, failure) {
+	var refusal *zinniatide.Refusal
+	if errors.As(err, &refusal) && refusal.Code != "" {
+		return refusal.Code, failure{Outcome: refusal.Outcome, Message: refusal.Message}
+	}
+	return zinniatide.CodeInternal, failure{Outcome: zinniatide.OutcomeUnknown, Message: err.Error()}
+}
+
+// parseFrame splits a message into its header and its body.
+func parseFrame(message []byte) (frameHeader, []byte, error) {
+	var h frameHeader
+	body, err := encoder.UnmarshalFirst(message, &h)
+	if err != nil {
+		return h, nil, err
+	}
+	if h.Reply && h.Call == 0 {
+		return h, nil, errors.New("reply without a call number")
+	}
+	if h.Code != "" && !h.Reply {
+		return h, nil, errors.New("error code outside a reply")
+	}
+	if len(body) == 0 {
+		return h, nil, errors.New("frame without a body")
+	}
+	return h, body, nil
+}
+
+// scratch holds one frame while it is encoded.
+type scratch struct {
+	bytes.Buffer
+	header [ws.MaxHeaderSize]byte
+}
+
+var scratches = sync.Pool{New: func() any { return new(scratch) }}
+
+// maxScratch is the largest buffer kept for reuse. A rare large message does
+// not hold its memory for good.
+const maxScratch = 256 << 10
+
+func (s *scratch) release() {
+	if s.Cap() <= maxScratch {
+		scratches.Put(s)
+	}
+}
+
+// encodeFrame returns a WebSocket message in a buffer from the pool, which
+// the caller releases. Masked is required of the side that dialled.
+func encodeFrame(h *frameHeader, body any, masked bool) (*scratch, []byte, error) {
+	s := scratches.Get().(*scratch)
+	s.Reset()
+	s.Write(s.header[:]) // room for the WebSocket header
+	err := encoder.MarshalTo(&s.Buffer, h)
+	if err == nil {
+		err = encoder.MarshalTo(&s.Buffer, body)
+	}
+	if err != nil {
+		s.release()
+		return nil, nil, fmt.Errorf("encode message of kind %d: %w", h.Kind, err)
+	}
+	if size := s.Len() - ws.MaxHeaderSize; size > MaxMessage {
+		s.release()
+		return nil, nil, fmt.Errorf("message of kind %d has %d bytes, more than the limit of %d", h.Kind, size, MaxMessage)
+	}
+	return s, wrapMessage(s.Bytes(), ws.OpBinary, masked), nil
+}
+
+// wrapMessage writes the WebSocket header in front of the payload, which
+// starts at ws.MaxHeaderSize in buffer, and masks the payload in place.
+func wrapMessage(buffer []byte, op ws.OpCode, masked bool) []byte {
+	payload := buffer[ws.MaxHeaderSize:]
+	h := ws.Header{Fin: true, OpCode: op, Masked: masked, Length: int64(len(payload))}
+	if masked {
+		mask := rand.Uint32() //nolint:gosec // masking guards against proxies, not readers
+		h.Mask = [4]byte{byte(mask), byte(mask >> 8), byte(mask >> 16), byte(mask >> 24)}
+		ws.Cipher(payload, h.Mask, 0)
+	}
+	start := ws.MaxHeaderSize - ws.HeaderSize(h)
+	w := sliceWriter{buffer[start:start]}
+	var room [ws.MaxHeaderSize]byte
+	_ = ws.WriteHeaderBuffer(&w, h, room[:]) // the writer cannot fail and the length is bounded
+	return buffer[start:]
+}
+
+// controlMessage returns a WebSocket control message such as a ping.
+func controlMessage(op ws.OpCode, payload []byte, masked bool) []byte {
+	buffer := make([]byte, ws.MaxHeaderSize, ws.MaxHeaderSize+len(payload))
+	return wrapMessage(append(buffer, payload...), op, masked)
+}
+
+type sliceWriter struct{ b []byte }
+
+func (w *sliceWriter) Write(p []byte) (int, error) {
+	w.b = append(w.b, p...)
+	return len(p), nil
+}
