--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"errors"
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -29,7 +30,7 @@
 // world simulates VMs, links and a replicated log on one thread and a manual
 // clock.
 type world struct {
-	t       testing.TB
+	t       failer
 	clock   *clock.Clock
 	random  *rand.Rand
 	events  eventHeap
@@ -48,6 +49,13 @@
 	commitDelay     zinniatide.Millis
 }
 
+// failer is the part of testing.TB that rapid.T has too.
+type failer interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // vm is one process.
 type vm struct {
 	w          *world
@@ -82,11 +90,19 @@
 
 func TestMain(m *testing.M) {
 	klog.SetLogger(logr.Discard())
+	flag.Parse()
+	// A fixed seed, unless the command line names one.
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
 // newWorld starts control VMs c1 to cN, which are not entry VMs. C1 leads.
-func newWorld(t testing.TB, controlVMs int) *world {
+func newWorld(t failer, controlVMs int) *world {
 	w := &world{
 		t: t, clock: clock.NewManual(1000, startUnix), random: rand.New(rand.NewPCG(1, 2)),
 		vms: map[zinniatide.VMID]*vm{}, cut: map[[2]zinniatide.VMID]bool{}, delay: 2,
