--- /dev/null
+++ b/gateway/announce.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"github.com/valyala/fasthttp"
+
+	"zinniatide.example/zinniatide"
+)
+
+// Bounds of an announcement. A backend server holds few searchers; the bounds
+// keep one server from filling every VM's catalogue.
+const (
+	maxOffers    = 64
+	maxSearchers = 1024 // of one offer
+)
+
+// decodeAnnouncement decodes the body of an announcement.
+func decodeAnnouncement(body []byte) (zinniatide.Announcement, error) {
+	var a zinniatide.Announcement
+	err := decodeObject(body, "", []field{
+		{name: "server", target: id(&a.Server)},
+		{name: "incarnation", target: &a.Incarnation},
+		{name: "zone", target: id(&a.Zone)},
+		{name: "address", target: &a.Address},
+		{name: "slots", target: &a.Slots},
+		{name: "connections", target: &a.Connections},
+		{name: "draining", target: &a.Draining, optional: true},
+		{name: "offers", target: list(maxOffers, func(raw []byte, path string) error {
+			offer, err := decodeOffer(raw, path)
+			a.Offers = append(a.Offers, offer)
+			return err
+		})},
+		{name: "load", optional: true, target: func(raw []byte, path string) error {
+			return decodeObject(raw, path+".", []field{
+				{name: "busy", target: &a.Load.Busy},
+				{name: "queue", target: &a.Load.Queue},
+				{name: "warm", target: &a.Load.Warm},
+			})
+		}},
+	})
+	if err != nil {
+		return a, err
+	}
+	return a, checkAnnouncement(&a)
+}
+
+func decodeOffer(raw []byte, path string) (zinniatide.ServiceOffer, error) {
+	var offer zinniatide.ServiceOffer
+	err := decodeObject(raw, path, []field{
+		{name: "service", target: id(&offer.Service)},
+		{name: "searchers", target: list(maxSearchers, func(raw []byte, path string) error {
+			var s zinniatide.Searcher
+			err := decodeObject(raw, path, []field{
+				{name: "version", target: &s.Version},
+				{name: "first", target: &s.First},
+				{name: "last", target: &s.Last},
+			})
+			if err == nil && (s.First >= s.Last || s.Last > zinniatide.KeySpace) {
+				err = fmt.Errorf("fields %q and %q are no range within %d keys", path+"first", path+"last", zinniatide.KeySpace)
+			}
+			offer.Searchers = append(offer.Searchers, s)
+			return err
+		})},
+	})
+	return offer, err
+}
+
+func checkAnnouncement(a *zinniatide.Announcement) error {
+	if address, err := netip.ParseAddrPort(a.Address); err != nil || address.Port() == 0 {
+		return errors.New(`field "address" must be IP:port`)
+	}
+	if a.Incarnation == 0 {
+		return errors.New(`field "incarnation" must not be 0`)
+	}
+	if a.Slots == 0 || a.Connections == 0 {
+		return errors.New(`fields "slots" and "connections" must not be 0`)
+	}
+	return nil
+}
+
+func (g *Gateway) announce(r *request) {
+	a, err := decodeAnnouncement(r.PostBody())
+	if err != nil {
+		r.refuse(badRequest(err))
+		return
+	}
+	address, err := g.deps.Announcer.Announce(a)
+	if err != nil {
+		r.refuse(err)
+		return
+	}
+	r.answer(fasthttp.StatusOK, struct {
+		AnnounceAt string `json:"announce-at"`
+	}{address})
+}
--- /dev/null
+++ b/gateway/search.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"zinniatide.example/zinniatide"
+)
+
+const (
+	defaultLimit = 10
+	maxLimit     = 1000
+)
+
+// common holds the fields that searches and executions share.
+type common struct {
+	id       zinniatide.RequestID
+	service  zinniatide.ServiceID
+	tenant   zinniatide.TenantID
+	class    zinniatide.ClassID
+	deadline zinniatide.Millis // relative, as received
+}
+
+func (c *common) fields(more ...field) []field {
+	return append([]field{
+		{name: "request-id", target: id(&c.id)},
+		{name: "service", target: id(&c.service)},
+		{name: "tenant", target: id(&c.tenant)},
+		{name: "class", target: id(&c.class)},
+		{name: "deadline-ms", target: &c.deadline},
+	}, more...)
+}
+
+// decodeSearch decodes the body of a search. The returned request has no
+// deadline yet.
+func decodeSearch(body []byte) (c common, limit int, query []byte, err error) {
+	limit = defaultLimit
+	err = decodeObject(body, "", c.fields(
+		field{name: "limit", target: &limit, optional: true},
+		field{name: "query", target: object(&query)}))
+	if err == nil && (limit < 1 || limit > maxLimit) {
+		err = zinniatide.Refuse(zinniatide.CodeBadRequest, "field \"limit\" must be 1 to %d", maxLimit)
+	}
+	return c, limit, query, err
+}
+
+func (g *Gateway) search(r *request) {
+	now := g.deps.Clock.Now()
+	c, limit, query, err := decodeSearch(r.PostBody())
+	r.id = c.id
+	if err != nil {
+		r.refuse(badRequest(err))
+		return
+	}
+	if err := g.admit(r, &c, now); err != nil {
+		r.refuse(err)
+		return
+	}
+	answer, err := g.deps.Querier.Search(zinniatide.SearchRequest{
+		RequestID: c.id, Service: c.service, Tenant: c.tenant, Class: c.class,
+		Deadline: now + c.deadline, Limit: limit, Query: query,
+	})
+	if err != nil {
+		r.refuse(err)
+		return
+	}
+	r.answerRaw(fasthttp.StatusOK, appendSearchAnswer(nil, c.id, &answer))
+}
+
+// badRequest turns a decoding error into a refusal.
+func badRequest(err error) error {
+	if refusal, ok := err.(*zinniatide.Refusal); ok { //nolint:errorlint // decoders return it unwrapped
+		return refusal
+	}
+	return zinniatide.Refuse(zinniatide.CodeBadRequest, "%s", err.Error())
+}
+
+// admit checks a request against the lease and the configuration.
+func (g *Gateway) admit(r *request, c *common, now zinniatide.Millis) error {
+	if g.deps.Configuration.LeaseUntil() <= now {
+		return zinniatide.Refuse(zinniatide.CodeNotServing, "this VM has no lease; use another address")
+	}
+	service, ok := g.deps.Configuration.Configuration().Services[c.service]
+	if !ok {
+		return zinniatide.Refuse(zinniatide.CodeUnknownService, "service %q is not configured", c.service)
+	}
+	if _, ok := service.Tenants[c.tenant]; !ok {
+		return zinniatide.Refuse(zinniatide.CodeUnknownTenant, "service %q has no tenant %q", c.service, c.tenant)
+	}
+	r.tenant = string(c.tenant)
+	class, ok := service.Classes[c.class]
+	if !ok {
+		return zinniatide.Refuse(zinniatide.CodeUnknownClass, "service %q has no class %q", c.service, c.class)
+	}
+	r.class = string(c.class)
+	longest := min(class.MaxDeadline, zinniatide.MaxRequestTime)
+	if c.deadline < 1 || c.deadline > longest {
+		return zinniatide.Refuse(zinniatide.CodeBadRequest, "field \"deadline-ms\" must be 1 to %d for class %q", longest, c.class)
+	}
+	return nil
+}
+
+// appendSearchAnswer writes the answer by hand, so that documents are passed
+// on unchanged.
+func appendSearchAnswer(dst []byte, id zinniatide.RequestID, a *zinniatide.SearchAnswer) []byte {
+	size := 256
+	for i := range a.Hits {
+		size += len(a.Hits[i].ID) + len(a.Hits[i].Document) + 64
+	}
+	dst = append(make([]byte, 0, size), dst...)
+	dst = append(dst, `{"request-id":`...)
+	dst = appendString(dst, string(id))
+	dst = append(dst, `,"outcome":"done","version":`...)
+	dst = strconv.AppendUint(dst, uint64(a.Version), 10)
+	dst = append(dst, `,"coverage":{"shards-answered":`...)
+	dst = strconv.AppendInt(dst, int64(a.Coverage.ShardsAnswered), 10)
+	dst = append(dst, `,"shards-total":`...)
+	dst = strconv.AppendInt(dst, int64(a.Coverage.ShardsTotal), 10)
+	dst = append(dst, `,"ratio":`...)
+	dst = strconv.AppendFloat(dst, a.Coverage.Ratio, 'g', -1, 64)
+	dst = append(dst, `},"total":`...)
+	dst = strconv.AppendUint(dst, a.Total, 10)
+	dst = append(dst, `,"hits":[`...)
+	for i := range a.Hits {
+		if i > 0 {
+			dst = append(dst, ',')
+		}
+		dst = appendHit(dst, &a.Hits[i])
+	}
+	return append(dst, "]}"...)
+}
+
+func appendHit(dst []byte, h *zinniatide.Hit) []byte {
+	dst = append(dst, `{"id":`...)
+	dst = appendString(dst, h.ID)
+	dst = append(dst, `,"score":`...)
+	dst = strconv.AppendFloat(dst, h.Score, 'g', -1, 64)
+	if len(h.Document) > 0 {
+		dst = append(dst, `,"document":`...)
+		dst = append(dst, h.Document...)
+	}
+	return append(dst, '}')
+}
+
+// appendString appends s as a JSON string.
+func appendString(dst []byte, s string) []byte {
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
+			quoted, _ := json.Marshal(s) // a string always has an encoding
+			return append(dst, quoted...)
+		}
+	}
+	dst = append(dst, '"')
+	dst = append(dst, s...)
+	return append(dst, '"')
+}
