--- /dev/null
+++ b/cataloger/receive.go
@@ -0,0 +1,67 @@
+package cataloger
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+)
+
+func (c *Cataloger) receiveAnnounce(from zinniatide.VMID, body []byte, reply func(value any, err error)) {
+	a, err := decodeAnnouncement(body)
+	if err == nil {
+		err = c.take(&a)
+	}
+	if err != nil {
+		klog.ErrorS(zinniatide.WrapStep(err, "take announcement", string(from)), "announcement refused", "step", "announce", "peer", from)
+	}
+	if reply != nil {
+		reply(struct{}{}, err)
+	}
+}
+
+func (c *Cataloger) receiveDigest(from zinniatide.VMID, body []byte, reply func(value any, err error)) {
+	var d digest
+	err := cbor.Unmarshal(body, &d)
+	if err == nil {
+		c.pull(from, d)
+	} else {
+		klog.ErrorS(zinniatide.WrapStep(err, "decode digest", string(from)), "digest ignored", "step", "digest", "peer", from)
+	}
+	if reply != nil {
+		reply(struct{}{}, err)
+	}
+}
+
+func (c *Cataloger) receivePull(_ zinniatide.VMID, _ []byte, reply func(value any, err error)) {
+	if reply == nil {
+		return
+	}
+	c.mu.Lock()
+	l := list{c.o.Incarnation, c.table.sequence, c.table.list()}
+	c.mu.Unlock()
+	reply(l, nil)
+}
+
+func decodeAnnouncement(body []byte) (a zinniatide.Announcement, err error) {
+	if err := cbor.Unmarshal(body, &a); err != nil {
+		return a, err
+	}
+	return a, Validate(&a)
+}
+
+// decodeList refuses a list with any invalid entry: its sender is faulty.
+func decodeList(body []byte) (l list, err error) {
+	if err := cbor.Unmarshal(body, &l); err != nil {
+		return l, err
+	}
+	if len(l.Servers) > maxServers {
+		return l, bad("at most %d servers may be listed", maxServers)
+	}
+	for i := range l.Servers {
+		if err := Validate(&l.Servers[i]); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,144 @@
+// Package dispatcher runs sub-requests on the backend servers that this VM
+// owns. It is the one place that counts a server's slots, connections and
+// cold-start allowance.
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/connector"
+	"zinniatide.example/zinniatide/dispatcher/pacer"
+)
+
+// TickInterval is how often the systems run over the table of servers.
+const TickInterval zinniatide.Millis = 10
+
+// Options are the dependencies of a Dispatcher.
+type Options struct {
+	VM            zinniatide.VMID
+	Incarnation   zinniatide.Incarnation
+	Clock         zinniatide.Clock
+	Configuration zinniatide.ConfigurationProvider
+	Catalog       zinniatide.CatalogProvider
+	Linker        zinniatide.Linker
+	Random        *rand.Rand
+	Registerer    prometheus.Registerer
+	// Release tells the control leader that this VM has nothing left in a
+	// bucket whose Next is set in the configuration of epoch. It runs on the
+	// tick's goroutine and is repeated every HeartbeatInterval until the
+	// bucket's owner changes.
+	Release func(zone zinniatide.ZoneID, index int, epoch zinniatide.Epoch)
+	// Dial opens connections to backend servers; nil for TCP.
+	Dial connector.Dialer
+}
+
+// Dispatcher implements zinniatide.Dispatcher.
+type Dispatcher struct {
+	o       Options
+	metrics *metrics
+	warmth  *warmth
+
+	// servers is the table that traffic reads; only the tick replaces it.
+	servers atomic.Pointer[table]
+
+	tickMu sync.Mutex // guards the fields below and the table's replacement
+	seen   struct {
+		catalog       *zinniatide.Catalog
+		configuration *zinniatide.Configuration
+	}
+	ownedSince map[bucketKey]zinniatide.Millis
+	moves      map[bucketKey]*move
+	closing    []*server
+
+	stop    chan struct{}
+	stopped sync.WaitGroup
+}
+
+// table is the servers of owned buckets, by id.
+type table struct {
+	byID map[zinniatide.BackendServerID]*server
+	all  []*server
+}
+
+type bucketKey struct {
+	zone  zinniatide.ZoneID
+	index int
+}
+
+var _ zinniatide.Dispatcher = (*Dispatcher)(nil)
+
+// New returns a dispatcher that does nothing until Start, and registers its
+// link handler and metrics.
+func New(o Options) *Dispatcher {
+	d := &Dispatcher{
+		o:          o,
+		metrics:    newMetrics(o.Registerer),
+		warmth:     newWarmth(o.Clock),
+		ownedSince: map[bucketKey]zinniatide.Millis{},
+		moves:      map[bucketKey]*move{},
+		stop:       make(chan struct{}),
+	}
+	d.servers.Store(&table{})
+	o.Linker.Handle(zinniatide.KindWarmState, d.receiveWarmState)
+	return d
+}
+
+// Dispatch implements zinniatide.Dispatcher.
+func (d *Dispatcher) Dispatch(r zinniatide.SubRequest, done func(zinniatide.SubResult)) (cancel func()) {
+	s := d.servers.Load().byID[r.Server]
+	if s == nil {
+		done(notRun(zinniatide.CodeNotOwner))
+		return func() {}
+	}
+	if !connector.Sendable(&r) {
+		done(notRun(zinniatide.CodeBadRequest))
+		return func() {}
+	}
+	t := &task{server: s, done: done}
+	t.exchange.Request = r
+	t.exchange.Handler = t
+	s.accept(t)
+	return t.cancel
+}
+
+// Tick runs all systems once. It must not be called after Close.
+func (d *Dispatcher) Tick() {
+	d.tickMu.Lock()
+	defer d.tickMu.Unlock()
+	now := d.o.Clock.Now()
+	d.reconcile(now)
+	for _, s := range d.servers.Load().all {
+		s.tick(now)
+	}
+	d.handOver(now)
+	d.reap(now)
+}
+
+// reap drops servers that are no longer in the table once nothing runs on them
+// and their last starts no longer count towards a bound.
+func (d *Dispatcher) reap(now zinniatide.Millis) {
+	kept := d.closing[:0]
+	for _, s := range d.closing {
+		s.tick(now)
+		if s.quiet() && now >= s.retiredAt+pacer.Window {
+			s.pool.Close()
+		} else {
+			kept = append(kept, s)
+		}
+	}
+	clear(d.closing[len(kept):])
+	d.closing = kept
+}
+
+func notRun(code zinniatide.Code) zinniatide.SubResult {
+	return zinniatide.SubResult{Outcome: zinniatide.OutcomeNotRun, Code: code}
+}
+
+func unknown(code zinniatide.Code) zinniatide.SubResult {
+	return zinniatide.SubResult{Outcome: zinniatide.OutcomeUnknown, Code: code}
+}
--- /dev/null
+++ b/dispatcher/task.go
@@ -0,0 +1,134 @@
+package dispatcher
+
+import (
+	"slices"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/connector"
+)
+
+type taskState uint8
+
+const (
+	taskNew taskState = iota
+	taskQueued
+	taskRunning
+	// taskReported runs on, but its caller has had its result.
+	taskReported
+	taskEnded
+)
+
+// task is one sub-request. Its fields are guarded by the server's lock.
+type task struct {
+	server   *server
+	done     func(zinniatide.SubResult)
+	exchange connector.Exchange
+	state    taskState
+	started  zinniatide.Millis
+	// incarnation is that of the server when the task was started.
+	incarnation zinniatide.Incarnation
+}
+
+// ending is a result to be handed out once the server's lock is free.
+type ending struct {
+	done   func(zinniatide.SubResult)
+	result zinniatide.SubResult
+}
+
+// endings collects results while the server's lock is held.
+type endings []ending
+
+func (e endings) report(m *metrics) {
+	for i := range e {
+		if e[i].result.Outcome != zinniatide.OutcomeDone {
+			m.ended.WithLabelValues(string(e[i].result.Code)).Inc()
+		}
+		e[i].done(e[i].result)
+	}
+}
+
+// end reports result with the server's present load.
+func (s *server) end(e *endings, t *task, result zinniatide.SubResult) {
+	result.InFlight = uint16(s.slots.Taken())
+	result.Queued = uint16(s.queue.Len())
+	*e = append(*e, ending{t.done, result})
+}
+
+// accept starts t, queues it or refuses it.
+func (s *server) accept(t *task) {
+	now := s.d.o.Clock.Now()
+	var room [2]ending
+	e := endings(room[:0])
+	s.mu.Lock()
+	if code := s.admit(t, now); code != "" {
+		t.state = taskEnded
+		s.end(&e, t, notRun(code))
+	} else {
+		s.pump(now, &e)
+	}
+	s.mu.Unlock()
+	e.report(s.d.metrics)
+}
+
+// admit queues t, or says why not.
+func (s *server) admit(t *task, now zinniatide.Millis) zinniatide.Code {
+	if code := s.closed(now); code != "" {
+		return code
+	}
+	r := &t.exchange.Request
+	switch {
+	case !s.offers(r.Service):
+		return zinniatide.CodeUnknownService
+	case r.Deadline <= now:
+		return zinniatide.CodeDeadlinePassed
+	case s.pool.Gone():
+		return zinniatide.CodeServerGone
+	case s.estimate(r.Deadline, now) > r.Deadline-now:
+		return zinniatide.CodeOverloaded
+	case !s.queue.Push(r.Deadline, t):
+		return zinniatide.CodeOverloaded
+	}
+	t.state = taskQueued
+	return ""
+}
+
+// cancel implements the cancel function of Dispatch. A running request keeps
+// its slot until its answer arrives or its connection is closed.
+func (t *task) cancel() {
+	s := t.server
+	var e endings
+	s.mu.Lock()
+	switch t.state {
+	case taskQueued:
+		s.queue.Remove(t)
+		t.state = taskEnded
+		s.end(&e, t, notRun(zinniatide.CodeCancelled))
+	case taskRunning:
+		t.state = taskReported
+		s.pool.Cancel(&t.exchange)
+		s.end(&e, t, unknown(zinniatide.CodeCancelled))
+	}
+	s.mu.Unlock()
+	e.report(s.d.metrics)
+}
+
+// Finished implements connector.Handler: it frees the slot, learns from the
+// answer and starts the next request.
+func (t *task) Finished(a connector.Answer) {
+	s := t.server
+	now := s.d.o.Clock.Now()
+	var room [2]ending
+	e := endings(room[:0])
+	s.mu.Lock()
+	reported := t.state == taskReported
+	t.state = taskEnded
+	s.slots.Release()
+	s.running = slices.DeleteFunc(s.running, func(o *task) bool { return o == t })
+	s.learn(t, a, now, reported)
+	if !reported {
+		s.end(&e, t, zinniatide.SubResult{Outcome: a.Outcome, Code: a.Code, Body: a.Body, Crashed: a.Crashed})
+	}
+	s.pump(now, &e)
+	s.mu.Unlock()
+	e.report(s.d.metrics)
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,333 @@
+// Package forwarder carries sub-requests from the coordinator of a request to
+// the owners of the backend servers, and the results back.
+package forwarder
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"zinniatide.example/zinniatide"
+)
+
+const (
+	// TickInterval is how often deadlines are checked. A sub-request without
+	// result is ended by the last tick before its deadline.
+	TickInterval zinniatide.Millis = 5
+	// callGrace lets the owner's own report of a passed deadline arrive.
+	callGrace zinniatide.Millis = 200
+)
+
+// Options are the dependencies of a Forwarder.
+type Options struct {
+	VM         zinniatide.VMID
+	Clock      zinniatide.Clock
+	Catalog    zinniatide.CatalogProvider
+	Linker     zinniatide.Linker
+	Dispatcher zinniatide.Dispatcher
+	// FirstBatch is the number of the first batch. It must differ from those of
+	// earlier processes of this VM, whose results may still arrive: the
+	// incarnation shifted left by 32 bits does.
+	FirstBatch uint64
+}
+
+// Forwarder implements zinniatide.Forwarder, and serves the sub-requests that
+// other VMs send to this one.
+type Forwarder struct {
+	o      Options
+	server *server
+	last   atomic.Uint64 // number of the newest batch
+
+	mu      sync.Mutex
+	batches map[uint64]*batch // sent and not finished
+	calls   []*call           // with results outstanding, swept by Tick
+
+	stop    chan struct{}
+	stopped sync.WaitGroup
+}
+
+var _ zinniatide.Forwarder = (*Forwarder)(nil)
+
+// call is one DispatchAll.
+type call struct {
+	f        *Forwarder
+	requests []zinniatide.SubRequest
+	done     func(i int, result zinniatide.SubResult)
+	slots    []slot
+	open     atomic.Int64 // slots without result
+}
+
+// slot is the state of one sub-request.
+type slot struct {
+	ended  atomic.Bool
+	local  func() // cancels a local sub-request
+	batch  *batch // nil for a local one
+	remote int    // index in batch
+}
+
+// batch is one message to one owner.
+type batch struct {
+	call    *call
+	number  uint64
+	owner   zinniatide.VMID
+	indexes []int // of the call, by index in the batch
+}
+
+// New returns a forwarder that serves nothing until Start, and registers its
+// link handlers.
+func New(o Options) *Forwarder {
+	f := &Forwarder{o: o, batches: map[uint64]*batch{}, stop: make(chan struct{})}
+	f.last.Store(o.FirstBatch)
+	f.server = newServer(o)
+	o.Linker.Handle(zinniatide.KindSubRequest, f.server.receiveBatch)
+	o.Linker.Handle(zinniatide.KindSubCancel, f.server.receiveCancel)
+	o.Linker.Handle(zinniatide.KindSubResult, f.receiveResults)
+	return f
+}
+
+// Start runs Tick every TickInterval, and sends results, until Close.
+func (f *Forwarder) Start() {
+	f.stopped.Add(2)
+	go func() {
+		defer f.stopped.Done()
+		ticker := time.NewTicker(TickInterval.Duration())
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				f.Tick()
+			case <-f.stop:
+				return
+			}
+		}
+	}()
+	go func() {
+		defer f.stopped.Done()
+		f.server.send(f.stop)
+	}()
+}
+
+// Close ends the goroutines of Start, and all open sub-requests as unknown.
+// A Forwarder is closed once.
+func (f *Forwarder) Close() {
+	close(f.stop)
+	f.stopped.Wait()
+	f.mu.Lock()
+	calls := f.calls
+	f.calls = nil
+	f.mu.Unlock()
+	for _, c := range calls {
+		for i := range c.slots {
+			c.finish(i, unknown(zinniatide.CodeNotServing))
+		}
+	}
+}
+
+// DispatchAll implements zinniatide.Forwarder.
+func (f *Forwarder) DispatchAll(rs []zinniatide.SubRequest, done func(i int, result zinniatide.SubResult)) (cancel func(i int)) {
+	c := &call{f: f, requests: rs, done: done, slots: make([]slot, len(rs))}
+	c.open.Store(int64(len(rs)))
+	if len(rs) == 0 {
+		return c.cancel
+	}
+	f.mu.Lock()
+	f.calls = append(f.calls, c)
+	f.mu.Unlock()
+	local, batches := c.group(f.o.Catalog.Catalog())
+	now := f.o.Clock.Now()
+	for _, b := range batches {
+		f.send(b, now)
+	}
+	for _, i := range local {
+		c.slots[i].local = f.o.Dispatcher.Dispatch(rs[i], func(r zinniatide.SubResult) { c.finish(i, r) })
+	}
+	return c.cancel
+}
+
+// group sorts the sub-requests by owner. Those whose server is unknown or has no
+// owner end at once.
+func (c *call) group(catalog *zinniatide.Catalog) (local []int, batches []*batch) {
+	for i := range c.requests {
+		owner, code := ownerOf(catalog, c.requests[i].Server)
+		switch {
+		case code != "":
+			c.finish(i, notRun(code))
+		case owner == c.f.o.VM:
+			local = append(local, i)
+		default:
+			batches = c.join(batches, owner, i)
+		}
+	}
+	return local, batches
+}
+
+func (c *call) join(batches []*batch, owner zinniatide.VMID, i int) []*batch {
+	at := slices.IndexFunc(batches, func(b *batch) bool {
+		return b.owner == owner && len(b.indexes) < maxItems && shared(&c.requests[b.indexes[0]], &c.requests[i])
+	})
+	if at < 0 {
+		at = len(batches)
+		batches = append(batches, &batch{call: c, number: c.f.last.Add(1), owner: owner})
+	}
+	b := batches[at]
+	c.slots[i].batch, c.slots[i].remote = b, len(b.indexes)
+	b.indexes = append(b.indexes, i)
+	return batches
+}
+
+// shared reports whether a and b can travel in one message.
+func shared(a, b *zinniatide.SubRequest) bool {
+	sameBody := len(a.Body) == len(b.Body) && (len(a.Body) == 0 || &a.Body[0] == &b.Body[0])
+	return sameBody && a.Operation == b.Operation && a.RequestID == b.RequestID && a.Service == b.Service &&
+		a.Version == b.Version && a.Tenant == b.Tenant && a.Class == b.Class &&
+		a.Fingerprint == b.Fingerprint && a.Deadline == b.Deadline
+}
+
+// ownerOf returns the owner of a server, or why there is none.
+func ownerOf(catalog *zinniatide.Catalog, id zinniatide.BackendServerID) (zinniatide.VMID, zinniatide.Code) {
+	i, ok := slices.BinarySearchFunc(catalog.Servers, id, func(s zinniatide.ServerStatus, id zinniatide.BackendServerID) int {
+		return strings.Compare(string(s.Server), string(id))
+	})
+	if !ok {
+		return "", zinniatide.CodeNoServer
+	}
+	if owner := catalog.Servers[i].Owner; owner != "" {
+		return owner, ""
+	}
+	return "", zinniatide.CodeNotOwner
+}
+
+// send sends one batch to its owner.
+func (f *Forwarder) send(b *batch, now zinniatide.Millis) {
+	r := &b.call.requests[b.indexes[0]]
+	remaining := r.Deadline - now
+	if remaining <= 0 {
+		b.finishAll(notRun(zinniatide.CodeDeadlinePassed))
+		return
+	}
+	m := batchMessage{
+		Batch: b.number, Operation: r.Operation, RequestID: r.RequestID, Service: r.Service, Version: r.Version,
+		Tenant: r.Tenant, Class: r.Class, Fingerprint: r.Fingerprint, Remaining: remaining, Body: r.Body,
+		Items: make([]batchItem, len(b.indexes)),
+	}
+	for k, i := range b.indexes {
+		item := &b.call.requests[i]
+		m.Items[k] = batchItem{Server: item.Server, First: item.Range.First, Last: item.Range.Last}
+	}
+	f.mu.Lock()
+	f.batches[b.number] = b
+	f.mu.Unlock()
+	f.o.Linker.Call(b.owner, zinniatide.KindSubRequest, &m, remaining+callGrace, func(body []byte, err error) {
+		f.replied(b, body, err)
+	})
+}
+
+// replied ends a batch. What has no result by then is unknown, unless the
+// message was never sent.
+func (f *Forwarder) replied(b *batch, body []byte, err error) {
+	f.mu.Lock()
+	delete(f.batches, b.number)
+	f.mu.Unlock()
+	switch {
+	case err == nil:
+		m, err := decodeResults(body)
+		if err == nil {
+			b.take(m.Items)
+		}
+		b.finishAll(unknown(zinniatide.CodeInternal))
+	case errors.Is(err, zinniatide.ErrNotSent):
+		b.finishAll(notRun(zinniatide.CodePeerLost))
+	case errors.Is(err, zinniatide.ErrTimeout):
+		b.finishAll(unknown(zinniatide.CodeDeadlinePassed))
+	default:
+		b.finishAll(unknown(zinniatide.CodePeerLost))
+	}
+}
+
+// receiveResults takes results that arrive before the reply to their batch.
+// Those of a batch that is finished, or that this owner was not asked, are
+// dropped.
+func (f *Forwarder) receiveResults(from zinniatide.VMID, body []byte, reply func(value any, err error)) {
+	m, err := decodeResults(body)
+	if reply != nil {
+		reply(struct{}{}, err)
+	}
+	if err != nil {
+		return
+	}
+	for i := range m.Items {
+		f.mu.Lock()
+		b := f.batches[m.Items[i].Batch]
+		f.mu.Unlock()
+		if b != nil && b.owner == from {
+			b.take(m.Items[i : i+1])
+		}
+	}
+}
+
+func (b *batch) take(items []resultItem) {
+	for k := range items {
+		if items[k].Batch == b.number && items[k].Index >= 0 && items[k].Index < len(b.indexes) {
+			b.call.finish(b.indexes[items[k].Index], items[k].result())
+		}
+	}
+}
+
+func (b *batch) finishAll(r zinniatide.SubResult) {
+	for _, i := range b.indexes {
+		b.call.finish(i, r)
+	}
+}
+
+// finish reports the first result of a sub-request and drops later ones.
+func (c *call) finish(i int, r zinniatide.SubResult) {
+	if c.slots[i].ended.CompareAndSwap(false, true) {
+		c.open.Add(-1)
+		c.done(i, r)
+	}
+}
+
+// cancel implements the cancel function of DispatchAll.
+func (c *call) cancel(i int) {
+	if i < 0 || i >= len(c.slots) || c.slots[i].ended.Load() {
+		return
+	}
+	s := &c.slots[i]
+	if s.local != nil {
+		s.local()
+		return
+	}
+	if s.batch != nil {
+		// If the message is lost, the sub-request ends at its deadline.
+		_ = c.f.o.Linker.Send(s.batch.owner, zinniatide.KindSubCancel, cancelMessage{s.batch.number, s.remote})
+	}
+}
+
+// Tick ends sub-requests whose deadline comes before the next tick.
+func (f *Forwarder) Tick() {
+	due := f.o.Clock.Now() + TickInterval
+	f.mu.Lock()
+	calls := slices.Clone(f.calls)
+	f.mu.Unlock()
+	for _, c := range calls {
+		for i := range c.slots {
+			if !c.slots[i].ended.Load() && c.requests[i].Deadline <= due {
+				c.finish(i, unknown(zinniatide.CodeDeadlinePassed))
+			}
+		}
+	}
+	f.mu.Lock()
+	f.calls = slices.DeleteFunc(f.calls, func(c *call) bool { return c.open.Load() == 0 })
+	f.mu.Unlock()
+}
+
+func notRun(code zinniatide.Code) zinniatide.SubResult {
+	return zinniatide.SubResult{Outcome: zinniatide.OutcomeNotRun, Code: code}
+}
+
+func unknown(code zinniatide.Code) zinniatide.SubResult {
+	return zinniatide.SubResult{Outcome: zinniatide.OutcomeUnknown, Code: code}
+}
--- /dev/null
+++ b/forwarder/message.go
@@ -0,0 +1,113 @@
+package forwarder
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"zinniatide.example/zinniatide"
+)
+
+// maxItems bounds the sub-requests of one message.
+const maxItems = 1 << 16
+
+// batchMessage is the body of KindSubRequest: sub-requests to the servers of
+// one owner that share everything but server and range. It is sent as a call.
+// Results travel as KindSubResult as they come, and the last ones of the batch
+// in the reply, both as resultMessage.
+type batchMessage struct {
+	Batch       uint64                  `cbor:"1,keyasint"`
+	Operation   zinniatide.Operation    `cbor:"2,keyasint,omitempty"`
+	RequestID   zinniatide.RequestID    `cbor:"3,keyasint"`
+	Service     zinniatide.ServiceID    `cbor:"4,keyasint"`
+	Version     zinniatide.IndexVersion `cbor:"5,keyasint"`
+	Tenant      zinniatide.TenantID     `cbor:"6,keyasint,omitempty"`
+	Class       zinniatide.ClassID      `cbor:"7,keyasint,omitempty"`
+	Fingerprint zinniatide.Fingerprint  `cbor:"8,keyasint,omitempty"`
+	Remaining   zinniatide.Millis       `cbor:"9,keyasint"`
+	Body        []byte                  `cbor:"10,keyasint,omitempty"`
+	Items       []batchItem             `cbor:"11,keyasint"`
+}
+
+type batchItem struct {
+	_      struct{}                   `cbor:",toarray"`
+	Server zinniatide.BackendServerID //nolint:revive // array element 0
+	First  uint32
+	Last   uint32
+}
+
+// resultMessage is the body of KindSubResult and of the reply to KindSubRequest.
+type resultMessage struct {
+	Items []resultItem `cbor:"1,keyasint"`
+}
+
+// resultItem is the result of item Index of a batch.
+type resultItem struct {
+	Batch    uint64             `cbor:"1,keyasint"`
+	Index    int                `cbor:"2,keyasint,omitempty"`
+	Outcome  zinniatide.Outcome `cbor:"3,keyasint"`
+	Code     zinniatide.Code    `cbor:"4,keyasint,omitempty"`
+	Body     []byte             `cbor:"5,keyasint,omitempty"`
+	Crashed  bool               `cbor:"6,keyasint,omitempty"`
+	InFlight uint16             `cbor:"7,keyasint,omitempty"`
+	Queued   uint16             `cbor:"8,keyasint,omitempty"`
+}
+
+// cancelMessage is the body of KindSubCancel.
+type cancelMessage struct {
+	Batch uint64 `cbor:"1,keyasint"`
+	Index int    `cbor:"2,keyasint,omitempty"`
+}
+
+func decodeBatch(body []byte) (m batchMessage, err error) {
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return m, err
+	}
+	switch {
+	case len(m.Items) == 0 || len(m.Items) > maxItems:
+		return m, errors.New("batch without items, or with too many")
+	case len(m.Body) > zinniatide.MaxRequestBody:
+		return m, errors.New("request body is too large")
+	case m.Operation > zinniatide.OperationExecute:
+		return m, errors.New("unknown operation")
+	}
+	return m, nil
+}
+
+func decodeResults(body []byte) (m resultMessage, err error) {
+	if err := cbor.Unmarshal(body, &m); err != nil {
+		return m, err
+	}
+	for i := range m.Items {
+		switch m.Items[i].Outcome {
+		case zinniatide.OutcomeDone, zinniatide.OutcomeNotRun, zinniatide.OutcomeUnknown:
+		default:
+			return m, errors.New("unknown outcome")
+		}
+	}
+	return m, nil
+}
+
+func (i *resultItem) result() zinniatide.SubResult {
+	return zinniatide.SubResult{
+		Outcome: i.Outcome, Code: i.Code, Body: i.Body, Crashed: i.Crashed, InFlight: i.InFlight, Queued: i.Queued,
+	}
+}
+
+func newResultItem(batch uint64, index int, r zinniatide.SubResult) resultItem {
+	return resultItem{
+		Batch: batch, Index: index, Outcome: r.Outcome, Code: r.Code, Body: r.Body,
+		Crashed: r.Crashed, InFlight: r.InFlight, Queued: r.Queued,
+	}
+}
+
+// request returns item i as a sub-request with a deadline on the local clock.
+func (m *batchMessage) request(i int, now zinniatide.Millis) zinniatide.SubRequest {
+	item := &m.Items[i]
+	return zinniatide.SubRequest{
+		Operation: m.Operation, RequestID: m.RequestID, Service: m.Service, Version: m.Version,
+		Range:  zinniatide.KeyRange{First: item.First, Last: item.Last},
+		Server: item.Server, Tenant: m.Tenant, Class: m.Class, Fingerprint: m.Fingerprint,
+		Deadline: now + m.Remaining, Body: m.Body,
+	}
+}
