--- /dev/null
+++ b/observer/observer.go
@@ -0,0 +1,71 @@
+// Package observer keeps what this VM has observed of backend servers and
+// services: latencies, requests in flight and reported load.
+package observer
+
+import (
+	"sync"
+
+	"zinniatide.example/zinniatide"
+)
+
+// Observer is the table of observations. It is safe for concurrent use.
+type Observer struct {
+	mu       sync.RWMutex
+	servers  map[zinniatide.BackendServerID]*Server
+	services map[zinniatide.ServiceID]*Service
+}
+
+// New returns an empty table.
+func New() *Observer {
+	return &Observer{
+		servers:  make(map[zinniatide.BackendServerID]*Server),
+		services: make(map[zinniatide.ServiceID]*Service),
+	}
+}
+
+// Server returns the record of a backend server and creates it if needed. The
+// planner's index keeps the pointer, so that planning needs no look-up.
+func (o *Observer) Server(id zinniatide.BackendServerID) *Server {
+	o.mu.RLock()
+	s := o.servers[id]
+	o.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s = o.servers[id]; s == nil {
+		s = &Server{}
+		o.servers[id] = s
+	}
+	return s
+}
+
+// Service returns the record of a service and creates it if needed.
+func (o *Observer) Service(id zinniatide.ServiceID) *Service {
+	o.mu.RLock()
+	s := o.services[id]
+	o.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s = o.services[id]; s == nil {
+		s = newService()
+		o.services[id] = s
+	}
+	return s
+}
+
+// Retain drops the records of backend servers that keep does not name, so that
+// the table stays as small as the catalogue.
+func (o *Observer) Retain(keep map[zinniatide.BackendServerID]struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id := range o.servers {
+		if _, ok := keep[id]; !ok {
+			delete(o.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/observer/server.go
@@ -0,0 +1,139 @@
+package observer
+
+import (
+	"math"
+	"sync/atomic"
+
+	"zinniatide.example/zinniatide"
+)
+
+const (
+	// ewmaWeight is the weight of a new latency sample. About ten samples
+	// replace the old value.
+	ewmaWeight = 0.2
+	// reportLifetime is how long a reported load counts. Announcements come
+	// every second, so an older report describes another situation.
+	reportLifetime zinniatide.Millis = 2 * zinniatide.AnnounceInterval
+	// forgetAfter halves a latency that has not been confirmed for so long. A
+	// server that is avoided because it was slow is tried again in time.
+	forgetAfter zinniatide.Millis = 5000
+	// failureLatency is the least latency that a failure counts for.
+	failureLatency = 50.0
+	// coldPenalty multiplies the score of a server that reports that it is not
+	// warm.
+	coldPenalty = 2.0
+)
+
+// Server is the record of one backend server. It is safe for concurrent use.
+type Server struct {
+	inFlight  atomic.Int32
+	ewma      atomic.Uint64 // float64 bits, milliseconds
+	sampledAt atomic.Int64
+	load      atomic.Int32 // seen by the owner, with the last result
+	loadAt    atomic.Int64
+	reported  atomic.Int32 // announced by the server itself
+	reportAt  atomic.Int64
+	cold      atomic.Bool
+}
+
+// Begin counts a sub-request that is about to be sent.
+func (s *Server) Begin() { s.inFlight.Add(1) }
+
+// End counts the result of a sub-request, whatever it was.
+func (s *Server) End() { s.inFlight.Add(-1) }
+
+// InFlight returns the sub-requests that this VM has sent and that have not ended.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Result counts the result of a sub-request that was sent at sent, for the
+// server and for the distribution of its service.
+func (s *Server) Result(service *Service, now, sent zinniatide.Millis, r *zinniatide.SubResult) {
+	s.End()
+	latency := now - sent
+	switch {
+	case r.Outcome == zinniatide.OutcomeDone:
+		s.Sample(now, latency)
+		service.Sample(now, latency)
+		s.Load(now, r.InFlight, r.Queued)
+	case r.Code == zinniatide.CodeCancelled:
+		s.AtLeast(now, latency)
+		service.Sample(now, latency)
+	case r.Outcome == zinniatide.OutcomeNotRun:
+		s.Load(now, r.InFlight, r.Queued)
+	default:
+		s.Fail(now)
+		service.Sample(now, latency)
+	}
+}
+
+// Sample adds the latency of an answer.
+func (s *Server) Sample(now, latency zinniatide.Millis) {
+	s.update(now, func(old float64) float64 {
+		if old == 0 {
+			return float64(latency)
+		}
+		return old + ewmaWeight*(float64(latency)-old)
+	})
+}
+
+// AtLeast adds a latency that was cut short by a cancellation. It can only
+// raise the estimate.
+func (s *Server) AtLeast(now, latency zinniatide.Millis) {
+	if float64(latency) > s.latency() {
+		s.Sample(now, latency)
+	}
+}
+
+// Fail adds a lost or malformed answer.
+func (s *Server) Fail(now zinniatide.Millis) {
+	s.update(now, func(old float64) float64 { return min(max(2*old, failureLatency), float64(zinniatide.MaxRequestTime)) })
+}
+
+func (s *Server) update(now zinniatide.Millis, next func(float64) float64) {
+	for {
+		bits := s.ewma.Load()
+		value := next(math.Float64frombits(bits))
+		if s.ewma.CompareAndSwap(bits, math.Float64bits(value)) {
+			s.sampledAt.Store(int64(now))
+			return
+		}
+	}
+}
+
+func (s *Server) latency() float64 { return math.Float64frombits(s.ewma.Load()) }
+
+// Load records what the owner counted at the time of a result.
+func (s *Server) Load(now zinniatide.Millis, inFlight, queued uint16) {
+	s.load.Store(int32(inFlight) + int32(queued))
+	s.loadAt.Store(int64(now))
+}
+
+// Report records the server's own view of its load. It can lag or mislead, so
+// Score uses it only to lower the trust in the server.
+func (s *Server) Report(now zinniatide.Millis, r zinniatide.LoadReport) {
+	s.reported.Store(int32(r.Busy) + int32(r.Queue))
+	s.cold.Store(!r.Warm)
+	s.reportAt.Store(int64(now))
+}
+
+// Score estimates the cost of sending one more sub-request to a server with
+// the given number of slots, in milliseconds. Lower is better.
+func (s *Server) Score(now zinniatide.Millis, slots uint16) float64 {
+	load := s.inFlight.Load()
+	if int64(now)-s.loadAt.Load() < int64(reportLifetime) {
+		load = max(load, s.load.Load())
+	}
+	fresh := int64(now)-s.reportAt.Load() < int64(reportLifetime)
+	if fresh {
+		load = max(load, s.reported.Load())
+	}
+	latency := s.latency()
+	if age := int64(now) - s.sampledAt.Load(); age > int64(forgetAfter) {
+		latency *= math.Exp2(-float64(age) / float64(forgetAfter))
+	}
+	score := (latency + 1) * float64(max(load, 0)+1) / float64(max(slots, 1))
+	if fresh && s.cold.Load() {
+		score *= coldPenalty
+	}
+	return score
+}
