--- a/cmd/zinniatide/main.go
+++ b/cmd/zinniatide/main.go
@@ -1,4 +1,10 @@
-// Command zinniatide is part of the zinniatide query tier.
+// Command zinniatide is the process of the query tier.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"zinniatide.example/zinniatide/cmd/zinniatide/commands"
+)
+
+func main() { os.Exit(commands.Execute(os.Args[1:])) }
--- a/cmd/zinniatide/settings/settings.go
+++ b/cmd/zinniatide/settings/settings.go
@@ -64,15 +64,40 @@
 	flags.Duration("stop-limit", 30*time.Second, "time that a planned stop may take, 1s to 10m")
 }
 
-// Load reads the settings from flags, and from the environment where a flag
-// is not given, and checks them as a whole. The error names every wrong setting.
-func Load(flags *pflag.FlagSet) (*Settings, error) {
+// AddInitFlags adds the settings of the command init to flags.
+func AddInitFlags(flags *pflag.FlagSet) {
+	flags.String("vm", "", "id of this VM, unique in the system")
+	flags.String("data-folder", "", "folder for the durable state")
+	flags.StringSlice("control-vms", nil, "control VMs as ID=IP:PEER-PORT, separated by commas")
+}
+
+// LoadInit reads the settings of the command init.
+func LoadInit(flags *pflag.FlagSet) (*Settings, error) {
+	v, err := reader(flags)
+	if err != nil {
+		return nil, err
+	}
+	var c checks
+	s := &Settings{VM: zinniatide.VMID(c.id("vm", v.GetString("vm"))), Control: true, DataFolder: v.GetString("data-folder")}
+	c.controlVMs(s, list(v.GetStringSlice("control-vms")))
+	c.dataFolder(s)
+	return s, errors.Join(c.errs...)
+}
+
+func reader(flags *pflag.FlagSet) (*viper.Viper, error) {
 	v := viper.New()
 	v.SetEnvPrefix(EnvironmentPrefix)
 	v.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
 	v.AutomaticEnv()
-	if err := v.BindPFlags(flags); err != nil {
-		return nil, zinniatide.WrapStep(err, "read settings", "flags")
+	return v, zinniatide.WrapStep(v.BindPFlags(flags), "read settings", "flags")
+}
+
+// Load reads the settings from flags, and from the environment where a flag
+// is not given, and checks them as a whole. The error names every wrong setting.
+func Load(flags *pflag.FlagSet) (*Settings, error) {
+	v, err := reader(flags)
+	if err != nil {
+		return nil, err
 	}
 	return Compile(Config{
 		VM: v.GetString("vm"), Zone: v.GetString("zone"), Roles: list(v.GetStringSlice("roles")),
--- a/linker/hello.go
+++ b/linker/hello.go
@@ -92,7 +92,7 @@
 func (l *Linker) connect(peer zinniatide.VMID, address string) error {
 	ctx, cancel := context.WithTimeout(l.ctx, zinniatide.LinkSilenceTimeout.Duration())
 	defer cancel()
-	conn, buffered, _, err := ws.Dialer{}.Dial(ctx, "ws://"+address+"/link")
+	conn, buffered, _, err := ws.Dialer{}.Dial(ctx, "ws://"+l.config.Route(peer, address)+"/link")
 	if err != nil {
 		return err
 	}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -39,6 +39,9 @@
 	// VersionMin and VersionMax are the protocol versions spoken. The default
 	// is the one of this build.
 	VersionMin, VersionMax uint16
+	// Route returns the address to dial for a peer, such as that of a relay. By
+	// default the peer's own address is dialled.
+	Route func(peer zinniatide.VMID, address string) string
 	// Random spreads redials. The default is seeded by the runtime.
 	Random *rand.Rand
 }
@@ -53,6 +56,9 @@
 	setDefault(&c.EventLoops, min(4, runtime.NumCPU()))
 	setDefault(&c.VersionMin, protocolVersion)
 	setDefault(&c.VersionMax, protocolVersion)
+	if c.Route == nil {
+		c.Route = func(_ zinniatide.VMID, address string) string { return address }
+	}
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // jitter only
 	}
