--- a/checker/checker.go
+++ b/checker/checker.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed" // ticket-schema.json
 	"encoding/json"
 	"errors"
@@ -74,6 +75,12 @@
 	if len(problems) > 0 {
 		return nil, Digest{}, refuse(problems)
 	}
+	for _, s := range ticket.Services {
+		if s != nil {
+			// The order of versions has no meaning, so it makes no difference.
+			slices.SortFunc(s.Versions, func(a, b zinniatide.IndexVersionSetting) int { return cmp.Compare(a.Version, b.Version) })
+		}
+	}
 	digest, err := digestOf(document)
 	if err != nil {
 		return nil, Digest{}, refuse([]string{err.Error()})
--- /dev/null
+++ b/checker/checker_test.go
@@ -0,0 +1,200 @@
+package checker
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"zinniatide.example/zinniatide"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func newChecker(t testing.TB) *Checker {
+	t.Helper()
+	c, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// service returns a valid service with one piece replaced.
+func service(old, replacement string) string {
+	text := `{"versions": [{"version": 3, "shard-count": 4}], "slots": 2, "connections": 25,
+		"cold-start": {"initial-rate": 5, "double-after": 20, "full-rate": 200},
+		"classes": {"interactive": {"max-deadline-ms": 1000, "weight": 3}}, "tenants": {"t1": {"share": 1}}}`
+	return `{"ticket": 1, "services": {"search": ` + strings.Replace(text, old, replacement, 1) + `}}`
+}
+
+// Guards against tickets that would configure something impossible, and
+// against messages that do not tell the operator what is wrong.
+func TestDecodeRefusals(t *testing.T) {
+	cases := []struct {
+		name, text string
+		want       []string // parts of the message
+	}{
+		{"not JSON", `{"ticket": 1`, []string{"not JSON"}},
+		{"two values", `{"ticket": 1, "vms": {"a": null}} {}`, []string{"invalid character"}},
+		{"no entity", `{"ticket": 1}`, []string{"minProperties"}},
+		{"number zero", `{"ticket": 0, "vms": {"a": null}}`, []string{"ticket", "minimum"}},
+		{"fraction", `{"ticket": 1.5, "vms": {"a": null}}`, []string{"ticket"}},
+		{"unknown field", `{"ticket": 1, "zones": {}}`, []string{"zones"}},
+		{"other case", `{"ticket": 1, "VMs": {"a": null}}`, []string{"VMs"}},
+		{"key twice", `{"ticket": 1, "vms": {"a": null, "a": {"state": "in"}}}`, []string{"vms.a", "twice"}},
+		{"zone state", `{"ticket": 1, "availability-zones": {"a": {"state": "leaving"}}}`, []string{"availability-zones.a.state"}},
+		{"empty id", `{"ticket": 1, "vms": {"": null}}`, []string{"minLength"}},
+		{"long id", `{"ticket": 1, "vms": {"` + strings.Repeat("x", 129) + `": null}}`, []string{"maxLength"}},
+		{"no shards", service(`, "shard-count": 4`, ``), []string{"version 3", "exactly one of"}},
+		{"both shard forms", service(`"shard-count": 4`, `"shard-count": 4, "shard-bounds": [0]`), []string{"exactly one of"}},
+		{"bounds from 1", service(`"shard-count": 4`, `"shard-bounds": [1, 9]`), []string{"start at 1"}},
+		{"bounds descend", service(`"shard-count": 4`, `"shard-bounds": [0, 9, 9]`), []string{"9 follows 9"}},
+		{"bound outside", service(`"shard-count": 4`, `"shard-bounds": [0, 65536]`), []string{"shard-bounds.1", "65,535"}},
+		{"version twice", service(`[{"version": 3, "shard-count": 4}`, `[{"version": 3, "shard-count": 4}, {"version": 3, "shard-count": 5}`), []string{"version 3 appears twice"}},
+		{"deadline", service(`1000`, `3901`), []string{"class interactive", "3901", "3900"}},
+		{"cold start", service(`"initial-rate": 5`, `"initial-rate": 500`), []string{"initial-rate 500"}},
+		{"several at once", service(`"slots": 2, "connections": 25`, `"slots": 0, "connections": 0, "other": 1`),
+			[]string{"services.search.slots", "services.search.connections", "other"}},
+		{"zero weight and share", service(`"weight": 3}}, "tenants": {"t1": {"share": 1}}`, `"weight": 0}}, "tenants": {"t1": {"share": 0}}`),
+			[]string{"classes.interactive.weight", "tenants.t1.share"}},
+		{"schema and semantics", strings.Replace(service(`1000`, `5000`), `"ticket": 1`, `"ticket": 1, "extra": 1`, 1), []string{"extra", "5000"}},
+		{"control VM twice", `{"ticket": 1, "control-vms": [{"vm": "c", "peer-address": "h"}, {"vm": "c", "peer-address": "h:1"}]}`, []string{"appears twice", "not host:port"}},
+		{"empty control set", `{"ticket": 1, "control-vms": []}`, []string{"control-vms", "minItems"}},
+	}
+	c := newChecker(t)
+	for _, test := range cases {
+		_, _, err := c.Decode([]byte(test.text))
+		var refusal *zinniatide.Refusal
+		if !errors.As(err, &refusal) || refusal.Code != zinniatide.CodeBadRequest || refusal.Outcome != zinniatide.OutcomeNotRun {
+			t.Errorf("%s: got error %v, want bad-request", test.name, err)
+			continue
+		}
+		for _, want := range test.want {
+			if !strings.Contains(refusal.Message, want) {
+				t.Errorf("%s: message %q lacks %q", test.name, refusal.Message, want)
+			}
+		}
+	}
+	if _, _, err := c.Decode(make([]byte, MaxTicketSize+1)); !strings.Contains(err.Error(), string(zinniatide.CodeTooLarge)) {
+		t.Errorf("large ticket: got %v, want too-large", err)
+	}
+	if _, _, err := c.Decode([]byte(service("", ""))); err != nil {
+		t.Errorf("valid service: %v", err)
+	}
+}
+
+// Guards against a resent ticket that conflicts because another program wrote
+// it in other notation, and against different tickets with one digest.
+func TestDigestIsCanonical(t *testing.T) {
+	c := newChecker(t)
+	same := []string{
+		`{"ticket": 1, "vms": {"a": {"state": "in"}, "b": null}}`,
+		"{\"vms\":{\"b\":null,\n\"a\":{\"state\":\"in\"}},\"ticket\":1}",
+		`{"ticket": 1, "vms": {"\u0061": {"state": "\u0069n"}, "b": null}}`,
+	}
+	_, want, err := c.Decode([]byte(same[0]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range same[1:] {
+		if _, got, err := c.Decode([]byte(text)); got != want || err != nil {
+			t.Errorf("digest of %s is %s, want %s (error %v)", text, got, want, err)
+		}
+	}
+	for _, text := range []string{`{"ticket": 2, "vms": {"a": {"state": "in"}, "b": null}}`, `{"ticket": 1, "vms": {"a": {"state": "in"}}}`} {
+		if _, got, err := c.Decode([]byte(text)); got == want || err != nil {
+			t.Errorf("digest of %s equals that of %s (error %v)", text, same[0], err)
+		}
+	}
+}
+
+// Guards against dry runs that hide a change or report what stays the same.
+func TestDifferenceGolden(t *testing.T) {
+	files, err := filepath.Glob("testdata/difference/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no golden files (error %v)", err)
+	}
+	c := newChecker(t)
+	for _, path := range files {
+		archive, err := txtar.ParseFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := &zinniatide.Configuration{Services: map[zinniatide.ServiceID]zinniatide.ServiceSetting{},
+			AvailabilityZones: map[zinniatide.ZoneID]zinniatide.StateSetting{}}
+		for _, file := range archive.Files {
+			ticket, _, err := c.Decode(file.Data)
+			switch file.Name {
+			case "before":
+				for id, s := range ticket.Services {
+					before.Services[id] = *s
+				}
+				for id, s := range ticket.AvailabilityZones {
+					before.AvailabilityZones[id] = *s
+				}
+				before.ControlVMs = ticket.ControlVMs
+			case "ticket":
+				got := strings.Join(Difference(before, ticket), "\n") + "\n"
+				last := &archive.Files[len(archive.Files)-1]
+				if *update {
+					last.Data = []byte(got)
+					if err := os.WriteFile(path, txtar.Format(archive), 0o644); err != nil {
+						t.Fatal(err)
+					}
+				} else if want := string(last.Data); got != want {
+					t.Errorf("%s: got\n%swant\n%s", path, got, want)
+				}
+			default:
+				continue
+			}
+			if err != nil {
+				t.Fatalf("%s: %s: %v", path, file.Name, err)
+			}
+		}
+	}
+}
+
+// Guards against tickets that crash the decoder, and against accepted tickets
+// that break the rules which the rest of the system relies on.
+func FuzzDecode(f *testing.F) {
+	for _, text := range []string{service("", ""), service(`"shard-count": 4`, `"shard-bounds": [0, 5]`), `{"ticket": 1, "vms": {"a": null}}`,
+		`{"ticket": 1, "control-vms": [{"vm": "c", "peer-address": "h:1"}]}`, `{"ticket": 1e0, "vms": {"a": null}}`, `[[[[`, ``} {
+		f.Add([]byte(text))
+	}
+	c := newChecker(f)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		ticket, digest, err := c.Decode(raw)
+		if err != nil {
+			var refusal *zinniatide.Refusal
+			if !errors.As(err, &refusal) || refusal.Message == "" {
+				t.Fatalf("got %v, want a refusal with a message", err)
+			}
+			return
+		}
+		if ticket.Number == 0 || digest == (Digest{}) || len(Entities(ticket)) == 0 {
+			t.Fatalf("accepted ticket %+v with digest %s", ticket, digest)
+		}
+		for _, s := range ticket.Services {
+			if s == nil {
+				continue
+			}
+			for i := range s.Versions {
+				next := uint32(0)
+				for _, shard := range s.Versions[i].Shards() {
+					if shard.First != next || shard.Last <= shard.First {
+						t.Fatalf("shards of version %+v do not divide the key space", s.Versions[i])
+					}
+					next = shard.Last
+				}
+				if next != zinniatide.KeySpace {
+					t.Fatalf("shards of version %+v end at %d", s.Versions[i], next)
+				}
+			}
+		}
+	})
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -5,6 +5,8 @@
 package controller
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -111,8 +113,9 @@
 	c.lastTick = now
 	// Leases that the last leader granted may still run, so every member gets
 	// a full lease from here before it can be removed.
-	for _, m := range c.machine.Configuration().Members {
-		c.sessions.open(m.VM, m.Incarnation, 0, now)
+	members := c.machine.Configuration().Members
+	for _, vm := range slices.Sorted(maps.Keys(members)) {
+		c.sessions.open(vm, members[vm].Incarnation, 0, now)
 	}
 	klog.InfoS("leading the control VMs", "step", "lead", "members", c.sessions.size())
 	if len(c.machine.Configuration().ControlVMs) == 0 && len(c.config.ControlVMs) > 0 {
@@ -132,7 +135,8 @@
 	}
 	if delta != nil {
 		now := c.clock.Now()
-		for vm, m := range delta.Members {
+		for _, vm := range slices.Sorted(maps.Keys(delta.Members)) {
+			m := delta.Members[vm]
 			if m == nil {
 				c.sessions.close(vm)
 				continue
--- a/subscriber/release.go
+++ b/subscriber/release.go
@@ -1,6 +1,7 @@
 package subscriber
 
 import (
+	"maps"
 	"slices"
 
 	"zinniatide.example/zinniatide"
@@ -61,19 +62,29 @@
 	if leader == "" {
 		return
 	}
-	for epoch, buckets := range s.releases {
-		s.releasing = true
-		s.nextRelease = now + releaseTimeout
-		message := &controlproto.BucketRelease{
-			VM: s.config.Member.VM, Incarnation: s.config.Member.Incarnation, Epoch: epoch, Buckets: slices.Clone(buckets),
+	epoch := s.releaseTurn()
+	s.releasing = true
+	s.nextRelease = now + releaseRetry
+	message := &controlproto.BucketRelease{
+		VM: s.config.Member.VM, Incarnation: s.config.Member.Incarnation, Epoch: epoch, Buckets: slices.Clone(s.releases[epoch]),
+	}
+	call(s, leader, zinniatide.KindControlRelease, message, releaseTimeout, func(reply *controlproto.ReleaseReply, err error) {
+		s.releasing = false
+		if err == nil && !reply.Leading && reply.Leader != "" {
+			s.nextRelease = 0
+			s.changeLeader(leader, reply.Leader)
 		}
-		call(s, leader, zinniatide.KindControlRelease, message, releaseTimeout, func(reply *controlproto.ReleaseReply, err error) {
-			s.releasing = false
-			if err == nil && !reply.Leading && reply.Leader != "" {
-				s.nextRelease = 0
-				s.changeLeader(leader, reply.Leader)
-			}
-		})
-		return
+	})
+}
+
+// releaseTurn returns the epoch after the one that was sent last, so that the
+// releases of one epoch do not hold up those of another.
+func (s *Subscriber) releaseTurn() zinniatide.Epoch {
+	epochs := slices.Sorted(maps.Keys(s.releases))
+	next := epochs[0]
+	if i, _ := slices.BinarySearch(epochs, s.releaseSent+1); i < len(epochs) {
+		next = epochs[i]
 	}
+	s.releaseSent = next
+	return next
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -27,6 +27,9 @@
 	failoverDelay zinniatide.Millis = 300
 	// releaseTimeout is the wait for the answer to a bucket release.
 	releaseTimeout zinniatide.Millis = 500
+	// releaseRetry is the delay between two releases. What is drained in the
+	// meantime goes into one message.
+	releaseRetry zinniatide.Millis = 50
 )
 
 // Config tells a Subscriber about its VM.
@@ -62,6 +65,7 @@
 	releases    map[zinniatide.Epoch][]bucketID
 	releasing   bool
 	nextRelease zinniatide.Millis
+	releaseSent zinniatide.Epoch // of the last message
 	claims      claimQueue
 	goodbyes    []func(error)
 	gone        bool
