Add zinniactl

Commands file, check, state, history, status and wait over the operators' HTTP operations. Exit codes are documented in the help text and tested against a scripted stand-in.

--- /dev/null
+++ b/cmd/zinniactl/internal/commands/history.go
@@ -0,0 +1,43 @@
+package commands
+
+import (
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"zinniatide.example/zinniatide"
+)
+
+func (e *environment) historyCommand() *cobra.Command {
+	var limit int
+	command := &cobra.Command{
+		Use:   "history",
+		Short: "List the accepted tickets, newest first",
+		Long:  "History lists the accepted tickets, newest first.\n\n" + exitCodeHelp,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if limit < 1 {
+				return fmt.Errorf("--limit is %d, want 1 or more", limit)
+			}
+			c, err := e.client()
+			if err != nil {
+				return err
+			}
+			var records []zinniatide.TicketRecord
+			if err := c.do(http.MethodGet, fmt.Sprintf("/v1/tickets?limit=%d", limit), nil, &records); err != nil {
+				return err
+			}
+			records = records[:min(limit, len(records))]
+			return e.print(records, func(w *tabwriter.Writer) {
+				row(w, "TICKET", "EPOCH", "DIGEST")
+				for _, r := range records {
+					row(w, r.Number, r.Epoch, r.Digest)
+				}
+			})
+		},
+	}
+	command.Flags().IntVar(&limit, "limit", 20, "number of tickets")
+	return command
+}
--- /dev/null
+++ b/cmd/zinniactl/internal/commands/ticket.go
@@ -0,0 +1,41 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/checker"
+)
+
+// readTicket reads a ticket file, or standard input when path is "-", and
+// checks it.
+func (e *environment) readTicket(path string) ([]byte, *zinniatide.Ticket, checker.Digest, error) {
+	raw, err := e.readFile(path)
+	if err != nil {
+		return nil, nil, checker.Digest{}, fmt.Errorf("read ticket: %w", err)
+	}
+	tickets, err := checker.New()
+	if err != nil {
+		return nil, nil, checker.Digest{}, err
+	}
+	ticket, digest, err := tickets.Decode(raw)
+	return raw, ticket, digest, err
+}
+
+func (e *environment) readFile(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(io.LimitReader(e.in, checker.MaxTicketSize+1))
+	}
+	return os.ReadFile(path)
+}
+
+func parseNumber(text string) (zinniatide.TicketNumber, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n == 0 {
+		return 0, fmt.Errorf("ticket number %q is not a positive integer", text)
+	}
+	return zinniatide.TicketNumber(n), nil
+}
--- a/cmd/zinniactl/main.go
+++ b/cmd/zinniactl/main.go
@@ -1,4 +1,12 @@
-// Command zinniactl is part of the zinniatide query tier.
+// Command zinniactl files tickets and shows the control state.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"zinniatide.example/zinniatide/cmd/zinniactl/internal/commands"
+)
+
+func main() {
+	os.Exit(commands.Execute(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
