--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -140,7 +140,7 @@
 			v.controller = New(Config{VM: m.VM, ControlVMs: w.control}, v.log, v, w.clock, v.machine, tickets, prometheus.NewRegistry())
 		}
 	}
-	v.subscriber = subscriber.New(subscriber.Config{Member: m, ControlVMs: w.control}, v, w.clock, w.random)
+	v.subscriber = subscriber.New(subscriber.Config{Member: m, ControlVMs: w.control}, v, w.clock, w.random, prometheus.NewRegistry())
 	w.after(0, func() { v.tick() })
 	return v
 }
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -42,7 +42,7 @@
 	case known && member == h.Member:
 		reply(c.grant(h), nil)
 	default:
-		klog.InfoS("VM joins or changes", "step", "join", "peer", h.Member.VM, "incarnation", h.Member.Incarnation, "state", h.Member.State)
+		klog.InfoS("VM joins or changes", "step", "join", "peer", h.Member.VM, "incarnation", h.Member.Incarnation, "state", h.Member.State, "control", h.Control)
 		c.propose(&registrar.Command{Join: &h.Member}, func(_ any, err error) {
 			if err != nil {
 				reply(&controlproto.HeartbeatReply{Leadership: c.leadership()}, nil)
@@ -111,6 +111,10 @@
 			reply(&controlproto.ReleaseReply{Leadership: lead}, nil)
 			return
 		}
+		if !c.machine.ReleaseHasEffect(&release) {
+			reply(&controlproto.ReleaseReply{Leadership: c.leadership()}, nil)
+			return
+		}
 		c.propose(&registrar.Command{Release: &release}, func(_ any, err error) {
 			answer := &controlproto.ReleaseReply{Leadership: c.leadership()}
 			answer.Leading = answer.Leading && err == nil
--- a/registrar/buckets.go
+++ b/registrar/buckets.go
@@ -112,19 +112,36 @@
 	return b
 }
 
+// ReleaseHasEffect reports whether applying release now would move a bucket.
+// A leader does not propose the repeated releases of buckets that have moved.
+func (r *Registrar) ReleaseHasEffect(release *controlproto.BucketRelease) bool {
+	for _, key := range release.Buckets {
+		if r.releases(r.configuration.Buckets[key.Zone], release, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// releases reports whether release ends the pending move of one bucket.
+func (r *Registrar) releases(table []zinniatide.Bucket, release *controlproto.BucketRelease, key bucketKey) bool {
+	if key.Index < 0 || key.Index >= len(table) {
+		return false
+	}
+	b := &table[key.Index]
+	return b.Owner == release.VM && b.OwnerIncarnation == release.Incarnation && b.Next != "" && release.Epoch >= r.moves[key]
+}
+
 // applyRelease moves the named buckets to their next owner. A release is
 // ignored unless its sender owns the bucket and had seen the pending move.
 func (r *Registrar) applyRelease(release *controlproto.BucketRelease) any {
 	c := newChange(r.configuration)
 	for _, key := range release.Buckets {
 		table := c.next.Buckets[key.Zone]
-		if key.Index < 0 || key.Index >= len(table) {
+		if !r.releases(table, release, key) {
 			continue
 		}
 		b := table[key.Index]
-		if b.Owner != release.VM || b.OwnerIncarnation != release.Incarnation || b.Next == "" || release.Epoch < r.moves[key] {
-			continue
-		}
 		delete(r.moves, key)
 		owner := zinniatide.Bucket{Owner: b.Next, OwnerIncarnation: c.next.Members[b.Next].Incarnation}
 		c.add(Delta{Buckets: []BucketChange{{Zone: key.Zone, Index: key.Index, Bucket: owner}}})
--- a/registrar/claims.go
+++ b/registrar/claims.go
@@ -145,12 +145,21 @@
 	switch result.Outcome {
 	case zinniatide.OutcomeNotRun:
 		record.Freed, record.Outcome = true, ""
+		t.setBody(record, nil)
 	case zinniatide.OutcomeDone, zinniatide.OutcomeUnknown:
 		record.Outcome = result.Outcome
-		if len(result.Body) <= zinniatide.MaxRecordedBody && t.bytes+len(result.Body) <= t.maxBytes {
-			t.bytes += len(result.Body) - len(record.Body)
-			record.Body = result.Body
-		}
+		t.setBody(record, result.Body)
+	}
+}
+
+// setBody keeps the body of a result, or none when it breaks a bound. The
+// outcome alone still tells that the request ran.
+func (t *claimTable) setBody(record *claimRecord, body []byte) {
+	t.bytes -= len(record.Body)
+	record.Body = nil
+	if len(body) > 0 && len(body) <= zinniatide.MaxRecordedBody && t.bytes+len(body) <= t.maxBytes {
+		record.Body = body
+		t.bytes += len(body)
 	}
 }
 
@@ -169,10 +178,16 @@
 	if len(t.byID) >= t.maxClaims || t.bytes+c.size() > t.maxBytes {
 		return false
 	}
+	t.insert(c)
+	return true
+}
+
+// insert adds a record without regard to the bounds. A snapshot is restored as
+// a whole, because a dropped claim could be granted again.
+func (t *claimTable) insert(c *claimRecord) {
 	t.byID[c.ID] = c
 	t.bytes += c.size()
 	heap.Push(&t.byExpiry, c)
-	return true
 }
 
 // dropExpired drops claims whose retention has ended.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -207,6 +207,16 @@
 	if reply := apply(t, r, 0, Command{Claim: claim(ids[0], 2, 1)}).(zinniatide.ClaimReply); reply.Outcome != zinniatide.OutcomeDone || len(reply.Body) != 0 {
 		t.Errorf("got %+v, want outcome done without the body that exceeds the bound", reply)
 	}
+	restore(t, r)
+	unknown := &zinniatide.ClaimResult{RequestID: zinniatide.RequestID(ids[1]), Token: 1, Outcome: zinniatide.OutcomeUnknown, Body: []byte("stale")}
+	apply(t, r, 0, Command{Result: unknown})
+	unknown.Outcome = zinniatide.OutcomeNotRun
+	apply(t, r, 0, Command{Result: unknown})
+	apply(t, r, 0, Command{Claim: claim(ids[1], 3, 1)})
+	apply(t, r, 0, Command{Result: &zinniatide.ClaimResult{RequestID: zinniatide.RequestID(ids[1]), Token: 3, Outcome: zinniatide.OutcomeDone, Body: make([]byte, 300)}})
+	if reply := apply(t, r, 0, Command{Claim: claim(ids[1], 4, 1)}).(zinniatide.ClaimReply); len(reply.Body) != 0 {
+		t.Errorf("got body %q of an earlier attempt", reply.Body)
+	}
 	if r.claims.bytes > r.claims.maxBytes {
 		t.Errorf("%d bytes are kept, the bound is %d", r.claims.bytes, r.claims.maxBytes)
 	}
@@ -267,6 +277,9 @@
 	apply(t, r, 0, join("e1", "a", 1))
 	apply(t, r, 0, join("e2", "b", 1))
 	apply(t, r, 0, join("e1", "a", 2))
+	if r.ReleaseHasEffect(&controlproto.BucketRelease{VM: "e1", Incarnation: 1, Epoch: 9, Buckets: []controlproto.BucketID{{Zone: "a"}, {Zone: "none", Index: 1}}}) {
+		t.Error("a release of buckets that are not moving has an effect")
+	}
 	if b := r.Configuration().Buckets["a"][0]; b.OwnerIncarnation != 2 || b.Next != "" {
 		t.Errorf("bucket after a restart: %+v, want incarnation 2", b)
 	}
--- a/registrar/snapshot.go
+++ b/registrar/snapshot.go
@@ -81,7 +81,7 @@
 		tickets.highest[e.Entity] = e.Number
 	}
 	for _, c := range s.Claims {
-		claims.add(c)
+		claims.insert(c)
 	}
 	r.configuration, r.clock, r.tickets, r.claims = s.Configuration, s.Clock, tickets, claims
 	r.moves = map[bucketKey]zinniatide.Epoch{}
--- a/subscriber/claims.go
+++ b/subscriber/claims.go
@@ -66,6 +66,7 @@
 
 func (s *Subscriber) queueResult(r *zinniatide.ClaimResult) {
 	if s.claims.results >= maxResultsQueued {
+		s.metrics.unrecorded.Inc()
 		klog.ErrorS(nil, "dropped the result of a claim: too many wait for the control leader", "step", "finish", "request", r.RequestID)
 		return
 	}
@@ -157,9 +158,11 @@
 func (s *Subscriber) giveUp(item *claimItem) {
 	s.finishItem(item)
 	if item.result != nil {
+		s.metrics.unrecorded.Inc()
 		klog.ErrorS(nil, "gave up recording the result of a claim", "step", "finish", "request", item.result.RequestID, "outcome", item.result.Outcome)
 		return
 	}
+	s.metrics.undecided.Inc()
 	if item.attempted {
 		s.queueResult(&zinniatide.ClaimResult{RequestID: item.claim.RequestID, Token: item.claim.Token, Outcome: zinniatide.OutcomeNotRun})
 	}
--- a/subscriber/install.go
+++ b/subscriber/install.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"slices"
 
 	"k8s.io/klog/v2"
 
@@ -42,6 +43,7 @@
 		return
 	}
 	s.installed.Store(next)
+	s.metrics.epoch.Set(float64(next.Epoch))
 	if peersChanged(current, next) {
 		s.links.SetPeers(s.Peers())
 	}
@@ -86,7 +88,8 @@
 }
 
 func peersChanged(before, after *zinniatide.Configuration) bool {
+	// Restarts change members without changing addresses.
 	samePeer := func(a, b zinniatide.Member) bool { return a.PeerAddress == b.PeerAddress }
 	return !maps.EqualFunc(before.Members, after.Members, samePeer) ||
-		fmt.Sprint(before.ControlVMs) != fmt.Sprint(after.ControlVMs)
+		!slices.Equal(before.ControlVMs, after.ControlVMs)
 }
--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -15,6 +15,7 @@
 	answered uint64 // highest sequence that a leader has answered
 	nextAt   zinniatide.Millis
 	waiting  bool
+	reported string // last cause of an unanswered heartbeat that was logged
 	goneAt   zinniatide.Millis
 	// pending is a granted lease that holds once epoch is installed.
 	pending      zinniatide.Millis
@@ -56,7 +57,7 @@
 // heartbeatDone takes the answer to h, which was sent at sentAt.
 func (s *Subscriber) heartbeatDone(leader zinniatide.VMID, h *controlproto.Heartbeat, sentAt zinniatide.Millis, reply *controlproto.HeartbeatReply, err error) {
 	if err != nil {
-		klog.V(2).InfoS("heartbeat without answer", "step", "heartbeat", "peer", leader, "err", err)
+		s.reportUnanswered(leader, err)
 		s.changeLeader(leader, "")
 		return
 	}
@@ -64,6 +65,7 @@
 		s.changeLeader(leader, reply.Leader)
 		return
 	}
+	s.lease.reported = ""
 	s.lease.answered = max(s.lease.answered, h.Sequence)
 	if s.gone {
 		if h.Gone {
@@ -87,6 +89,16 @@
 	s.extendLease()
 }
 
+// reportUnanswered logs each cause once until it changes. A refusal, such as
+// that of a second process with the same VM id, stays until an operator acts.
+func (s *Subscriber) reportUnanswered(peer zinniatide.VMID, err error) {
+	s.metrics.unanswered.Inc()
+	if text := err.Error(); text != s.lease.reported {
+		s.lease.reported = text
+		klog.ErrorS(err, "heartbeat without answer", "step", "heartbeat", "peer", peer)
+	}
+}
+
 // extendLease puts a granted lease in force once its epoch is installed. A
 // lease on an older configuration would let this VM work for longer on a
 // configuration that the leader has replaced.
--- /dev/null
+++ b/subscriber/metrics.go
@@ -0,0 +1,27 @@
+package subscriber
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+type metrics struct {
+	epoch      prometheus.Gauge
+	unanswered prometheus.Counter
+	undecided  prometheus.Counter
+	unrecorded prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
+	return &metrics{
+		epoch: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "zinniatide_installed_epoch", Help: "Configuration epoch in force on this VM."}),
+		unanswered: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_heartbeats_unanswered_total", Help: "Heartbeats that no control VM answered."}),
+		undecided: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_claims_undecided_total", Help: "Claims that the control leader did not decide in time."}),
+		unrecorded: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_claim_results_unrecorded_total", Help: "Results of claims that could not be recorded."}),
+	}
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
@@ -47,10 +48,11 @@
 // zinniatide.ClaimStore. Configuration and LeaseUntil may be called from any
 // thread, and so may the other methods. Its state is used by Step only.
 type Subscriber struct {
-	config Config
-	links  zinniatide.Linker
-	clock  zinniatide.Clock
-	random *rand.Rand
+	config  Config
+	links   zinniatide.Linker
+	clock   zinniatide.Clock
+	random  *rand.Rand
+	metrics *metrics
 
 	installed  atomic.Pointer[zinniatide.Configuration]
 	leaseUntil atomic.Int64
@@ -77,13 +79,16 @@
 )
 
 // New returns a subscriber. It registers its handlers with links, so it is
-// called before links is started.
-func New(config Config, links zinniatide.Linker, clock zinniatide.Clock, random *rand.Rand) *Subscriber {
+// called before links is started. Links must deliver messages to this VM
+// itself, because the control leader may run here; package selflink adds that.
+// Random is used by Step only.
+func New(config Config, links zinniatide.Linker, clock zinniatide.Clock, random *rand.Rand, registerer prometheus.Registerer) *Subscriber {
 	if config.Member.State == "" {
 		config.Member.State = zinniatide.StateIn
 	}
 	s := &Subscriber{
 		config: config, links: links, clock: clock, random: random,
+		metrics:  newMetrics(registerer),
 		wake:     make(chan struct{}, 1),
 		releases: map[zinniatide.Epoch][]bucketID{},
 	}
--- /dev/null
+++ b/subscriber/subscriber_test.go
@@ -0,0 +1,171 @@
+package subscriber
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/registrar"
+)
+
+// scriptedLink answers calls from a function and keeps what was set.
+type scriptedLink struct {
+	zinniatide.Linker
+	push   zinniatide.LinkHandler
+	peers  map[zinniatide.VMID]string
+	answer func(peer zinniatide.VMID, kind zinniatide.MessageKind, body any) (any, error)
+}
+
+func (l *scriptedLink) Handle(_ zinniatide.MessageKind, h zinniatide.LinkHandler) { l.push = h }
+func (l *scriptedLink) SetPeers(peers map[zinniatide.VMID]string)                 { l.peers = peers }
+func (l *scriptedLink) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, _ zinniatide.Millis, done func([]byte, error)) {
+	value, err := l.answer(peer, kind, body)
+	encoded, _ := codec.Encode(value)
+	done(encoded, err)
+}
+
+func newScripted(t *testing.T) (*Subscriber, *scriptedLink, *clock.Clock) {
+	t.Helper()
+	manual := clock.NewManual(1000, 0)
+	links := &scriptedLink{answer: func(zinniatide.VMID, zinniatide.MessageKind, any) (any, error) { return nil, zinniatide.ErrNotSent }}
+	config := Config{Member: zinniatide.Member{VM: "e1", Zone: "a", Incarnation: 1, Entry: true},
+		ControlVMs: []zinniatide.ControlVM{{VM: "c1", PeerAddress: "h:1"}, {VM: "c2", PeerAddress: "h:2"}, {VM: "c3", PeerAddress: "h:3"}}}
+	return New(config, links, manual, rand.New(rand.NewPCG(1, 2)), prometheus.NewRegistry()), links, manual
+}
+
+// full encodes a configuration of one epoch with one member.
+func full(t *testing.T, epoch zinniatide.Epoch) *controlproto.ConfigurationPush {
+	t.Helper()
+	c := registrar.NewConfiguration()
+	c.Epoch = epoch
+	c.Members["e2"] = zinniatide.Member{VM: "e2", PeerAddress: "h:9"}
+	raw, err := codec.Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &controlproto.ConfigurationPush{Full: raw}
+}
+
+func delta(t *testing.T, epochs ...zinniatide.Epoch) *controlproto.ConfigurationPush {
+	t.Helper()
+	push := &controlproto.ConfigurationPush{}
+	for _, epoch := range epochs {
+		raw, err := codec.Encode(&registrar.Delta{Epoch: epoch})
+		if err != nil {
+			t.Fatal(err)
+		}
+		push.Deltas = append(push.Deltas, raw)
+	}
+	return push
+}
+
+// Guards against epochs that go back or leave out a change, and against a
+// damaged push that replaces the configuration.
+func TestInstallRules(t *testing.T) {
+	s, links, _ := newScripted(t)
+	steps := []struct {
+		name string
+		push *controlproto.ConfigurationPush
+		want zinniatide.Epoch
+	}{
+		{"first", full(t, 5), 5},
+		{"older whole configuration", full(t, 4), 5},
+		{"delta with a gap", delta(t, 7), 5},
+		{"deltas that overlap", delta(t, 4, 5, 6, 7), 7},
+		{"deltas with a gap inside", delta(t, 8, 10), 8},
+		{"old delta", delta(t, 6), 8},
+		{"damage", &controlproto.ConfigurationPush{Full: []byte{0xff}}, 8},
+		{"whole configuration and deltas", &controlproto.ConfigurationPush{Full: full(t, 20).Full, Deltas: delta(t, 21).Deltas}, 21},
+	}
+	for _, step := range steps {
+		body, err := codec.Encode(step.push)
+		if err != nil && step.name != "damage" {
+			t.Fatal(err)
+		}
+		var ack *controlproto.PushReply
+		links.push("c1", body, func(value any, _ error) { ack = value.(*controlproto.PushReply) })
+		s.Step()
+		if got := s.Configuration().Epoch; got != step.want || ack == nil || ack.Epoch != step.want {
+			t.Errorf("%s: installed epoch %d, acknowledged %+v, want %d", step.name, got, ack, step.want)
+		}
+	}
+	want := map[zinniatide.VMID]string{"c1": "h:1", "c2": "h:2", "c3": "h:3", "e2": "h:9"}
+	if got := links.peers; len(got) != len(want) || got["e2"] != want["e2"] || got["c3"] != want["c3"] {
+		t.Errorf("peers %v, want %v", got, want)
+	}
+}
+
+// Guards against a lease counted from the answer instead of the heartbeat, and
+// against a lease on a configuration that is not installed yet.
+func TestLeaseRules(t *testing.T) {
+	s, links, manual := newScripted(t)
+	reply := &controlproto.HeartbeatReply{Leadership: controlproto.Leadership{Leading: true, Leader: "c1"}, Granted: true, Epoch: 5}
+	links.answer = func(zinniatide.VMID, zinniatide.MessageKind, any) (any, error) {
+		manual.Advance(100) // the answer takes its time
+		return reply, nil
+	}
+	s.Step()
+	s.Step()
+	if got := s.LeaseUntil(); got != 0 {
+		t.Errorf("lease until %d before epoch 5 is installed, want 0", got)
+	}
+	s.install(full(t, 5))
+	if got, want := s.LeaseUntil(), 1000+zinniatide.LeaseDuration; got != want {
+		t.Errorf("lease until %d, want %d", got, want)
+	}
+	reply.Epoch = 3
+	manual.Advance(zinniatide.HeartbeatInterval)
+	s.Step()
+	s.Step()
+	if got, want := s.LeaseUntil(), 1000+zinniatide.LeaseDuration; got != want {
+		t.Errorf("lease until %d after an answer from an outdated leader, want %d", got, want)
+	}
+}
+
+// Guards against a VM that keeps asking one control VM, or that asks the others
+// without delay.
+func TestFailover(t *testing.T) {
+	s, links, manual := newScripted(t)
+	var asked []zinniatide.VMID
+	links.answer = func(peer zinniatide.VMID, _ zinniatide.MessageKind, _ any) (any, error) {
+		asked = append(asked, peer)
+		if len(asked) < 3 {
+			return nil, zinniatide.ErrTimeout
+		}
+		return &controlproto.HeartbeatReply{Leadership: controlproto.Leadership{Leader: asked[0]}}, nil
+	}
+	for range 4 {
+		s.Step()
+		s.Step()
+		manual.Advance(failoverDelay)
+	}
+	if len(asked) != 4 || asked[0] == asked[1] || asked[1] == asked[2] || asked[2] == asked[0] || asked[3] != asked[0] {
+		t.Errorf("asked %v, want three VMs in turn and then the named leader", asked)
+	}
+}
+
+// Guards against a goroutine that outlives its context, and against requests
+// that wait for the next tick although Run has been woken.
+func TestRun(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	s, _, _ := newScripted(t)
+	installed := make(chan zinniatide.Epoch, 1)
+	s.OnConfiguration(func(c *zinniatide.Configuration) { installed <- c.Epoch })
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { s.Run(ctx); close(stopped) }()
+	push := full(t, 3)
+	s.post(func() { s.install(push) })
+	if got := <-installed; got != 3 || s.Configuration().Epoch != 3 {
+		t.Errorf("installed epoch %d, want 3", got)
+	}
+	cancel()
+	<-stopped
+}
