--- /dev/null
+++ b/linker/internal_test.go
@@ -0,0 +1,172 @@
+package linker
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/gobwas/ws"
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/encoder"
+)
+
+func encode(t testing.TB, h frameHeader, body any) []byte {
+	t.Helper()
+	s, message, err := encodeFrame(&h, body, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.release()
+	return bytes.Clone(message)
+}
+
+// Guards against damaged or hostile streams that crash the receiver, make it
+// read beyond what arrived, or are taken for other frames than were sent.
+func FuzzFrame(f *testing.F) {
+	f.Add(encode(f, frameHeader{Kind: 30, Call: 7}, "body"), true)
+	f.Add(encode(f, frameHeader{Kind: 30, Call: 7, Reply: true, Code: "shed"}, failure{Outcome: "not-run", Message: "m"}), false)
+	f.Add(encode(f, frameHeader{Kind: kindHello}, hello{VM: "a"}), false)
+	f.Add(append(encode(f, frameHeader{Kind: 1}, nil), controlMessage(ws.OpPing, []byte("p"), true)...), true)
+	f.Add([]byte{0x82, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, false)
+	f.Add([]byte{0x82, 0x05, 0x84, 0x01, 0x01, 0xf5, 0x60}, false)
+	f.Fuzz(func(t *testing.T, stream []byte, server bool) {
+		r, state := &sliceReader{bytes.Clone(stream)}, ws.StateClientSide
+		if server {
+			state = ws.StateServerSide
+		}
+		for {
+			h, size, ok, err := peekHeader(r, state, MaxMessage)
+			if err != nil || !ok {
+				return
+			}
+			if size > r.InboundBuffered() {
+				t.Fatalf("message of %d bytes in a stream of %d", size, r.InboundBuffered())
+			}
+			message, _ := r.Peek(size)
+			payload := unmask(&h, message)
+			if frame, body, err := parseFrame(payload); err == nil {
+				again, rest, err := parseFrame(append(mustEncode(t, &frame), body...))
+				if err != nil || again != frame || !bytes.Equal(rest, body) {
+					t.Fatalf("frame %+v became %+v, %v", frame, again, err)
+				}
+				_ = frame.errorOf(body)
+			}
+			_, _ = r.Discard(size)
+		}
+	})
+}
+
+func mustEncode(t testing.TB, v any) []byte {
+	t.Helper()
+	data, err := encoder.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against a hello from an unknown process that crashes the receiver or
+// passes its checks without an id or a common version.
+func FuzzHello(f *testing.F) {
+	l, err := New(Config{Self: "b", ListenAddress: "127.0.0.1:0"}, clock.NewManual(0, 0), prometheus.NewRegistry())
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, h := range []hello{{VM: "a", VersionMin: 1, VersionMax: 1, Incarnation: 1}, {VM: "a", VersionMin: 2, VersionMax: 1}, {VM: "b", VersionMax: 9}, {}} {
+		f.Add(encode(f, frameHeader{Kind: kindHello}, h)[2:])
+	}
+	f.Fuzz(func(t *testing.T, message []byte) {
+		h, err := decodeHello(message)
+		if err == nil && l.check(&h) == nil && (h.VM == "" || h.VM == "b" || h.VersionMin > 1 || h.VersionMax < 1) {
+			t.Errorf("accepted %+v", h)
+		}
+	})
+}
+
+// memoryTransport counts the bytes written and can fail or hold them back.
+type memoryTransport struct {
+	written int
+	held    int
+	fail    bool
+}
+
+func (m *memoryTransport) wake()  {}
+func (m *memoryTransport) close() {}
+func (m *memoryTransport) write(b []byte) error {
+	if m.fail {
+		return net.ErrClosed
+	}
+	m.written += len(b)
+	return nil
+}
+func (m *memoryTransport) backlog() int { return m.held }
+
+// Guards against a false ErrNotSent, which would run a non-idempotent request
+// twice, against calls that end twice or never, and against queues beyond
+// their bounds.
+func TestCallsEndOnceAndTruthfully(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, err := New(Config{Self: "a", ListenAddress: "127.0.0.1:0", QueueMessages: 8, QueueBytes: MaxMessage}, clock.NewManual(0, 0), prometheus.NewRegistry())
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &memoryTransport{}
+		k := newLink(l, "b", 1)
+		k.transport = m
+		if err := l.install(k); err != nil {
+			t.Fatal(err)
+		}
+		type call struct {
+			ends    int
+			err     error
+			written bool // a write since the call may have carried it
+		}
+		var calls []*call
+		now := zinniatide.Millis(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"call": func(t *rapid.T) {
+				c := &call{}
+				calls = append(calls, c)
+				l.Call("b", 9, "x", zinniatide.Millis(rapid.IntRange(1, 20).Draw(t, "timeout")), func(_ []byte, err error) { c.ends++; c.err = err })
+			},
+			"pump": func(t *rapid.T) {
+				m.held = rapid.SampledFrom([]int{0, 0, 5, MaxMessage}).Draw(t, "held")
+				for _, c := range calls {
+					c.written = c.written || c.ends == 0
+				}
+				k.pump()
+			},
+			"reply": func(t *rapid.T) {
+				h := frameHeader{Kind: 9, Reply: true, Call: uint64(rapid.IntRange(1, len(calls)+2).Draw(t, "call"))}
+				k.finish(&h, []byte{0})
+			},
+			"expire":     func(*rapid.T) { now += 5; k.expire(now) },
+			"fail write": func(*rapid.T) { m.fail = true },
+			"lose":       func(*rapid.T) { l.drop(k, "test", nil) },
+			"": func(t *rapid.T) {
+				if k.messages > 8 {
+					t.Fatalf("%d messages queued, limit 8", k.messages)
+				}
+				for i, c := range calls {
+					if c.ends > 1 || c.written && errors.Is(c.err, zinniatide.ErrNotSent) {
+						t.Fatalf("call %d ended %d times, written %v, err %v", i, c.ends, c.written, c.err)
+					}
+				}
+			},
+		})
+		l.drop(k, "test", nil)
+		for i, c := range calls {
+			if c.ends != 1 {
+				t.Fatalf("call %d ended %d times", i, c.ends)
+			}
+			if !c.written && errors.Is(c.err, zinniatide.ErrLinkLost) {
+				t.Fatalf("call %d got ErrLinkLost though nothing was written since", i)
+			}
+		}
+	})
+}
