Count starts and timeouts exactly in the dispatcher

Cause: the time of a start was read before the server's lock, and a late answer ended the row of timeouts, so a slow server never turned cold. Change: time is read under the lock, late answers teach nothing, moves are found once per configuration, remaining times of peers are bounded.

--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -56,6 +56,33 @@
 	}
 }
 
+// BenchmarkDispatchChained starts each request from the callback of the one
+// before, as a coordinator does that need not wait for single results.
+func BenchmarkDispatchChained(b *testing.B) {
+	back := newBackend(b)
+	h := newHost(b, "a", clock.New())
+	h.list(announcementOf(back))
+	h.dispatcher.Start()
+	h.serverOf(b)
+	finished := make(chan zinniatide.SubResult, 1)
+	left := b.N
+	var done func(r zinniatide.SubResult)
+	done = func(r zinniatide.SubResult) {
+		if left--; left <= 0 || r.Outcome != zinniatide.OutcomeDone {
+			finished <- r
+			return
+		}
+		h.dispatcher.Dispatch(h.request("r", 1000), done)
+	}
+	b.ReportAllocs()
+	defer reportProcessorTime(b)()
+	b.ResetTimer()
+	h.dispatcher.Dispatch(h.request("r", 1000), done)
+	if r := <-finished; r.Outcome != zinniatide.OutcomeDone {
+		b.Fatalf("got %v %v", r.Outcome, r.Code)
+	}
+}
+
 // BenchmarkHostClient is the baseline: the same request by fasthttp's client.
 func BenchmarkHostClient(b *testing.B) {
 	back := newBackend(b)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -113,7 +113,7 @@
 	now := d.o.Clock.Now()
 	d.reconcile(now)
 	for _, s := range d.servers.Load().all {
-		s.tick(now)
+		s.tick()
 	}
 	d.handOver(now)
 	d.reap(now)
@@ -124,7 +124,7 @@
 func (d *Dispatcher) reap(now zinniatide.Millis) {
 	kept := d.closing[:0]
 	for _, s := range d.closing {
-		s.tick(now)
+		s.tick()
 		if s.quiet() && now >= s.retiredAt+pacer.Window {
 			s.pool.Close()
 		} else {
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -47,29 +47,27 @@
 	releasedAt zinniatide.Millis
 }
 
-// handOver finishes owned buckets that the configuration gives to another VM.
-func (d *Dispatcher) handOver(now zinniatide.Millis) {
-	c := d.seen.configuration
+// noteMoves records which owned buckets the configuration gives to another VM.
+func (d *Dispatcher) noteMoves(c *zinniatide.Configuration) {
+	old := d.moves
+	d.moves = map[bucketKey]*move{}
 	for key := range d.ownedSince {
 		next := c.Buckets[key.zone][key.index].Next
-		m := d.moves[key]
-		if next == "" || (m != nil && m.next != next) {
-			delete(d.moves, key)
-			m = nil
-		}
 		if next == "" {
 			continue
 		}
-		if m == nil {
+		m := old[key]
+		if m == nil || m.next != next {
 			m = &move{next: next}
-			d.moves[key] = m
 		}
-		d.advance(key, m, now)
+		d.moves[key] = m
 	}
-	for key := range d.moves {
-		if _, ok := d.ownedSince[key]; !ok {
-			delete(d.moves, key)
-		}
+}
+
+// handOver goes on with the moves.
+func (d *Dispatcher) handOver(now zinniatide.Millis) {
+	for key, m := range d.moves {
+		d.advance(key, m, now)
 	}
 }
 
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -133,19 +133,20 @@
 
 // learn updates what is known of the server from the end of a request. Its own
 // results alone make a server warm.
-func (s *server) learn(t *task, a connector.Answer, now zinniatide.Millis, reported bool) {
+func (s *server) learn(t *task, a connector.Answer, now zinniatide.Millis) {
 	if a.Incarnation > s.incarnation {
 		s.restarted(a.Incarnation, now)
 	}
 	s.distrust(a.Busy, 0, now)
-	current := t.incarnation == s.incarnation
+	// A late answer is no success: the timeout has been counted as a failure.
+	current := t.incarnation == s.incarnation && !t.timedOut
 	switch {
 	case a.Outcome == zinniatide.OutcomeDone && current && a.Incarnation == s.incarnation:
 		s.health.Answered(now-t.started, s.ramp.Warm())
 		if s.ramp.Succeeded() {
 			s.pace.SetRate(now, s.ramp.Rate())
 		}
-	case a.Outcome == zinniatide.OutcomeUnknown && current && !reported:
+	case a.Outcome == zinniatide.OutcomeUnknown && current:
 		s.failed(now-t.started, now)
 	}
 }
--- a/dispatcher/systems.go
+++ b/dispatcher/systems.go
@@ -10,12 +10,14 @@
 )
 
 // tick is the time-driven work of one server: deadlines, connections, starts.
-func (s *server) tick(now zinniatide.Millis) {
+func (s *server) tick() {
 	var e endings
 	s.mu.Lock()
+	// Read under the lock: a start must not be counted earlier than it is made.
+	now := s.d.o.Clock.Now()
 	for _, t := range s.running {
 		if t.state == taskRunning && t.exchange.Deadline <= now {
-			t.state = taskReported
+			t.state, t.timedOut = taskReported, true
 			s.failed(now-t.started, now)
 			s.end(&e, t, unknown(zinniatide.CodeDeadlinePassed))
 		}
@@ -51,9 +53,9 @@
 
 // ready is called by the pool when a connection has been opened.
 func (s *server) ready() {
-	now := s.d.o.Clock.Now()
 	var e endings
 	s.mu.Lock()
+	now := s.d.o.Clock.Now()
 	s.pump(now, &e)
 	s.mu.Unlock()
 	e.report(s.d.metrics)
@@ -84,6 +86,7 @@
 	}
 	if configuration != d.seen.configuration {
 		d.noteOwnership(configuration, now)
+		d.noteMoves(configuration)
 	}
 	d.seen.catalog, d.seen.configuration = catalog, configuration
 	old := d.servers.Load()
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -25,6 +25,8 @@
 	exchange connector.Exchange
 	state    taskState
 	started  zinniatide.Millis
+	// timedOut is set when the deadline passed while the task was running.
+	timedOut bool
 	// incarnation is that of the server when the task was started.
 	incarnation zinniatide.Incarnation
 }
@@ -35,31 +37,52 @@
 	result zinniatide.SubResult
 }
 
-// endings collects results while the server's lock is held.
-type endings []ending
+// endings collects results while the server's lock is held. Most calls end at
+// most one request, which costs no allocation.
+type endings struct {
+	count int
+	first ending
+	more  []ending
+}
+
+func (e *endings) add(one ending) {
+	if e.count == 0 {
+		e.first = one
+	} else {
+		e.more = append(e.more, one)
+	}
+	e.count++
+}
 
-func (e endings) report(m *metrics) {
-	for i := range e {
-		if e[i].result.Outcome != zinniatide.OutcomeDone {
-			m.ended.WithLabelValues(string(e[i].result.Code)).Inc()
-		}
-		e[i].done(e[i].result)
+func (e *endings) report(m *metrics) {
+	if e.count == 0 {
+		return
+	}
+	e.first.report(m)
+	for i := range e.more {
+		e.more[i].report(m)
 	}
 }
 
+func (e *ending) report(m *metrics) {
+	if e.result.Outcome != zinniatide.OutcomeDone {
+		m.ended.WithLabelValues(string(e.result.Code)).Inc()
+	}
+	e.done(e.result)
+}
+
 // end reports result with the server's present load.
 func (s *server) end(e *endings, t *task, result zinniatide.SubResult) {
 	result.InFlight = uint16(s.slots.Taken())
 	result.Queued = uint16(s.queue.Len())
-	*e = append(*e, ending{t.done, result})
+	e.add(ending{t.done, result})
 }
 
 // accept starts t, queues it or refuses it.
 func (s *server) accept(t *task) {
-	now := s.d.o.Clock.Now()
-	var room [2]ending
-	e := endings(room[:0])
+	var e endings
 	s.mu.Lock()
+	now := s.d.o.Clock.Now()
 	if code := s.admit(t, now); code != "" {
 		t.state = taskEnded
 		s.end(&e, t, notRun(code))
@@ -116,15 +139,14 @@
 // answer and starts the next request.
 func (t *task) Finished(a connector.Answer) {
 	s := t.server
-	now := s.d.o.Clock.Now()
-	var room [2]ending
-	e := endings(room[:0])
+	var e endings
 	s.mu.Lock()
+	now := s.d.o.Clock.Now()
 	reported := t.state == taskReported
 	t.state = taskEnded
 	s.slots.Release()
 	s.running = slices.DeleteFunc(s.running, func(o *task) bool { return o == t })
-	s.learn(t, a, now, reported)
+	s.learn(t, a, now)
 	if !reported {
 		s.end(&e, t, zinniatide.SubResult{Outcome: a.Outcome, Code: a.Code, Body: a.Body, Crashed: a.Crashed})
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,6 +58,7 @@
 	done     func(i int, result zinniatide.SubResult)
 	slots    []slot
 	open     atomic.Int64 // slots without result
+	earliest zinniatide.Millis
 }
 
 // slot is the state of one sub-request.
@@ -133,6 +134,10 @@
 	if len(rs) == 0 {
 		return c.cancel
 	}
+	c.earliest = rs[0].Deadline
+	for i := range rs {
+		c.earliest = min(c.earliest, rs[i].Deadline)
+	}
 	f.mu.Lock()
 	f.calls = append(f.calls, c)
 	f.mu.Unlock()
@@ -203,7 +208,7 @@
 // send sends one batch to its owner.
 func (f *Forwarder) send(b *batch, now zinniatide.Millis) {
 	r := &b.call.requests[b.indexes[0]]
-	remaining := r.Deadline - now
+	remaining := min(r.Deadline-now, maxRemaining)
 	if remaining <= 0 {
 		b.finishAll(notRun(zinniatide.CodeDeadlinePassed))
 		return
@@ -314,6 +319,9 @@
 	f.mu.Unlock()
 	for _, c := range calls {
 		for i := range c.slots {
+			if c.earliest > due {
+				break
+			}
 			if !c.slots[i].ended.Load() && c.requests[i].Deadline <= due {
 				c.finish(i, unknown(zinniatide.CodeDeadlinePassed))
 			}
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -8,8 +8,12 @@
 	"zinniatide.example/zinniatide"
 )
 
-// maxItems bounds the sub-requests of one message.
-const maxItems = 1 << 16
+const (
+	// maxItems bounds the sub-requests of one message.
+	maxItems = 1 << 16
+	// maxRemaining is far above every deadline and keeps sums from overflowing.
+	maxRemaining zinniatide.Millis = 3_600_000
+)
 
 // batchMessage is the body of KindSubRequest: sub-requests to the servers of
 // one owner that share everything but server and range. It is sent as a call.
@@ -31,7 +35,7 @@
 
 type batchItem struct {
 	_      struct{}                   `cbor:",toarray"`
-	Server zinniatide.BackendServerID //nolint:revive // array element 0
+	Server zinniatide.BackendServerID
 	First  uint32
 	Last   uint32
 }
@@ -68,6 +72,8 @@
 		return m, errors.New("batch without items, or with too many")
 	case len(m.Body) > zinniatide.MaxRequestBody:
 		return m, errors.New("request body is too large")
+	case m.Remaining < 0 || m.Remaining > maxRemaining:
+		return m, errors.New("remaining time is out of bounds")
 	case m.Operation > zinniatide.OperationExecute:
 		return m, errors.New("unknown operation")
 	}
