--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -62,13 +62,15 @@
 	return false
 }
 
-// estimate returns how long a request with deadline would take from now.
+// estimate returns how long a request with deadline would take from now. With
+// a free slot only the pace counts: a server whose latency has once been above
+// all deadlines would otherwise never get a request again.
 func (s *server) estimate(deadline, now zinniatide.Millis) zinniatide.Millis {
 	position := s.queue.Position(deadline)
 	wait := s.pace.WaitFor(now, position)
 	latency := s.health.Latency()
 	if s.slots.Free(now) && position == 0 {
-		return wait + latency
+		return wait
 	}
 	return max(wait+latency, queuer.Estimate(position, s.slots.Limit(now), latency))
 }
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -34,7 +34,7 @@
 }
 
 type batchItem struct {
-	_      struct{}                   `cbor:",toarray"`
+	_      struct{} `cbor:",toarray"`
 	Server zinniatide.BackendServerID
 	First  uint32
 	Last   uint32
