--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -62,13 +62,15 @@
 	return false
 }
 
-// estimate returns how long a request with deadline would take from now.
+// estimate returns how long a request with deadline would take from now. With
+// a free slot only the pace counts: a server whose latency has once been above
+// all deadlines would otherwise never get a request again.
 func (s *server) estimate(deadline, now zinniatide.Millis) zinniatide.Millis {
 	position := s.queue.Position(deadline)
 	wait := s.pace.WaitFor(now, position)
 	latency := s.health.Latency()
 	if s.slots.Free(now) && position == 0 {
-		return wait + latency
+		return wait
 	}
 	return max(wait+latency, queuer.Estimate(position, s.slots.Limit(now), latency))
 }
@@ -133,19 +135,20 @@
 
 // learn updates what is known of the server from the end of a request. Its own
 // results alone make a server warm.
-func (s *server) learn(t *task, a connector.Answer, now zinniatide.Millis, reported bool) {
+func (s *server) learn(t *task, a connector.Answer, now zinniatide.Millis) {
 	if a.Incarnation > s.incarnation {
 		s.restarted(a.Incarnation, now)
 	}
 	s.distrust(a.Busy, 0, now)
-	current := t.incarnation == s.incarnation
+	// A late answer is no success: the timeout has been counted as a failure.
+	current := t.incarnation == s.incarnation && !t.timedOut
 	switch {
 	case a.Outcome == zinniatide.OutcomeDone && current && a.Incarnation == s.incarnation:
 		s.health.Answered(now-t.started, s.ramp.Warm())
 		if s.ramp.Succeeded() {
 			s.pace.SetRate(now, s.ramp.Rate())
 		}
-	case a.Outcome == zinniatide.OutcomeUnknown && current && !reported:
+	case a.Outcome == zinniatide.OutcomeUnknown && current:
 		s.failed(now-t.started, now)
 	}
 }
