--- a/dispatcher/support_test.go
+++ b/dispatcher/support_test.go
@@ -75,6 +75,8 @@
 	}
 }
 
+func (b *backend) setBehaviour(f func(ctx *fasthttp.RequestCtx)) { b.behave.Store(&f) }
+
 // host provides a dispatcher with configuration, catalogue and link.
 type host struct {
 	clock         *clock.Clock
--- a/node/node.go
+++ b/node/node.go
@@ -84,7 +84,7 @@
 			HTTPAddress: cfg.HTTPAddress, PeerAddress: cfg.PeerAddress, State: zinniatide.StateIn,
 		},
 		Control: cfg.Control, ControlVMs: cfg.ControlVMs,
-	}, n.linker, clock, newRandom())
+	}, n.linker, clock, newRandom(), registerer)
 	n.assembleOwner()
 	return n, n.assembleCoordinator()
 }
