--- /dev/null
+++ b/cmd/zinniabench/commands/commands.go
@@ -0,0 +1,78 @@
+// Package commands holds the commands of zinniabench.
+package commands
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"zinniatide.example/zinniatide/cmd/zinniabench/scenarios"
+	"zinniatide.example/zinniatide/common/logger"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string) int {
+	logger.Install(os.Stderr, slog.LevelError, "zinniabench", "")
+	root := &cobra.Command{
+		Use: "zinniabench", Short: "Measurements of the query tier", SilenceErrors: true, SilenceUsage: true,
+	}
+	root.AddCommand(newRun().command, newList().command)
+	root.SetArgs(args)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "zinniabench:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// run runs one scenario.
+type run struct {
+	command *cobra.Command
+	env     scenarios.Env
+}
+
+func newRun() *run {
+	r := &run{env: scenarios.Env{Out: os.Stdout}}
+	r.command = &cobra.Command{
+		Use: "run SCENARIO", Short: "Run one scenario and print a JSON line per metric", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			s, err := scenarios.Find(args[0])
+			if err != nil {
+				return err
+			}
+			return s.Run(&r.env)
+		},
+	}
+	flags := r.command.Flags()
+	flags.Uint64Var(&r.env.Seed, "seed", 1, "seed of the random choices")
+	flags.IntSliceVar(&r.env.Pids, "pids", nil, "process ids of the measured entry VMs")
+	flags.StringSliceVar(&r.env.Seeds, "seeds", nil, "HTTP addresses of the measured entry VMs")
+	flags.StringVar(&r.env.Counts, "counts", "", "address of the stand-ins' counts")
+	return r
+}
+
+// list prints the names of the scenarios.
+type list struct{ command *cobra.Command }
+
+func newList() *list {
+	return &list{command: &cobra.Command{
+		Use: "list", Short: "Print the scenarios; those that a script has to start processes for are marked", Args: cobra.NoArgs,
+		Run: func(*cobra.Command, []string) {
+			for _, s := range scenarios.All() {
+				kind := "in-process"
+				if s.Processes {
+					kind = "processes"
+				}
+				fmt.Println(s.Name, kind)
+			}
+		},
+	}}
+}
--- a/cmd/zinniabench/main.go
+++ b/cmd/zinniabench/main.go
@@ -1,4 +1,10 @@
-// Command zinniabench is part of the zinniatide query tier.
+// Command zinniabench runs the measurements of the query tier.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"zinniatide.example/zinniatide/cmd/zinniabench/commands"
+)
+
+func main() { os.Exit(commands.Execute(os.Args[1:])) }
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -123,6 +123,18 @@
 // Zone returns the server's availability zone.
 func (e *Emulator) Zone() zinniatide.ZoneID { return e.cfg.Zone }
 
+// Searcher returns the first searcher that the server offers.
+func (e *Emulator) Searcher() zinniatide.Searcher {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, offer := range e.offers {
+		for _, s := range offer.Searchers {
+			return s
+		}
+	}
+	return zinniatide.Searcher{}
+}
+
 // SetOffers replaces what the server serves; requests for other versions are refused.
 func (e *Emulator) SetOffers(offers []zinniatide.ServiceOffer) {
 	e.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -159,3 +159,18 @@
 	}
 	return n.controller
 }
+
+// Leading reports whether this process leads the replicated log.
+func (n *Node) Leading() bool {
+	if n.keeper == nil {
+		return false
+	}
+	answer := make(chan bool, 1)
+	n.keeper.Post(func() { answer <- n.keeper.Status().Leading })
+	select {
+	case leading := <-answer:
+		return leading
+	case <-n.ctx.Done():
+		return false
+	}
+}
--- a/provisioner/provisioner.go
+++ b/provisioner/provisioner.go
@@ -110,8 +110,15 @@
 	}
 }
 
+// Server tells where a stand-in listens and one shard that it serves.
+type Server struct {
+	Address  string              `json:"address"`
+	Searcher zinniatide.Searcher `json:"searcher"`
+}
+
 // Totals sums up the counts of all stand-ins.
 type Totals struct {
+	Servers         []Server                        `json:"servers"`
 	SubQueries      int64                           `json:"sub-queries"`
 	Executes        int64                           `json:"executes"`
 	Shed            int64                           `json:"shed"`
@@ -134,6 +141,7 @@
 	add := func(sum *int64, n *atomic.Int64) { *sum += n.Load() }
 	for _, e := range p.Servers {
 		c := &e.Counts
+		t.Servers = append(t.Servers, Server{Address: e.Address(), Searcher: e.Searcher()})
 		add(&t.SubQueries, &c.SubQueries)
 		add(&t.Executes, &c.Executes)
 		add(&t.Shed, &c.Shed)
