--- a/exposer/exposer.go
+++ b/exposer/exposer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,7 +14,8 @@
 	"k8s.io/klog/v2"
 )
 
-// Exposer serves GET /metrics.
+// Exposer serves GET /metrics, and profiles of the process under
+// /debug/pprof/.
 type Exposer struct {
 	server   *http.Server
 	listener net.Listener
@@ -23,6 +25,8 @@
 const (
 	maxScrapes    = 4
 	scrapeTimeout = 10 * time.Second
+	// profileTimeout bounds the taking of a profile, which lasts 30 s by default.
+	profileTimeout = 45 * time.Second
 )
 
 // New listens on address, an IP:port, and serves what gatherer collects.
@@ -35,8 +39,11 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{
 		MaxRequestsInFlight: maxScrapes, Timeout: scrapeTimeout,
 	}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	e := &Exposer{listener: listener, server: &http.Server{
-		Handler: mux, ReadTimeout: scrapeTimeout, WriteTimeout: 2 * scrapeTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+		Handler: mux, ReadTimeout: scrapeTimeout, WriteTimeout: profileTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 	}}
 	go func() {
 		if err := e.server.Serve(listener); err != http.ErrServerClosed { //nolint:errorlint // returned as it is
