--- a/controller/controller.go
+++ b/controller/controller.go
@@ -59,6 +59,9 @@
 	sessions sessionTable
 	pushes   pushCache
 	lastTick zinniatide.Millis
+	// joins wait for the entry of the members before them.
+	joins     []joining
+	joinsOpen bool
 }
 
 // New returns a controller over machine, which must be the state machine of
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -43,14 +43,40 @@
 		reply(c.grant(h), nil)
 	default:
 		klog.InfoS("VM joins or changes", "step", "join", "peer", h.Member.VM, "incarnation", h.Member.Incarnation, "state", h.Member.State, "control", h.Control)
-		c.propose(&registrar.Command{Join: &h.Member}, func(_ any, err error) {
+		c.joins = append(c.joins, joining{h, reply})
+		c.proposeJoins()
+	}
+}
+
+// joining is a heartbeat that changes its member.
+type joining struct {
+	heartbeat *controlproto.Heartbeat
+	reply     replyFunc
+}
+
+// proposeJoins proposes the waiting members in one entry. One such entry is
+// under way at a time; the members that arrive meanwhile share the next.
+func (c *Controller) proposeJoins() {
+	if c.joinsOpen || len(c.joins) == 0 {
+		return
+	}
+	batch := c.joins
+	c.joins, c.joinsOpen = nil, true
+	join := &registrar.Join{}
+	for _, j := range batch {
+		join.Members = append(join.Members, j.heartbeat.Member)
+	}
+	c.propose(&registrar.Command{Join: join}, func(_ any, err error) {
+		c.joinsOpen = false
+		for _, j := range batch {
 			if err != nil {
-				reply(&controlproto.HeartbeatReply{Leadership: c.leadership()}, nil)
-				return
+				j.reply(&controlproto.HeartbeatReply{Leadership: c.leadership()}, nil)
+			} else {
+				j.reply(c.grant(j.heartbeat), nil)
 			}
-			reply(c.grant(h), nil)
-		})
-	}
+		}
+		c.proposeJoins()
+	})
 }
 
 // grant extends the lease of a member, and brings it up to date when no push
--- a/controller/lease_test.go
+++ b/controller/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 
@@ -156,6 +157,25 @@
 	}
 }
 
+// Guards against an epoch for each VM when a zone returns, which would hold up
+// the heartbeats of all others.
+func TestZoneReturnsInFewEpochs(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(1000)
+	before := w.lead().machine.Configuration().Epoch
+	for i := range 200 {
+		w.entry(fmt.Sprintf("e%d", i), "z1", 1)
+	}
+	w.run(1000)
+	c := w.lead().machine.Configuration()
+	if got := int(c.Epoch - before); len(c.Members) != 201 || got > 8 {
+		t.Errorf("%d members after %d epochs, want 201 after at most 8", len(c.Members), got)
+	}
+	if got := len(w.lead().notYetOn(c.Epoch)); got != 0 {
+		t.Errorf("%d members lack the newest epoch", got)
+	}
+}
+
 // Guards against whole configurations sent to VMs that lack one change.
 func TestPushesAreDeltas(t *testing.T) {
 	w := newWorld(t, 1)
--- a/registrar/buckets.go
+++ b/registrar/buckets.go
@@ -13,24 +13,23 @@
 // bucketKey names a bucket within the move table.
 type bucketKey = controlproto.BucketID
 
-// serving lists the VMs that may own buckets, by zone and in all, sorted.
+// serving lists the VMs of a configuration that may own buckets, by zone and
+// in all, sorted.
 type serving struct {
 	byZone map[zinniatide.ZoneID][]zinniatide.VMID
-	all    []zinniatide.VMID
+	all    []zinniatide.VMID // filled when a zone has none of its own
 }
 
-func servingVMs(c *zinniatide.Configuration) serving {
-	s := serving{byZone: map[zinniatide.ZoneID][]zinniatide.VMID{}}
+func servingVMs(c *zinniatide.Configuration) *serving {
+	s := &serving{byZone: map[zinniatide.ZoneID][]zinniatide.VMID{}}
 	for vm, m := range c.Members {
 		if c.VMServing(vm) {
 			s.byZone[m.Zone] = append(s.byZone[m.Zone], vm)
-			s.all = append(s.all, vm)
 		}
 	}
 	for _, vms := range s.byZone {
 		slices.Sort(vms)
 	}
-	slices.Sort(s.all)
 	return s
 }
 
@@ -39,6 +38,12 @@
 	if vms := s.byZone[zone]; len(vms) > 0 {
 		return vms
 	}
+	if s.all == nil {
+		for _, vms := range s.byZone {
+			s.all = append(s.all, vms...)
+		}
+		slices.Sort(s.all)
+	}
 	return s.all
 }
 
@@ -46,7 +51,11 @@
 // Only zones whose candidates changed are hashed again, because hashing every
 // bucket over thousands of VMs for each restart would load the control VMs.
 func (r *Registrar) assignBuckets(c *change) {
-	before, after := servingVMs(r.configuration), servingVMs(c.next)
+	before, after := r.serving, servingVMs(c.next)
+	if before == nil {
+		before = servingVMs(r.configuration)
+	}
+	r.serving = after
 	zones := map[zinniatide.ZoneID]bool{}
 	for zone := range c.next.Buckets {
 		zones[zone] = true
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -16,7 +16,7 @@
 	// the entry. It moves the log clock, which never goes back.
 	Now       zinniatide.Millis           `cbor:"1,keyasint"`
 	Ticket    *TicketEntry                `cbor:"2,keyasint,omitempty"`
-	Join      *zinniatide.Member          `cbor:"3,keyasint,omitempty"`
+	Join      *Join                       `cbor:"3,keyasint,omitempty"`
 	Remove    *Removal                    `cbor:"4,keyasint,omitempty"`
 	Release   *controlproto.BucketRelease `cbor:"5,keyasint,omitempty"`
 	Claim     *zinniatide.Claim           `cbor:"6,keyasint,omitempty"`
@@ -32,6 +32,13 @@
 	Digest checker.Digest    `cbor:"2,keyasint"`
 }
 
+// Join adds or updates members. The leader puts the members that appear while
+// an entry is under way into one, so that the return of a zone does not cost an
+// epoch for each of its VMs.
+type Join struct {
+	Members []zinniatide.Member `cbor:"1,keyasint"`
+}
+
 // Removal removes members whose lease has expired or that have left.
 type Removal struct {
 	Sessions []Session `cbor:"1,keyasint"`
--- a/registrar/members.go
+++ b/registrar/members.go
@@ -4,20 +4,26 @@
 	"zinniatide.example/zinniatide"
 )
 
-// applyJoin adds a member, replaces its incarnation or updates its state.
-func (r *Registrar) applyJoin(m *zinniatide.Member) any {
-	if err := CheckMember(m); err != nil {
-		return err
+// applyJoin adds members, replaces their incarnation or updates their state. A
+// member that is malformed or has been replaced by a later incarnation is left
+// out; its VM learns that from its next heartbeat.
+func (r *Registrar) applyJoin(join *Join) any {
+	joined := map[zinniatide.VMID]*zinniatide.Member{}
+	for i := range join.Members {
+		m := &join.Members[i]
+		old, known := r.configuration.Members[m.VM]
+		if earlier := joined[m.VM]; earlier != nil {
+			old, known = *earlier, true
+		}
+		if CheckMember(m) == nil && (!known || old.Incarnation <= m.Incarnation && old != *m) {
+			joined[m.VM] = m
+		}
 	}
-	old, known := r.configuration.Members[m.VM]
-	if known && old == *m {
+	if len(joined) == 0 {
 		return r.configuration.Epoch
 	}
-	if known && old.Incarnation > m.Incarnation {
-		return zinniatide.Refuse(zinniatide.CodeSuperseded, "VM %s has incarnation %d, not %d", m.VM, old.Incarnation, m.Incarnation)
-	}
 	c := newChange(r.configuration)
-	c.add(Delta{Members: map[zinniatide.VMID]*zinniatide.Member{m.VM: m}})
+	c.add(Delta{Members: joined})
 	r.assignBuckets(c)
 	return r.commit(c)
 }
@@ -44,6 +50,9 @@
 			gone[s.VM] = nil
 		}
 	}
+	if len(gone) == 0 {
+		return r.configuration.Epoch
+	}
 	c := newChange(r.configuration)
 	c.add(Delta{Members: gone})
 	r.assignBuckets(c)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -17,7 +17,10 @@
 	tickets       ticketTable
 	moves         map[bucketKey]zinniatide.Epoch // epoch at which the pending move began
 	claims        claimTable
-	observers     []Observer
+	// serving belongs to configuration; nil when it has to be computed. Only
+	// entries that call assignBuckets change it.
+	serving   *serving
+	observers []Observer
 }
 
 // Observer is called after the configuration has changed. Delta is nil after a
--- a/registrar/snapshot.go
+++ b/registrar/snapshot.go
@@ -84,6 +84,7 @@
 		claims.insert(c)
 	}
 	r.configuration, r.clock, r.tickets, r.claims = s.Configuration, s.Clock, tickets, claims
+	r.serving = nil
 	r.moves = map[bucketKey]zinniatide.Epoch{}
 	for _, m := range s.Moves {
 		r.moves[m.Bucket] = m.Since
--- a/registrar/tickets.go
+++ b/registrar/tickets.go
@@ -113,8 +113,11 @@
 		return reply
 	}
 	c := newChange(r.configuration)
-	c.add(ticketDelta(r.configuration, &e.Ticket))
-	r.assignBuckets(c)
+	d := ticketDelta(r.configuration, &e.Ticket)
+	c.add(d)
+	if len(d.AvailabilityZones)+len(d.VMs) > 0 {
+		r.assignBuckets(c)
+	}
 	reply.Epoch = r.commit(c)
 	r.tickets.record(ticketRecord{Number: reply.Number, Epoch: reply.Epoch, Digest: e.Digest}, checker.Entities(&e.Ticket))
 	return reply
