--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -198,3 +198,23 @@
 		}
 	})
 }
+
+// Guards against examples for operators that the system refuses.
+func TestDocumentedTicketsAreValid(t *testing.T) {
+	text, err := os.ReadFile("../docs/tickets.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, found := newChecker(t), 0
+	for _, block := range strings.Split(string(text), "\n\n") {
+		if strings.HasPrefix(block, `    {"ticket"`) {
+			found++
+			if _, _, err := c.Decode([]byte(block)); err != nil {
+				t.Errorf("%v in\n%s", err, block)
+			}
+		}
+	}
+	if found < 5 {
+		t.Errorf("found %d examples, want 5 or more", found)
+	}
+}
--- a/controller/lease_test.go
+++ b/controller/lease_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"zinniatide.example/zinniatide"
@@ -241,6 +242,33 @@
 	}
 }
 
+// Guards against two operators who are both told that their ticket with the
+// same number was accepted.
+func TestRacingOperators(t *testing.T) {
+	w := newWorld(t, 3)
+	w.run(1000)
+	accepted, conflicts := 0, map[string]int{}
+	for i, id := range []zinniatide.VMID{"c1", "c2", "c3", "c2"} {
+		text := fmt.Sprintf(`{"ticket": 50, "vms": {"e%d": {"state": "leaving"}}}`, i)
+		f := &controlproto.Forward{Operation: controlproto.ForwardFileTicket, Ticket: []byte(text)}
+		w.vms[id].controller.route(f, 1000, func(answer controlproto.ForwardReply) {
+			if answer.Refusal == nil {
+				accepted++
+			} else if answer.Refusal.Code == zinniatide.CodeTicketConflict {
+				winner, _, _ := strings.Cut(answer.Refusal.Message, ", this one")
+				conflicts[winner]++
+			}
+		})
+	}
+	w.run(1000)
+	if accepted != 1 || len(conflicts) != 1 {
+		t.Errorf("%d tickets accepted, conflicts %v, want 1 and three that name one winner", accepted, conflicts)
+	}
+	if got := len(w.lead().machine.Configuration().VMs); got != 1 {
+		t.Errorf("%d VMs are configured, want 1", got)
+	}
+}
+
 // Guards against a follower that cannot serve operators, and against an
 // operator who is told that a ticket failed while it may be accepted.
 func TestOperatorsOnAnyControlVM(t *testing.T) {
