Test what mutants of the lease, claim and bucket rules had survived

Four changes went unnoticed: a lease during an open removal, the push within a heartbeat reply, the result for an unsure claim, and a cancelled move without candidates. Each has a test now. The flag for a leaving session had no effect and is gone.

--- a/controller/claims_test.go
+++ b/controller/claims_test.go
@@ -92,6 +92,40 @@
 	}
 }
 
+// Guards against an id that stays taken until it expires because its
+// coordinator never learned that it had been granted.
+func TestUnsureClaimIsFreed(t *testing.T) {
+	cases := map[string]func(w *world){
+		"replies are lost": func(w *world) {
+			w.cut[[2]zinniatide.VMID{"c1", "e1"}] = true
+			w.after(2500, func() { clear(w.cut) })
+		},
+		"fate is open": func(w *world) {
+			w.commitDelay = 100
+			w.after(60, func() { w.elect("") })
+			w.after(2500, func() { w.commitDelay = 1; w.elect("c2") })
+		},
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			e1, e2 := w.entry("e1", "z1", 1), w.entry("e2", "z2", 1)
+			w.run(2000)
+			disturb(w)
+			lost := w.claim(e1, 1)
+			w.run(5000)
+			if lost.answers != 1 || lost.err == nil {
+				t.Fatalf("%+v, want one error", lost)
+			}
+			next := w.claim(e2, 2)
+			w.run(1000)
+			if !next.reply.Granted {
+				t.Errorf("next attempt: %+v, want granted", next)
+			}
+		})
+	}
+}
+
 // Guards against a coordinator that dispatches, or waits for ever, without a
 // control quorum.
 func TestClaimWithoutLeader(t *testing.T) {
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -47,6 +47,7 @@
 	delay           zinniatide.Millis
 	calls           map[zinniatide.MessageKind]int
 	commitDelay     zinniatide.Millis
+	dropped         zinniatide.MessageKind // requests of this kind are lost
 }
 
 // failer is the part of testing.TB that rapid.T has too.
@@ -259,6 +260,9 @@
 		}
 	}
 	w.after(timeout, func() { finish(nil, zinniatide.ErrTimeout) })
+	if kind == w.dropped {
+		return
+	}
 	target := w.vms[peer]
 	w.deliver(v.member.VM, peer, func() {
 		if target == nil || target.dead || target.handlers[kind] == nil {
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -85,7 +85,7 @@
 func (c *Controller) grant(h *controlproto.Heartbeat) *controlproto.HeartbeatReply {
 	answer := &controlproto.HeartbeatReply{Leadership: c.leadership(), Epoch: c.machine.Configuration().Epoch}
 	s := c.sessions.get(h.Member.VM)
-	if !answer.Leading || s == nil || s.incarnation != h.Member.Incarnation || s.leaving {
+	if !answer.Leading || s == nil || s.incarnation != h.Member.Incarnation {
 		return answer
 	}
 	now := c.clock.Now()
@@ -110,9 +110,6 @@
 		reply(answer, nil)
 		return
 	}
-	if s := c.sessions.get(member.VM); s != nil {
-		s.leaving = true
-	}
 	klog.InfoS("VM has left", "step", "leave", "peer", member.VM, "incarnation", member.Incarnation)
 	gone := []registrar.Session{{VM: member.VM, Incarnation: member.Incarnation}}
 	c.remove(gone, func(err error) {
--- a/controller/lease_test.go
+++ b/controller/lease_test.go
@@ -84,6 +84,30 @@
 	}
 }
 
+// Guards against a lease granted between the proposal of a removal and its
+// commit, with which the VM would work in buckets that have a new owner.
+func TestNoLeaseWhileRemovalIsOpen(t *testing.T) {
+	w := newWorld(t, 1)
+	e1 := w.entry("e1", "z1", 1)
+	w.run(2000)
+	w.isolate("e1", true)
+	w.run(zinniatide.LeaseDuration)
+	w.commitDelay = 1500
+	w.run(zinniatide.LeaseMargin + 500)
+	clear(w.cut)
+	for range 90 {
+		w.run(10)
+		if e1.leased() {
+			t.Fatal("e1 has a lease while its removal is under way")
+		}
+	}
+	w.commitDelay = 1
+	w.run(4000)
+	if !e1.leased() {
+		t.Error("e1 did not return after its removal")
+	}
+}
+
 // Guards against a leader that, after its process stood still, removes every
 // VM whose heartbeats wait unread.
 func TestPausedLeaderRemovesNobody(t *testing.T) {
@@ -177,6 +201,24 @@
 	}
 }
 
+// Guards against a VM that stays on an old configuration because pushes do not
+// reach it while heartbeats are answered.
+func TestHeartbeatsBringLostPushes(t *testing.T) {
+	w := newWorld(t, 1)
+	e1 := w.entry("e1", "z1", 1)
+	w.run(2000)
+	w.dropped = zinniatide.KindControlPush
+	w.file(zoneOut)
+	w.run(1200)
+	if e1.subscriber.Configuration().ZoneIn("z9") {
+		t.Error("e1 lacks the ticket 1.2 s after it was accepted")
+	}
+	w.run(3000)
+	if !e1.leased() || !w.status(7).InForce {
+		t.Errorf("leased %v, ticket %+v, want a lease and the ticket in force", e1.leased(), w.status(7))
+	}
+}
+
 // Guards against whole configurations sent to VMs that lack one change.
 func TestPushesAreDeltas(t *testing.T) {
 	w := newWorld(t, 1)
--- a/controller/session.go
+++ b/controller/session.go
@@ -29,8 +29,6 @@
 	retryAt zinniatide.Millis
 	// removing is set while the removal of the member is proposed.
 	removing bool
-	// leaving marks a member that has said that it is gone.
-	leaving bool
 }
 
 // sessionTable holds the sessions of all members.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -270,6 +270,25 @@
 	}
 }
 
+// Guards against a pending move that is cancelled when nobody can take over or
+// the owner is wanted again: a release under way would end a later move.
+func TestPendingMoveIsNeverCancelled(t *testing.T) {
+	out := `{"ticket": 1, "availability-zones": {"a": {"state": "out"}}}`
+	for name, command := range map[string]Command{
+		"nobody serves":   {Ticket: entry(t, out)},
+		"next owner lost": {Remove: &Removal{Sessions: []Session{{VM: "e2", Incarnation: 1}}}},
+	} {
+		r := New()
+		apply(t, r, 0, join("e1", "a", 1))
+		apply(t, r, 0, join("e2", "a", 1))
+		_, before := countOwned(r, "a")
+		apply(t, r, 0, command)
+		if _, after := countOwned(r, "a"); before == 0 || after != before {
+			t.Errorf("%s: %d moves are pending, want %d", name, after, before)
+		}
+	}
+}
+
 // Guards against buckets that stay with a lost process, and a zone without
 // serving VMs whose servers nobody owns.
 func TestBucketsOfLostOwners(t *testing.T) {
