--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// Guards against ids whose expiry could be moved, which would allow a second
+// claim after the first was dropped.
+func TestMalformedClaims(t *testing.T) {
+	r := New()
+	moved := claim(fmt.Sprintf("%d-abcdefgh", start+10), 1, 1)
+	moved.Expires++
+	for name, c := range map[string]*zinniatide.Claim{
+		"other expiry than in the id": moved,
+		"leading zero":                claim(fmt.Sprintf("0%d-abcdefgh", start+10), 1, 1),
+		"no expiry":                   claim("abcdefgh-abcdefgh", 1, 1),
+		"short":                       claim(fmt.Sprintf("%d-abcdefg", start+10), 1, 1),
+		"too far ahead":               claim(fmt.Sprintf("%d-abcdefgh", start+zinniatide.MaxClaimLifetime+clockSlack+1), 1, 1),
+	} {
+		if got := outcome(apply(t, r, 0, Command{Claim: c})); got != string(zinniatide.CodeBadRequest) {
+			t.Errorf("%s: got %s, want bad-request", name, got)
+		}
+	}
+}
+
 // Guards against a claim that is granted after its coordinator has already
 // answered not-run.
 func TestNotRunOvertakesItsClaim(t *testing.T) {
@@ -346,6 +365,24 @@
 	}
 }
 
+// Guards against bucket moves computed from the members before a snapshot.
+func TestRestoreOverOtherMembers(t *testing.T) {
+	r, other := New(), New()
+	apply(t, other, 0, join("e1", "a", 1))
+	data, _ := other.Snapshot()
+	apply(t, r, 0, join("e1", "a", 1))
+	apply(t, r, 0, join("e2", "a", 1))
+	if err := r.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	apply(t, r, 0, join("e2", "a", 1))
+	apply(t, other, 0, join("e2", "a", 1))
+	a, _ := r.Snapshot()
+	if b, _ := other.Snapshot(); !bytes.Equal(a, b) {
+		t.Error("a restored state differs from one that applied all entries")
+	}
+}
+
 // Guards against a snapshot that replaces good state by unreadable data.
 func TestRestoreRefusesDamage(t *testing.T) {
 	r := New()
