--- a/controller/lease_test.go
+++ b/controller/lease_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"zinniatide.example/zinniatide"
@@ -82,6 +84,30 @@
 	}
 }
 
+// Guards against a lease granted between the proposal of a removal and its
+// commit, with which the VM would work in buckets that have a new owner.
+func TestNoLeaseWhileRemovalIsOpen(t *testing.T) {
+	w := newWorld(t, 1)
+	e1 := w.entry("e1", "z1", 1)
+	w.run(2000)
+	w.isolate("e1", true)
+	w.run(zinniatide.LeaseDuration)
+	w.commitDelay = 1500
+	w.run(zinniatide.LeaseMargin + 500)
+	clear(w.cut)
+	for range 90 {
+		w.run(10)
+		if e1.leased() {
+			t.Fatal("e1 has a lease while its removal is under way")
+		}
+	}
+	w.commitDelay = 1
+	w.run(4000)
+	if !e1.leased() {
+		t.Error("e1 did not return after its removal")
+	}
+}
+
 // Guards against a leader that, after its process stood still, removes every
 // VM whose heartbeats wait unread.
 func TestPausedLeaderRemovesNobody(t *testing.T) {
@@ -156,6 +182,43 @@
 	}
 }
 
+// Guards against an epoch for each VM when a zone returns, which would hold up
+// the heartbeats of all others.
+func TestZoneReturnsInFewEpochs(t *testing.T) {
+	w := newWorld(t, 1)
+	w.run(1000)
+	before := w.lead().machine.Configuration().Epoch
+	for i := range 200 {
+		w.entry(fmt.Sprintf("e%d", i), "z1", 1)
+	}
+	w.run(1000)
+	c := w.lead().machine.Configuration()
+	if got := int(c.Epoch - before); len(c.Members) != 201 || got > 8 {
+		t.Errorf("%d members after %d epochs, want 201 after at most 8", len(c.Members), got)
+	}
+	if got := len(w.lead().notYetOn(c.Epoch)); got != 0 {
+		t.Errorf("%d members lack the newest epoch", got)
+	}
+}
+
+// Guards against a VM that stays on an old configuration because pushes do not
+// reach it while heartbeats are answered.
+func TestHeartbeatsBringLostPushes(t *testing.T) {
+	w := newWorld(t, 1)
+	e1 := w.entry("e1", "z1", 1)
+	w.run(2000)
+	w.dropped = zinniatide.KindControlPush
+	w.file(zoneOut)
+	w.run(1200)
+	if e1.subscriber.Configuration().ZoneIn("z9") {
+		t.Error("e1 lacks the ticket 1.2 s after it was accepted")
+	}
+	w.run(3000)
+	if !e1.leased() || !w.status(7).InForce {
+		t.Errorf("leased %v, ticket %+v, want a lease and the ticket in force", e1.leased(), w.status(7))
+	}
+}
+
 // Guards against whole configurations sent to VMs that lack one change.
 func TestPushesAreDeltas(t *testing.T) {
 	w := newWorld(t, 1)
@@ -221,6 +284,36 @@
 	}
 }
 
+// Guards against two operators who are both told that their ticket with the
+// same number was accepted, and a conflict that does not name the winner.
+func TestRacingOperators(t *testing.T) {
+	w := newWorld(t, 3)
+	w.run(1000)
+	accepted, conflicts := 0, map[string]int{}
+	for i, id := range []zinniatide.VMID{"c1", "c2", "c3", "c2"} {
+		text := fmt.Sprintf(`{"ticket": 50, "vms": {"e%d": {"state": "leaving"}}}`, i)
+		f := &controlproto.Forward{Operation: controlproto.ForwardFileTicket, Ticket: []byte(text)}
+		w.vms[id].controller.route(f, 1000, func(answer controlproto.ForwardReply) {
+			if answer.Refusal == nil {
+				accepted++
+			} else if answer.Refusal.Code == zinniatide.CodeTicketConflict {
+				conflicts[strings.Fields(answer.Refusal.Message)[6]]++
+			}
+		})
+	}
+	w.run(1000)
+	winner := w.lead().machine.History(1)[0].Digest
+	if accepted != 1 || conflicts[winner+","] != 3 {
+		t.Errorf("%d tickets accepted, conflicts with %v, want 1 and three with %s", accepted, conflicts, winner)
+	}
+	if got := w.vms["c3"].log.wanted; !slices.Equal(got, w.control) {
+		t.Errorf("the log of c3 wants control VMs %v, want %v", got, w.control)
+	}
+	if got := len(w.lead().machine.Configuration().VMs); got != 1 {
+		t.Errorf("%d VMs are configured, want 1", got)
+	}
+}
+
 // Guards against a follower that cannot serve operators, and against an
 // operator who is told that a ticket failed while it may be accepted.
 func TestOperatorsOnAnyControlVM(t *testing.T) {
