--- /dev/null
+++ b/dispatcher/detector/detector_test.go
@@ -0,0 +1,50 @@
+package detector
+
+import (
+	"testing"
+
+	"zinniatide.example/zinniatide"
+)
+
+// TestSlowness guards against servers that are called slow for one reason
+// alone, and against slow ones that are not noticed.
+func TestSlowness(t *testing.T) {
+	answer := func(ms ...zinniatide.Millis) func(*Detector) bool {
+		return func(d *Detector) bool {
+			for _, latency := range ms {
+				d.Answered(latency, true)
+			}
+			return false
+		}
+	}
+	fail := func(ms ...zinniatide.Millis) func(*Detector) bool {
+		return func(d *Detector) (slow bool) {
+			for _, elapsed := range ms {
+				slow = d.Failed(elapsed)
+			}
+			return slow
+		}
+	}
+	tests := []struct {
+		name  string
+		steps []func(*Detector) bool
+		want  bool
+	}{
+		{"three timeouts", []func(*Detector) bool{answer(5, 6, 5), fail(300, 300, 300)}, true},
+		{"two timeouts", []func(*Detector) bool{answer(5, 6, 5), fail(300, 300)}, false},
+		{"success between", []func(*Detector) bool{answer(5), fail(300, 300), answer(5), fail(300)}, false},
+		{"quick failures", []func(*Detector) bool{answer(5, 6, 5), fail(1, 1, 1, 1)}, false},
+		{"never warm", []func(*Detector) bool{fail(300, 300, 300)}, false},
+		{"below the clock's resolution", []func(*Detector) bool{answer(0, 0, 0), fail(1, 1, 1)}, false},
+	}
+	for _, tt := range tests {
+		var d Detector
+		got := false
+		for _, step := range tt.steps {
+			got = step(&d)
+		}
+		if got != tt.want {
+			t.Errorf("%s: got slow %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/dispatcher/pacer/pacer.go
+++ b/dispatcher/pacer/pacer.go
@@ -10,15 +10,15 @@
 	// second: starts are paced at 90% of the bound, so that jitter on the way
 	// to the server cannot bunch them beyond it.
 	microsPerStart = 10_000_000 / 9
-	// burstDivisor lets starts lag behind their pace by one hundredth of the
-	// bound. The dispatcher's tick of 10 ms would otherwise limit the rate to
-	// 100 starts per second.
-	burstDivisor = 100
+	// slack, in microseconds, is how early a start may be made. It is the
+	// dispatcher's tick: without it each start would wait for the tick after it
+	// is due, which halves a rate of 99 per second.
+	slack = 10_000
 )
 
-// Pacer bounds the starts in any Window to a rate. With spacing I, burst b and
-// rate R a window holds at most ceil(Window/I + b - 1) starts, which is
-// ceil(0.9*R + R/100) and never above R.
+// Pacer bounds the starts in any Window to a rate R. With a spacing of
+// Window/(0.9*R) a window holds at most ceil((Window+slack)*0.9*R/Window)
+// starts, which is ceil(0.909*R) and never above R.
 //
 // The zero value is unbounded. A Pacer is not safe for concurrent use.
 type Pacer struct {
@@ -70,7 +70,7 @@
 	if p.rate == 0 {
 		return 0
 	}
-	due := p.next - int64(p.rate/burstDivisor)*p.interval()
+	due := p.next - slack
 	return max(p.hold-now, zinniatide.Millis((due+999)/1000)-now, 0)
 }
 
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,449 @@
+package forwarder
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/goleak"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node is one VM: catalogue, dispatcher and link of a forwarder. Messages are
+// delivered at once, unless held.
+type node struct {
+	*Forwarder
+	vm       zinniatide.VMID
+	peers    map[zinniatide.VMID]*node
+	handlers map[zinniatide.MessageKind]zinniatide.LinkHandler
+	catalog  *zinniatide.Catalog
+	// fail decides what happens to a call: "" delivers it, "not-sent" does not,
+	// "lost" loses the link after delivery, "mute" after losing the message.
+	fail string
+	sent map[zinniatide.MessageKind]int
+	// during runs once, in the next Send before it delivers.
+	during func()
+
+	mu        sync.Mutex
+	running   []dispatched
+	cancelled []zinniatide.BackendServerID
+	answer    func(r zinniatide.SubRequest) (zinniatide.SubResult, bool)
+}
+
+type dispatched struct {
+	request zinniatide.SubRequest
+	done    func(zinniatide.SubResult)
+}
+
+func (n *node) Dispatch(r zinniatide.SubRequest, done func(zinniatide.SubResult)) func() {
+	if n.answer != nil {
+		if result, ok := n.answer(r); ok {
+			done(result)
+			return func() {}
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.running = append(n.running, dispatched{r, done})
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.cancelled = append(n.cancelled, r.Server)
+	}
+}
+
+func (n *node) Catalog() *zinniatide.Catalog        { return n.catalog }
+func (n *node) SetPeers(map[zinniatide.VMID]string) {}
+func (n *node) Connected(zinniatide.VMID) bool      { return true }
+func (n *node) Handle(kind zinniatide.MessageKind, h zinniatide.LinkHandler) {
+	n.handlers[kind] = h
+}
+
+func (n *node) Send(peer zinniatide.VMID, kind zinniatide.MessageKind, body any) error {
+	if f := n.during; f != nil {
+		n.during = nil
+		f()
+	}
+	n.deliver(peer, kind, body, nil)
+	return nil
+}
+
+// deliver overwrites the message after the handler has returned, as a link
+// may that reuses its buffers.
+func (n *node) deliver(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, reply func(any, error)) {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	n.mu.Lock()
+	n.sent[kind]++
+	n.mu.Unlock()
+	n.peers[peer].handlers[kind](n.vm, raw, reply)
+	clear(raw)
+}
+
+func (n *node) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, _ zinniatide.Millis, done func([]byte, error)) {
+	switch n.fail {
+	case "not-sent":
+		done(nil, zinniatide.ErrNotSent)
+		return
+	case "mute":
+		done(nil, zinniatide.ErrTimeout)
+		return
+	}
+	n.deliver(peer, kind, body, func(value any, err error) {
+		raw, _ := cbor.Marshal(value)
+		if n.fail == "" {
+			done(raw, err)
+		}
+	})
+	if n.fail == "lost" {
+		done(nil, zinniatide.ErrLinkLost)
+	}
+}
+
+// newPair returns coordinator a and owner b. Server "a1" is owned by a, "b1" to
+// "b9" by b, and "x1" by nobody.
+func newPair(tb testing.TB, c zinniatide.Clock) (a, b *node) {
+	peers := map[zinniatide.VMID]*node{}
+	catalog := &zinniatide.Catalog{}
+	add := func(id string, owner zinniatide.VMID) {
+		catalog.Servers = append(catalog.Servers, zinniatide.ServerStatus{
+			Announcement: zinniatide.Announcement{Server: zinniatide.BackendServerID(id)}, Owner: owner})
+	}
+	add("a1", "a")
+	for i := 1; i <= 9; i++ {
+		add(fmt.Sprint("b", i), "b")
+	}
+	add("x1", "")
+	for _, vm := range []zinniatide.VMID{"a", "b"} {
+		n := &node{vm: vm, peers: peers, handlers: map[zinniatide.MessageKind]zinniatide.LinkHandler{},
+			catalog: catalog, sent: map[zinniatide.MessageKind]int{}}
+		n.Forwarder = New(Options{VM: vm, Clock: c, Catalog: n, Linker: n, Dispatcher: n, FirstBatch: 1 << 32})
+		peers[vm] = n
+		if t, ok := tb.(*testing.T); ok {
+			t.Cleanup(n.Close)
+		}
+	}
+	return peers["a"], peers["b"]
+}
+
+func requests(c zinniatide.Clock, servers ...string) []zinniatide.SubRequest {
+	body := []byte(`{"q":1}`)
+	rs := make([]zinniatide.SubRequest, len(servers))
+	for i, server := range servers {
+		rs[i] = zinniatide.SubRequest{RequestID: "r", Service: "s", Version: 3, Server: zinniatide.BackendServerID(server),
+			Range: zinniatide.KeyRange{First: uint32(i), Last: uint32(i + 1)}, Deadline: c.Now() + 1000, Body: body}
+	}
+	return rs
+}
+
+// collector counts the results of a call.
+type collector struct {
+	results []zinniatide.SubResult
+	counts  []int
+}
+
+func (c *collector) done(i int, r zinniatide.SubResult) {
+	c.results[i] = r
+	c.counts[i]++
+}
+
+func dispatchAll(n *node, rs []zinniatide.SubRequest) (*collector, func(int)) {
+	c := &collector{make([]zinniatide.SubResult, len(rs)), make([]int, len(rs))}
+	return c, n.DispatchAll(rs, c.done)
+}
+
+func (c *collector) want(t *testing.T, i int, outcome zinniatide.Outcome, code zinniatide.Code) {
+	t.Helper()
+	if r := c.results[i]; c.counts[i] != 1 || r.Outcome != outcome || r.Code != code {
+		t.Errorf("got %d results for %d, the last %v %q, want one %v %q", c.counts[i], i, r.Outcome, r.Code, outcome, code)
+	}
+}
+
+// TestGroups guards against several messages to one owner, results of the
+// wrong sub-request and a body that changes after the handler has returned.
+func TestGroups(t *testing.T) {
+	c := clock.NewManual(1000, 0)
+	a, b := newPair(t, c)
+	rs := requests(c, "b3", "a1", "b1", "none", "x1", "b2")
+	got, cancel := dispatchAll(a, rs)
+	got.want(t, 3, zinniatide.OutcomeNotRun, zinniatide.CodeNoServer)
+	got.want(t, 4, zinniatide.OutcomeNotRun, zinniatide.CodeNotOwner)
+	if n := a.sent[zinniatide.KindSubRequest]; n != 1 || len(b.running) != 3 || len(a.running) != 1 {
+		t.Fatalf("got %d messages, %d remote and %d local requests, want 1, 3 and 1", n, len(b.running), len(a.running))
+	}
+	cancel(5)
+	cancel(1)
+	if len(b.cancelled) != 1 || b.cancelled[0] != "b2" || len(a.cancelled) != 1 {
+		t.Errorf("got cancelled %v remotely and %v locally, want b2 and a1", b.cancelled, a.cancelled)
+	}
+	for _, d := range append(b.running, a.running...) {
+		if !bytes.Equal(d.request.Body, rs[0].Body) || d.request.Deadline != 2000 || d.request.RequestID != "r" {
+			t.Errorf("got request %+v", d.request)
+		}
+		d.done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: []byte(d.request.Server), InFlight: 2, Queued: 3, Crashed: true})
+		d.done(zinniatide.SubResult{Outcome: zinniatide.OutcomeUnknown}) // doubled
+		b.server.flush()
+	}
+	for _, i := range []int{0, 1, 2, 5} {
+		got.want(t, i, zinniatide.OutcomeDone, "")
+		if r := got.results[i]; string(r.Body) != string(rs[i].Server) || r.InFlight != 2 || r.Queued != 3 || !r.Crashed {
+			t.Errorf("got result %+v for %s", r, rs[i].Server)
+		}
+	}
+}
+
+// TestCoalesces guards against one message per result, against a reply that
+// overtakes results being sent, and against messages without bound.
+func TestCoalesces(t *testing.T) {
+	c := clock.NewManual(1000, 0)
+	a, b := newPair(t, c)
+	got, _ := dispatchAll(a, requests(c, "b1", "b2", "b3", "b4", "b5"))
+	done := zinniatide.SubResult{Outcome: zinniatide.OutcomeDone}
+	b.running[0].done(done)
+	b.running[1].done(done)
+	// The last results arrive while flush is sending the first ones.
+	b.during = func() {
+		b.running[2].done(done)
+		b.running[3].done(done)
+		b.running[4].done(done)
+	}
+	b.server.flush()
+	for i := range got.counts {
+		got.want(t, i, zinniatide.OutcomeDone, "")
+	}
+	if n := b.sent[zinniatide.KindSubResult]; n != 1 {
+		t.Errorf("got %d messages of results, want 1 and the reply", n)
+	}
+	large := []resultItem{{Body: make([]byte, maxResultBytes)}, {Body: make([]byte, 1)}, {Body: make([]byte, 1)}}
+	if n := fitting(large); n != 1 {
+		t.Errorf("got %d results in a message, want 1", n)
+	}
+	if n := fitting(large[1:]); n != 2 {
+		t.Errorf("got %d results in a message, want 2", n)
+	}
+}
+
+// TestFaults guards against a missing, second or wrong result when the link or
+// the owner fails.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		fail    string
+		outcome zinniatide.Outcome
+		code    zinniatide.Code
+	}{
+		{"not-sent", zinniatide.OutcomeNotRun, zinniatide.CodePeerLost},
+		{"lost", zinniatide.OutcomeUnknown, zinniatide.CodePeerLost},
+		{"mute", zinniatide.OutcomeUnknown, zinniatide.CodeDeadlinePassed},
+	}
+	for _, tt := range tests {
+		c := clock.NewManual(1000, 0)
+		a, b := newPair(t, c)
+		a.fail = tt.fail
+		got, cancel := dispatchAll(a, requests(c, "b1", "b2"))
+		for _, d := range b.running {
+			d.done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone}) // too late
+		}
+		b.server.flush()
+		c.Advance(2000)
+		a.Tick()
+		for i := range 2 {
+			cancel(i)
+			got.want(t, i, tt.outcome, tt.code)
+		}
+		if len(a.batches) != 0 || len(a.calls) != 0 || len(b.server.batches) != 0 {
+			t.Errorf("%s: got %d batches, %d calls and %d served batches left, want none",
+				tt.fail, len(a.batches), len(a.calls), len(b.server.batches))
+		}
+	}
+}
+
+// TestDeadline guards against a result after the deadline, or before it while
+// the owner may still answer, and against work for a deadline that has passed.
+func TestDeadline(t *testing.T) {
+	c := clock.NewManual(1000, 0)
+	a, b := newPair(t, c)
+	got, _ := dispatchAll(a, requests(c, "b1", "a1"))
+	c.Advance(990)
+	a.Tick()
+	if got.counts[0] != 0 || got.counts[1] != 0 {
+		t.Error("got a result before the deadline")
+	}
+	c.Advance(5)
+	a.Tick()
+	for i := range 2 {
+		got.want(t, i, zinniatide.OutcomeUnknown, zinniatide.CodeDeadlinePassed)
+	}
+	for _, d := range append(a.running, b.running...) {
+		d.done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone})
+	}
+	got.want(t, 0, zinniatide.OutcomeUnknown, zinniatide.CodeDeadlinePassed)
+	rs := requests(c, "b1")
+	c.Advance(1000)
+	late, _ := dispatchAll(a, rs)
+	late.want(t, 0, zinniatide.OutcomeNotRun, zinniatide.CodeDeadlinePassed)
+}
+
+// TestStrayResults guards against results that another VM, another process of
+// the owner or another batch sends.
+func TestStrayResults(t *testing.T) {
+	c := clock.NewManual(1000, 0)
+	a, b := newPair(t, c)
+	got, _ := dispatchAll(a, requests(c, "b1"))
+	number := a.last.Load()
+	stray := func(from zinniatide.VMID, batch uint64, index int, outcome outcome) {
+		raw, err := cbor.Marshal(resultMessage{[]resultItem{{Batch: batch, Index: index, Outcome: outcome}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.receiveResults(from, raw, nil)
+	}
+	stray("c", number, 0, outcomeOf(zinniatide.OutcomeDone))
+	stray("b", number-1, 0, outcomeOf(zinniatide.OutcomeDone))
+	stray("b", number, 1, outcomeOf(zinniatide.OutcomeDone))
+	stray("b", number, -1, outcomeOf(zinniatide.OutcomeDone))
+	stray("b", number, 0, outcome(len(outcomes)))
+	if got.counts[0] != 0 {
+		t.Errorf("got %d results, want 0", got.counts[0])
+	}
+	b.running[0].done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone})
+	got.want(t, 0, zinniatide.OutcomeDone, "")
+}
+
+// TestRefusesBatch guards against running a batch that is malformed.
+func TestRefusesBatch(t *testing.T) {
+	good := batchMessage{Batch: 1, Remaining: 10, Items: make([]batchItem, 1)}
+	for name, change := range map[string]func(m *batchMessage){
+		"no items":      func(m *batchMessage) { m.Items = nil },
+		"large body":    func(m *batchMessage) { m.Body = make([]byte, zinniatide.MaxRequestBody+1) },
+		"bad operation": func(m *batchMessage) { m.Operation = 2 },
+		"negative time": func(m *batchMessage) { m.Remaining = -1 },
+		"endless time":  func(m *batchMessage) { m.Remaining = maxRemaining + 1 },
+		"doubled batch": func(m *batchMessage) { m.Batch = 7 },
+	} {
+		c := clock.NewManual(1000, 0)
+		_, b := newPair(t, c)
+		send := func(m batchMessage) (err error) {
+			raw, _ := cbor.Marshal(m)
+			b.server.receiveBatch("a", raw, func(_ any, e error) { err = e })
+			return err
+		}
+		first := good
+		first.Batch = 7
+		if err := send(first); err != nil {
+			t.Errorf("%s: got %v for a good batch", name, err)
+		}
+		m := good
+		change(&m)
+		if err := send(m); err == nil || len(b.running) != 1 {
+			t.Errorf("%s: got %v and %d requests, want an error and 1", name, err, len(b.running))
+		}
+	}
+}
+
+// FuzzDecode guards against panics and unchecked values in the decoders.
+func FuzzDecode(f *testing.F) {
+	for _, value := range []any{
+		batchMessage{Batch: 1, Remaining: 10, Items: []batchItem{{Server: "b", Last: 9}}, Body: []byte("{}")},
+		resultMessage{[]resultItem{{Batch: 1, Outcome: outcomeOf(zinniatide.OutcomeDone)}}}, cancelMessage{1, 2},
+	} {
+		raw, err := cbor.Marshal(value)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if m, err := decodeBatch(raw); err == nil {
+			if len(m.Items) == 0 || m.Operation > zinniatide.OperationExecute || m.request(0, 1000).Deadline < 1000 {
+				t.Errorf("accepted %+v", m)
+			}
+		}
+		if m, err := decodeResults(raw); err == nil {
+			for _, item := range m.Items {
+				if item.result().Outcome == "" {
+					t.Errorf("accepted %+v", item)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkForward sends calls of 84 sub-requests to one owner and back. Linking
+// is in memory and answers come at once, so that only coding and bookkeeping count.
+func BenchmarkForward(b *testing.B) {
+	c := clock.New()
+	from, to := newPair(b, c)
+	to.answer = func(zinniatide.SubRequest) (zinniatide.SubResult, bool) {
+		return zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: []byte(`{"total":1}`)}, true
+	}
+	servers := make([]string, 84)
+	for i := range servers {
+		servers[i] = fmt.Sprint("b", i%9+1)
+	}
+	left := 0
+	done := func(int, zinniatide.SubResult) { left-- }
+	b.ReportAllocs()
+	for range b.N {
+		left = len(servers)
+		from.DispatchAll(requests(c, servers...), done)
+		from.Tick()
+		if left != 0 {
+			b.Fatalf("got %d missing results", left)
+		}
+	}
+}
+
+// TestConcurrent guards against lost and doubled results when calls, answers,
+// cancellations and deadlines meet.
+func TestConcurrent(t *testing.T) {
+	c := clock.New()
+	a, b := newPair(t, c)
+	for _, n := range []*node{a, b} {
+		n.answer = func(r zinniatide.SubRequest) (zinniatide.SubResult, bool) {
+			return zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: r.Body}, r.Range.First%3 == 0
+		}
+		n.Start()
+	}
+	const calls, size = 50, 6
+	var counts [calls * size]atomic.Int32
+	var wait sync.WaitGroup
+	wait.Add(len(counts))
+	for k := range calls {
+		go func() {
+			rs := requests(c, "b1", "b2", "a1", "b3", "a1", "b4")
+			for i := range rs {
+				rs[i].Deadline = c.Now() + 30
+			}
+			cancel := a.DispatchAll(rs, func(i int, _ zinniatide.SubResult) {
+				if counts[k*size+i].Add(1) == 1 {
+					wait.Done()
+				}
+			})
+			cancel(k % size)
+		}()
+	}
+	wait.Wait()
+	for _, n := range []*node{a, b} {
+		n.mu.Lock()
+		running := n.running
+		n.mu.Unlock()
+		for _, d := range running {
+			d.done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone})
+		}
+	}
+	b.server.flush()
+	for i := range counts {
+		if got := counts[i].Load(); got != 1 {
+			t.Errorf("got %d results for sub-request %d, want 1", got, i)
+		}
+	}
+}
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -47,14 +48,25 @@
 
 // resultItem is the result of item Index of a batch.
 type resultItem struct {
-	Batch    uint64             `cbor:"1,keyasint"`
-	Index    int                `cbor:"2,keyasint,omitempty"`
-	Outcome  zinniatide.Outcome `cbor:"3,keyasint"`
-	Code     zinniatide.Code    `cbor:"4,keyasint,omitempty"`
-	Body     []byte             `cbor:"5,keyasint,omitempty"`
-	Crashed  bool               `cbor:"6,keyasint,omitempty"`
-	InFlight uint16             `cbor:"7,keyasint,omitempty"`
-	Queued   uint16             `cbor:"8,keyasint,omitempty"`
+	Batch    uint64          `cbor:"1,keyasint"`
+	Index    int             `cbor:"2,keyasint,omitempty"`
+	Outcome  outcome         `cbor:"3,keyasint"`
+	Code     zinniatide.Code `cbor:"4,keyasint,omitempty"`
+	Body     []byte          `cbor:"5,keyasint,omitempty"`
+	Crashed  bool            `cbor:"6,keyasint,omitempty"`
+	InFlight uint16          `cbor:"7,keyasint,omitempty"`
+	Queued   uint16          `cbor:"8,keyasint,omitempty"`
+}
+
+// outcome is the index of an Outcome in outcomes. Decoding a number, unlike a
+// string, costs no allocation.
+type outcome uint8
+
+// outcomes is part of the message format. It may only be appended to.
+var outcomes = [...]zinniatide.Outcome{zinniatide.OutcomeUnknown, zinniatide.OutcomeDone, zinniatide.OutcomeNotRun}
+
+func outcomeOf(o zinniatide.Outcome) outcome {
+	return outcome(max(slices.Index(outcomes[:], o), 0))
 }
 
 // cancelMessage is the body of KindSubCancel.
@@ -85,9 +97,7 @@
 		return m, err
 	}
 	for i := range m.Items {
-		switch m.Items[i].Outcome {
-		case zinniatide.OutcomeDone, zinniatide.OutcomeNotRun, zinniatide.OutcomeUnknown:
-		default:
+		if int(m.Items[i].Outcome) >= len(outcomes) {
 			return m, errors.New("unknown outcome")
 		}
 	}
@@ -96,13 +106,13 @@
 
 func (i *resultItem) result() zinniatide.SubResult {
 	return zinniatide.SubResult{
-		Outcome: i.Outcome, Code: i.Code, Body: i.Body, Crashed: i.Crashed, InFlight: i.InFlight, Queued: i.Queued,
+		Outcome: outcomes[i.Outcome], Code: i.Code, Body: i.Body, Crashed: i.Crashed, InFlight: i.InFlight, Queued: i.Queued,
 	}
 }
 
 func newResultItem(batch uint64, index int, r zinniatide.SubResult) resultItem {
 	return resultItem{
-		Batch: batch, Index: index, Outcome: r.Outcome, Code: r.Code, Body: r.Body,
+		Batch: batch, Index: index, Outcome: outcomeOf(r.Outcome), Code: r.Code, Body: r.Body,
 		Crashed: r.Crashed, InFlight: r.InFlight, Queued: r.Queued,
 	}
 }
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -35,6 +35,7 @@
 // server's lock.
 type servedBatch struct {
 	cancels     []func()
+	ended       []bool
 	outstanding int
 	// sending counts results that flush has taken and not sent yet. The reply
 	// must follow them, because it ends the batch.
@@ -63,7 +64,9 @@
 		return
 	}
 	key := batchKey{from, m.Batch}
-	b := &servedBatch{cancels: make([]func(), len(m.Items)), outstanding: len(m.Items), reply: reply}
+	b := &servedBatch{
+		cancels: make([]func(), len(m.Items)), ended: make([]bool, len(m.Items)), outstanding: len(m.Items), reply: reply,
+	}
 	s.mu.Lock()
 	_, doubled := s.batches[key]
 	if !doubled {
@@ -88,6 +91,11 @@
 func (s *server) ended(key batchKey, b *servedBatch, i int, r zinniatide.SubResult) {
 	item := newResultItem(key.number, i, r)
 	s.mu.Lock()
+	if b.ended[i] {
+		s.mu.Unlock()
+		return
+	}
+	b.ended[i] = true
 	b.outstanding--
 	s.ready[key.from] = append(s.ready[key.from], item)
 	message := s.complete(key, b)
