Guard hand-over, moved servers and late answers by tests

Change: tests for each; the hand-over test moves a server in mid-ramp. A hold that the lower rate already implies is removed.

--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -243,6 +243,33 @@
 	}
 }
 
+// TestOldIncarnationLater guards against a replaced process that announces
+// itself where its successor is not known, or no longer.
+func TestOldIncarnationLater(t *testing.T) {
+	n := newNetwork(t, "a", "b")
+	old := announcement("s1")
+	old.Incarnation = 1
+	n.nodes["b"].cut = true
+	n.configure(1, "a", 1, "")
+	n.announce("a", announcement("s1"), "http-a")
+	n.run(100)
+	n.configure(2, "b", 1, "")
+	n.announce("b", old, "http-b")
+	n.nodes["b"].cut = false
+	n.run(2 * digestInterval)
+	for vm, h := range n.nodes {
+		if got := h.Catalog().Servers[0].Incarnation; got != 2 {
+			t.Errorf("got incarnation %d at %s, want 2", got, vm)
+		}
+	}
+	n.configure(3, "a", 1, "")
+	n.run(2 * zinniatide.AnnouncementExpiry)
+	n.want("a")
+	if _, err := n.nodes["a"].Announce(old); err == nil {
+		t.Error("got no error for a replaced process whose successor has expired")
+	}
+}
+
 // TestNoOwner guards against an announcement that is accepted and lost.
 func TestNoOwner(t *testing.T) {
 	n := newNetwork(t, "a", "b")
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -139,6 +139,12 @@
 	return len(p.idle)
 }
 
+func (p *Pool) suspecting() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.probing != nil
+}
+
 func edit(old, replacement string) string { return strings.Replace(goodAnswer, old, replacement, 1) }
 
 // TestAnswers guards against merging an answer that is not whole or belongs to
@@ -341,8 +347,8 @@
 	}
 	c.Advance(150) // past the deadline but within the grace
 	p.Tick(c.Now())
-	if n := f.accepted.Load(); n != 3 || len(got) != 0 {
-		t.Errorf("got %d connections and %d ends before the grace was over, want 3 and 0", n, len(got))
+	if n := p.Open(); n != 3 || p.suspecting() || len(got) != 0 {
+		t.Errorf("got %d connections, suspicion %v and %d ends before the grace was over", n, p.suspecting(), len(got))
 	}
 	c.Advance(100)
 	p.Tick(c.Now())
@@ -382,6 +388,43 @@
 	}
 }
 
+// TestOldAnswer guards against calling a connection silent because one that
+// is as old answers: the request may simply take long.
+func TestOldAnswer(t *testing.T) {
+	hold := make(chan struct{})
+	f := newFake(t, func(_ int, req *fasthttp.Request) (string, bool) {
+		if string(req.Header.Peek("X-Request-Id")) == "slow" {
+			<-hold
+			return strings.Replace(goodAnswer, "r1", "slow", 1), false
+		}
+		return goodAnswer, false
+	})
+	c := clock.NewManual(1000, 0)
+	p := newPool(t, f.listener.Addr().String(), c, 3, 2)
+	p.Tick(c.Now())
+	eventually(t, "warm connections", func() bool { return p.idleCount() == 2 })
+	slow, gotSlow := newExchange(1100)
+	slow.Request.RequestID = "slow"
+	if !p.Send(slow) {
+		t.Fatal("request was not sent")
+	}
+	c.Advance(300)
+	p.Tick(c.Now())
+	eventually(t, "a probe", func() bool { return f.cancels.Load() == 1 })
+	x, got := newExchange(2000)
+	if !p.Send(x) {
+		t.Fatal("request was not sent")
+	}
+	<-got
+	if n := p.Open(); n != 3 || len(gotSlow) != 0 {
+		t.Errorf("got %d connections and %d ends, want 3 and 0", n, len(gotSlow))
+	}
+	close(hold)
+	if a := <-gotSlow; a.Outcome != zinniatide.OutcomeDone {
+		t.Errorf("got %v %q", a.Outcome, a.Code)
+	}
+}
+
 // TestGone guards against waiting for a server that takes no connection, and
 // against reconnecting without delay.
 func TestGone(t *testing.T) {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/dispatcher/pacer"
 )
 
 type results chan zinniatide.SubResult
@@ -281,12 +284,12 @@
 	}
 	configure(1, "a", "")
 	from.serverOf(t)
-	for range 330 {
+	for range 220 {
 		tr.step(b)
 	}
-	level, _, _ := from.serverOf(t).ramp.State()
-	if level == 0 || len(tr.starts) == 0 {
-		t.Fatalf("got level %d after %d starts", level, len(tr.starts))
+	level, _, warm := from.serverOf(t).ramp.State()
+	if level == 0 || warm || len(tr.starts) == 0 {
+		t.Fatalf("got level %d, warm %v after %d starts, want a server that is warming up", level, warm, len(tr.starts))
 	}
 	before := len(tr.starts)
 	configure(2, "a", "b")
@@ -306,7 +309,13 @@
 	if got, _, _ := to.serverOf(t).ramp.State(); got != level {
 		t.Errorf("got level %d at the new owner, want %d", got, level)
 	}
-	for range 400 {
+	for range 99 {
+		tr.step(b)
+	}
+	if got := len(tr.starts); got != before {
+		t.Errorf("got %d starts in the new owner's first second, want 0", got-before)
+	}
+	for range 300 {
 		tr.step(b)
 	}
 	if len(tr.starts) < before+30 {
@@ -315,6 +324,105 @@
 	tr.check()
 }
 
+// TestHandOverInFlight guards against a release while a request runs or a
+// connection is open, and against a release that is sent only once.
+func TestHandOverInFlight(t *testing.T) {
+	h, b, s := newWarmHost(t)
+	release := holding(t, b)
+	running, queued := make(results, 2), make(results, 2)
+	for range 2 {
+		h.dispatcher.Dispatch(h.request("r", 1000), running.done)
+	}
+	h.dispatcher.Dispatch(h.request("r", 1000), queued.done)
+	eventually(t, "two starts", func() bool { return b.starts.Load() == 2 })
+	h.configuration.Store(configurationOf(2, "a", "b"))
+	releases := func() (n int) {
+		for range 3 {
+			h.dispatcher.Tick()
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.released)
+	}
+	moved := zinniatide.BucketsPerZone - 1 // the others have no servers
+	if got := releases(); got != moved {
+		t.Errorf("got %d releases while requests run, want %d", got, moved)
+	}
+	queued.want(t, zinniatide.OutcomeNotRun, zinniatide.CodeNotOwner)
+	release()
+	for range 2 {
+		running.want(t, zinniatide.OutcomeDone, "")
+	}
+	eventually(t, "the release", func() bool { return releases() == moved+1 })
+	if n := s.pool.Open(); n != 0 {
+		t.Errorf("got %d connections after the release, want 0", n)
+	}
+	h.clock.Advance(zinniatide.HeartbeatInterval)
+	if got := releases(); got != 2*(moved+1) {
+		t.Errorf("got %d releases after a heartbeat, want %d", got, 2*(moved+1))
+	}
+	if n := b.starts.Load(); n != 2 {
+		t.Errorf("got %d starts, want 2", n)
+	}
+}
+
+// TestMovedServer guards against two entries of one server that send at once,
+// when it appears at another address.
+func TestMovedServer(t *testing.T) {
+	h, b, _ := newWarmHost(t)
+	release := holding(t, b)
+	got := make(results, 4)
+	h.dispatcher.Dispatch(h.request("r", 5000), got.done)
+	eventually(t, "a start", func() bool { return b.starts.Load() == 1 })
+	other := newBackend(t)
+	other.incarnation.Store(2)
+	h.list(announcementOf(other))
+	for range 3 {
+		h.clock.Advance(pacer.Window / 2)
+		h.dispatcher.Tick()
+		h.dispatcher.Dispatch(h.request("r", 5000), got.done)
+		got.want(t, zinniatide.OutcomeNotRun, zinniatide.CodeNotOwner)
+	}
+	release()
+	got.want(t, zinniatide.OutcomeDone, "")
+	h.dispatcher.Tick()
+	h.serverOf(t)
+	h.dispatcher.Dispatch(h.request("r", 5000), got.done)
+	got.want(t, zinniatide.OutcomeDone, "")
+	if n, m := b.starts.Load(), other.starts.Load(); n != 1 || m != 1 {
+		t.Errorf("got %d starts at the old address and %d at the new one, want 1 and 1", n, m)
+	}
+}
+
+// TestSuddenSlowness guards against a server that stays warm because its late
+// answers, after the deadline, pass for successes.
+func TestSuddenSlowness(t *testing.T) {
+	b := newBackend(t)
+	h := newHost(t, "a", clock.NewManual(10_000, 0))
+	h.configuration.Store(configurationWith(1, "a", "", coldRamp))
+	h.list(announcementOf(b))
+	s := h.serverOf(t)
+	s.ramp.Restore(4, 0, true)
+	s.pace.SetRate(h.clock.Now(), 0)
+	s.health.Restore(5)
+	for range 3 {
+		if !s.ramp.Warm() {
+			t.Error("got cold before the third timeout")
+		}
+		late := holding(t, b)
+		got := make(results, 2)
+		h.dispatcher.Dispatch(h.request("r", 200), got.done)
+		h.clock.Advance(200)
+		h.dispatcher.Tick()
+		got.want(t, zinniatide.OutcomeUnknown, zinniatide.CodeDeadlinePassed)
+		late()
+		eventually(t, "the late answer", s.quiet)
+	}
+	if s.ramp.Warm() {
+		t.Error("got warm after three timeouts, want cold")
+	}
+}
+
 // TestTurnsCold guards against full load on a restarted server, which shows
 // first in an announcement or in an answer.
 func TestTurnsCold(t *testing.T) {
@@ -393,3 +501,51 @@
 		got.want(t, zinniatide.OutcomeDone, "")
 	}
 }
+
+// TestConcurrent guards against lost and doubled results and more requests at
+// once than slots when requests, cancellations, deadlines and crashes meet.
+func TestConcurrent(t *testing.T) {
+	b := newBackend(t)
+	var now, most, calls atomic.Int64
+	b.setBehaviour(func(ctx *fasthttp.RequestCtx) {
+		if n := now.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		defer now.Add(-1)
+		if calls.Add(1)%37 == 0 {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+		}
+	})
+	h := newHost(t, "a", clock.New())
+	h.list(announcementOf(b))
+	h.dispatcher.Start()
+	h.serverOf(t)
+	const workers, each = 8, 150
+	var counts [workers * each]atomic.Int32
+	var wait sync.WaitGroup
+	for w := range workers {
+		wait.Go(func() {
+			for i := range each {
+				ended := make(chan struct{}, 2)
+				cancel := h.dispatcher.Dispatch(h.request("r", zinniatide.Millis(1+i)), func(zinniatide.SubResult) {
+					counts[w*each+i].Add(1)
+					ended <- struct{}{}
+				})
+				if i%5 == 0 {
+					cancel()
+				}
+				<-ended
+			}
+		})
+	}
+	wait.Wait()
+	for i := range counts {
+		if got := counts[i].Load(); got != 1 {
+			t.Errorf("got %d results for request %d, want 1", got, i)
+		}
+	}
+	if got := most.Load(); got < 1 || got > 2 {
+		t.Errorf("got %d requests at once, want 1 or 2", got)
+	}
+}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -171,9 +171,6 @@
 	s.ramp.TurnCold()
 	s.health.Reset()
 	s.pace.SetRate(now, s.ramp.Rate())
-	if !s.ramp.Warm() {
-		s.pace.Hold(now + pacer.Window)
-	}
 	s.d.metrics.turnedCold.Inc()
 }
 
