Add admission control, quarantine of deadly requests and tests

Cause: overload must not cost throughput or fairness, and a request that crashes each server that runs it must not take more than two. Change: admitter shares work by start-time fair queueing with early refusal under a limit that follows the owners' queues; quarantiner runs canaries under a guard VM; querier and executor use both.

--- /dev/null
+++ b/admitter/config.go
@@ -0,0 +1,34 @@
+package admitter
+
+import "zinniatide.example/zinniatide"
+
+// Config holds the rules of admission.
+type Config struct {
+	// QueueLimit bounds the requests that wait for one service.
+	QueueLimit int
+	// AdjustInterval is how often the limit follows the observed queues.
+	AdjustInterval zinniatide.Millis
+	// The limit grows while the queue of a backend server is shorter than
+	// GrowBelow times its busy slots, and shrinks while it is longer than
+	// ShrinkAbove times. Slots need a short queue to stay busy over the
+	// distance to the next request; a longer one only adds latency.
+	GrowBelow   float64
+	ShrinkAbove float64
+	Grow        float64 // factor per interval
+	Shrink      float64
+	// ShedShare is the share of refused sub-requests that shrinks the limit.
+	ShedShare float64
+	// MinFactor bounds the limit from below, as a factor of the slots of one VM.
+	// From above it is bounded by MaxFactor times all slots, for the case that
+	// all callers use the same VM.
+	MinFactor float64
+	MaxFactor float64
+}
+
+// DefaultConfig returns the rules in use.
+func DefaultConfig() Config {
+	return Config{
+		QueueLimit: 2048, AdjustInterval: 100, GrowBelow: 0.5, ShrinkAbove: 1, Grow: 1.05, Shrink: 0.9,
+		ShedShare: 0.02, MinFactor: 0.5, MaxFactor: 4,
+	}
+}
--- a/executor/call.go
+++ b/executor/call.go
@@ -7,6 +7,7 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/planner"
+	"zinniatide.example/zinniatide/quarantiner"
 )
 
 // event is the end of one asynchronous step of a call.
@@ -43,6 +44,7 @@
 	failure  zinniatide.Code
 	// abandoned is set when the call has given up its claim.
 	abandoned atomic.Bool
+	pass      *quarantiner.Pass
 }
 
 func (c *call) stopTimer() {
@@ -73,6 +75,12 @@
 	if !reply.Granted {
 		return denied(&reply)
 	}
+	// The canary comes after the claim, so that a repeated request gets its
+	// recorded result at once.
+	if c.pass, refusal = c.executor.Quarantiner.Enter(c.print, c.until); refusal != nil {
+		c.finish(zinniatide.OutcomeNotRun, nil)
+		return nil, refusal
+	}
 	return c.dispatch()
 }
 
@@ -239,6 +247,7 @@
 		if !doubled.CompareAndSwap(false, true) {
 			return
 		}
+		c.judge(&result)
 		replica.Record.Result(service, x.Clock.Now(), now, &result)
 		if state.CompareAndSwap(false, true) {
 			s.post(event{result: result})
@@ -258,6 +267,20 @@
 	return zinniatide.SubResult{}, false
 }
 
+// judge tells the quarantiner what a server made of the request. There is one
+// dispatch at a time, and a request that may have run is not sent again.
+func (c *call) judge(result *zinniatide.SubResult) {
+	switch {
+	case result.Crashed:
+		c.pass.Crashed(c.pass.CanaryServers() > 0, nil)
+		c.pass.End()
+	case result.Outcome == zinniatide.OutcomeDone:
+		c.pass.Proven()
+	case result.Outcome != zinniatide.OutcomeNotRun:
+		c.pass.End()
+	}
+}
+
 // conclude records a result that is not not-run and returns it.
 func (c *call) conclude(result *zinniatide.SubResult) ([]byte, *zinniatide.Refusal) {
 	c.record(result)
@@ -287,6 +310,7 @@
 
 // giveUp ends a claimed request that no server has run.
 func (c *call) giveUp() ([]byte, *zinniatide.Refusal) {
+	c.pass.End()
 	c.finish(zinniatide.OutcomeNotRun, nil)
 	code := c.failure
 	if code == "" {
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -13,9 +13,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/admitter"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/observer"
 	"zinniatide.example/zinniatide/planner"
+	"zinniatide.example/zinniatide/quarantiner"
 )
 
 // Config holds the policy of non-idempotent requests.
@@ -50,6 +52,8 @@
 	Forwarder      zinniatide.Forwarder
 	Planner        *planner.Planner
 	Observer       *observer.Observer
+	Admitter       *admitter.Admitter       // nil admits everything
+	Quarantiner    *quarantiner.Quarantiner // nil sends no canaries
 	Registerer     prometheus.Registerer
 	// Random chooses among replicas.
 	Random *mathrand.Rand
@@ -123,30 +127,27 @@
 		return nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "key %d is not below %d", r.Key, zinniatide.KeySpace)
 	}
 	c := x.newCall(r, until)
+	if refusal := x.Quarantiner.Check(c.print); refusal != nil {
+		return nil, refusal
+	}
+	ticket, refusal := x.Admitter.Admit(admitter.Request{
+		Service: r.Service, Tenant: r.Tenant, Class: r.Class, Cost: 1, Deadline: until})
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer ticket.Release()
 	defer c.stopTimer()
-	body, refusal := c.run()
-	return body, refusal
+	return c.run()
 }
 
 func (x *Executor) newCall(r zinniatide.ExecuteRequest, until zinniatide.Millis) *call {
 	return &call{
 		executor: x, request: r, until: until,
 		claim: zinniatide.Claim{RequestID: r.RequestID, Expires: r.Expires, Digest: Digest(&r), VM: x.VM, Token: newToken()},
-		print: fingerprint(&r),
+		print: quarantiner.Fingerprint(r.Service, r.Body),
 	}
 }
 
-// fingerprint returns the fingerprint of service and body, by which requests
-// that crash servers are recognised.
-func fingerprint(r *zinniatide.ExecuteRequest) zinniatide.Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(r.Service))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(r.Body)
-	return zinniatide.Fingerprint(d.Sum64())
-}
-
 func (x *Executor) pick(v *planner.Version, shard int, barred []zinniatide.BackendServerID, now zinniatide.Millis) *planner.Replica {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,189 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/observer"
+	"zinniatide.example/zinniatide/planner"
+)
+
+type provider struct {
+	conf    *zinniatide.Configuration
+	catalog *zinniatide.Catalog
+}
+
+func (p *provider) Configuration() *zinniatide.Configuration { return p.conf }
+func (p *provider) LeaseUntil() zinniatide.Millis            { return 1 << 40 }
+func (p *provider) Catalog() *zinniatide.Catalog             { return p.catalog }
+
+func newProvider(shards uint32, replicas int) *provider {
+	setting := zinniatide.IndexVersionSetting{Version: 4, ShardCount: shards}
+	p := &provider{
+		conf:    &zinniatide.Configuration{Services: map[zinniatide.ServiceID]zinniatide.ServiceSetting{"s": {Versions: []zinniatide.IndexVersionSetting{setting}}}},
+		catalog: &zinniatide.Catalog{},
+	}
+	for i, keys := range setting.Shards() {
+		for j := range replicas {
+			p.catalog.Servers = append(p.catalog.Servers, status(fmt.Sprintf("b%d-%d", i, j), 4, keys))
+		}
+	}
+	return p
+}
+
+func status(id string, version zinniatide.IndexVersion, keys zinniatide.KeyRange) zinniatide.ServerStatus {
+	return zinniatide.ServerStatus{Owner: "e1", Announcement: zinniatide.Announcement{
+		Server: zinniatide.BackendServerID(id), Zone: "a", Slots: 2, Load: zinniatide.LoadReport{Warm: true},
+		Offers: []zinniatide.ServiceOffer{{Service: "s", Searchers: []zinniatide.Searcher{{Version: version, KeyRange: keys}}}},
+	}}
+}
+
+// Guards against work for a server that must not get it.
+func TestUsableReplicas(t *testing.T) {
+	whole := zinniatide.KeyRange{Last: zinniatide.KeySpace}
+	tests := []struct {
+		name   string
+		change func(p *provider, s *zinniatide.ServerStatus)
+		served int
+	}{
+		{"usable", func(*provider, *zinniatide.ServerStatus) {}, 1},
+		{"draining", func(_ *provider, s *zinniatide.ServerStatus) { s.Draining = true }, 0},
+		{"no owner", func(_ *provider, s *zinniatide.ServerStatus) { s.Owner = "" }, 0},
+		{"other version", func(_ *provider, s *zinniatide.ServerStatus) { s.Offers[0].Searchers[0].Version = 5 }, 0},
+		{"other key range", func(_ *provider, s *zinniatide.ServerStatus) { s.Offers[0].Searchers[0].Last-- }, 0},
+		{"other service", func(_ *provider, s *zinniatide.ServerStatus) { s.Offers[0].Service = "t" }, 0},
+		{"zone out", func(p *provider, _ *zinniatide.ServerStatus) {
+			p.conf.AvailabilityZones = map[zinniatide.ZoneID]zinniatide.StateSetting{"a": {State: zinniatide.StateOut}}
+		}, 0},
+		{"leaving", func(p *provider, _ *zinniatide.ServerStatus) {
+			p.conf.BackendServers = map[zinniatide.BackendServerID]zinniatide.StateSetting{"b": {State: zinniatide.StateLeaving}}
+		}, 0},
+	}
+	for _, test := range tests {
+		p := newProvider(1, 0)
+		s := status("b", 4, whole)
+		test.change(p, &s)
+		p.catalog.Servers = append(p.catalog.Servers, s)
+		v := planner.Build(p.conf, p.catalog, "a", observer.New(), 0).Service("s").Version(4)
+		if got := v.Served; got != test.served || len(v.Replicas(0)) != test.served {
+			t.Errorf("%s: got %d shards served, want %d", test.name, got, test.served)
+		}
+	}
+}
+
+// Guards against a query on a version that covers less than another.
+func TestVersionChoice(t *testing.T) {
+	first, second := zinniatide.KeyRange{Last: 1 << 15}, zinniatide.KeyRange{First: 1 << 15, Last: zinniatide.KeySpace}
+	tests := []struct {
+		name    string
+		servers []zinniatide.ServerStatus
+		want    zinniatide.IndexVersion
+	}{
+		{"newest whole", []zinniatide.ServerStatus{status("a", 4, first), status("b", 4, second), status("c", 5, first), status("d", 5, second)}, 5},
+		{"whole before newest", []zinniatide.ServerStatus{status("a", 4, first), status("b", 4, second), status("c", 5, first)}, 4},
+		{"newest of equal coverage", []zinniatide.ServerStatus{status("a", 4, first), status("c", 5, second)}, 5},
+		{"none", nil, 0},
+	}
+	for _, test := range tests {
+		p := newProvider(2, 0)
+		setting := p.conf.Services["s"]
+		setting.Versions = append(setting.Versions, zinniatide.IndexVersionSetting{Version: 5, ShardBounds: []uint32{0, 1 << 15}})
+		p.conf.Services["s"] = setting
+		p.catalog.Servers = test.servers
+		v := planner.Build(p.conf, p.catalog, "a", observer.New(), 0).Service("s").Best(0)
+		if (v == nil) != (test.want == 0) || (v != nil && v.Number != test.want) {
+			t.Errorf("%s: got %+v, want version %d", test.name, v, test.want)
+		}
+	}
+}
+
+// Guards against a hedge that goes to a server that already has the request,
+// and against work piling up on a slow or busy server.
+func TestPickAvoidsBarredAndBadServers(t *testing.T) {
+	p := newProvider(1, 3)
+	table := observer.New()
+	v := planner.Build(p.conf, p.catalog, "a", table, 0).Service("s").Best(0)
+	random := rand.New(rand.NewPCG(1, 1))
+	var barred []zinniatide.BackendServerID
+	for n := 3; n > 0; n-- {
+		r := planner.Pick(v, 0, barred, 0, random)
+		if r == nil || slices.Contains(barred, r.Server) {
+			t.Fatalf("with %v barred got %v", barred, r)
+		}
+		barred = append(barred, r.Server)
+	}
+	if r := planner.Pick(v, 0, barred, 0, random); r != nil {
+		t.Errorf("with all servers barred got %s, want none", r.Server)
+	}
+	table.Server("b0-0").Sample(0, 400)
+	table.Server("b0-1").Sample(0, 5)
+	table.Server("b0-2").Sample(0, 5)
+	picks := map[zinniatide.BackendServerID]int{}
+	for range 300 {
+		picks[planner.Pick(v, 0, nil, 1, random).Server]++
+	}
+	if picks["b0-0"] != 0 || picks["b0-1"] < 50 || picks["b0-2"] < 50 {
+		t.Errorf("got picks %v, want none of the slow server", picks)
+	}
+}
+
+// Guards against a load report that attracts work: it may only lower the trust.
+func TestLoadReportNeverRaisesTrust(t *testing.T) {
+	var s observer.Server
+	s.Sample(0, 20)
+	s.Begin()
+	s.Begin()
+	before := s.Score(1, 2)
+	for _, r := range []zinniatide.LoadReport{{Warm: true}, {Busy: 1, Warm: true}, {Busy: 9, Warm: true}, {Queue: 30}} {
+		s.Report(1, r)
+		if got := s.Score(1, 2); got < before {
+			t.Errorf("report %+v lowered the score from %g to %g", r, before, got)
+		}
+	}
+}
+
+// Guards against an index that misses changes, or that is computed anew for
+// every query while nothing changes.
+func TestIndexFollowsChanges(t *testing.T) {
+	p, c := newProvider(2, 1), clock.NewManual(0, 0)
+	pl := planner.New(p, p, observer.New(), "a", c, planner.DefaultRebuildInterval)
+	x := pl.Index()
+	if pl.Index() != x {
+		t.Error("the index was computed again without a change")
+	}
+	p.catalog = &zinniatide.Catalog{Sequence: 1}
+	if pl.Index() != x {
+		t.Error("the index was computed again within the rebuild interval")
+	}
+	c.Advance(planner.DefaultRebuildInterval)
+	if got := pl.Index().Service("s").Best(0); got != nil {
+		t.Errorf("got version %d after all servers have gone, want none", got.Number)
+	}
+}
+
+func BenchmarkPlan84Shards(b *testing.B) {
+	p := newProvider(84, 3)
+	x := planner.Build(p.conf, p.catalog, "a", observer.New(), 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		v := x.Service("s").Best(0)
+		for shard := range v.Shards {
+			if planner.Pick(v, shard, nil, 1, random) == nil {
+				b.Fatal("no replica")
+			}
+		}
+	}
+}
+
+func BenchmarkBuild7300Servers(b *testing.B) {
+	p := newProvider(1460, 5)
+	b.ReportAllocs()
+	for b.Loop() {
+		planner.Build(p.conf, p.catalog, "a", observer.New(), 0)
+	}
+}
--- /dev/null
+++ b/quarantiner/table_test.go
@@ -0,0 +1,134 @@
+package quarantiner
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"zinniatide.example/zinniatide"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	code := m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		println(err.Error())
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// Guards against wrong decisions in each state of a fingerprint.
+func TestDecisions(t *testing.T) {
+	type step struct {
+		after     zinniatide.Millis
+		op        string // ask, crash, end or complete
+		token     uint64
+		want      decision
+		servers   int
+		condemned bool
+	}
+	minute := zinniatide.Millis(60 * 1000)
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"completed", []step{{0, "ask", 1, "canary", 2, false}, {0, "ask", 2, "wait", 0, false}, {5, "complete", 1, "", 0, false}, {0, "ask", 3, "go", 0, false}, {10 * minute, "ask", 4, "canary", 2, false}}},
+		{"condemned", []step{{0, "ask", 1, "canary", 2, false}, {5, "crash", 1, "", 0, false}, {0, "ask", 2, "wait", 0, false}, {5, "crash", 1, "", 0, true}, {9 * minute, "ask", 3, "quarantine", 0, false}, {2 * minute, "ask", 4, "canary", 1, false}, {0, "crash", 4, "", 0, true}}},
+		{"one strike, then completed", []step{{0, "ask", 1, "canary", 2, false}, {0, "crash", 1, "", 0, false}, {0, "end", 1, "", 0, false}, {0, "ask", 2, "canary", 1, false}, {0, "complete", 2, "", 0, false}, {0, "ask", 3, "go", 0, false}}},
+		{"strikes decay", []step{{0, "ask", 1, "canary", 2, false}, {0, "crash", 1, "", 0, false}, {0, "end", 1, "", 0, false}, {11 * minute, "ask", 2, "canary", 2, false}}},
+		{"rack failure under a sound fingerprint", []step{{0, "ask", 1, "canary", 2, false}, {0, "complete", 1, "", 0, false}, {0, "crash", 0, "", 0, false}, {0, "crash", 0, "", 0, false}, {0, "crash", 0, "", 0, false}, {0, "ask", 2, "canary", 1, false}, {0, "complete", 2, "", 0, false}, {0, "ask", 3, "go", 0, false}}},
+		{"the holder is lost", []step{{0, "ask", 1, "canary", 2, false}, {4000, "ask", 2, "wait", 0, false}, {1000, "ask", 3, "canary", 2, false}, {0, "complete", 1, "", 0, false}, {0, "ask", 4, "wait", 0, false}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := DefaultConfig()
+			tab, now := newTable(&c), zinniatide.Millis(1)
+			for i, s := range test.steps {
+				now += s.after
+				switch s.op {
+				case "ask":
+					if d, servers := tab.ask(now, 9, s.token); d != s.want || servers != s.servers {
+						t.Fatalf("step %d: got %s on %d servers, want %s on %d", i, d, servers, s.want, s.servers)
+					}
+				case "crash":
+					if got := tab.crash(now, 9, s.token); got != s.condemned {
+						t.Fatalf("step %d: got condemned %t, want %t", i, got, s.condemned)
+					}
+				default:
+					tab.end(now, 9, s.token, s.op == "complete")
+				}
+			}
+		})
+	}
+}
+
+// Guards against any order of events in which a request that crashes every
+// server is let through to a third one.
+func TestNoOrderOfEventsLosesThreeServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := DefaultConfig()
+		tab, now, lost, next := newTable(&c), zinniatide.Millis(1), 0, uint64(1)
+		granted := zinniatide.Millis(0)
+		running := map[uint64]int{} // servers that a canary may still reach
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += zinniatide.Millis(rapid.IntRange(0, 3000).Draw(t, "after"))
+			token := uint64(rapid.IntRange(1, int(next)).Draw(t, "token"))
+			switch rapid.IntRange(0, 2).Draw(t, "op") {
+			case 0:
+				if d, servers := tab.ask(now, 9, next); d == decisionCanary {
+					running, granted = map[uint64]int{next: servers}, now
+				} else if d == decisionGo {
+					t.Fatal("a fingerprint that never completed was let through")
+				}
+				next++
+			case 1:
+				// No sub-request lasts longer than MaxRequestTime.
+				if running[token] > 0 && now-granted <= zinniatide.MaxRequestTime {
+					running[token]--
+					lost++
+					tab.crash(now, 9, token)
+				}
+			case 2:
+				tab.end(now, 9, token, false)
+				delete(running, token)
+			}
+			if now > c.QuarantineTime {
+				return
+			}
+			if lost > 2 {
+				t.Fatalf("lost %d servers, want at most 2", lost)
+			}
+		}
+	})
+}
+
+// Guards against memory that grows with the number of fingerprints, and
+// against the bound dropping a quarantine.
+func TestTableIsBounded(t *testing.T) {
+	c := DefaultConfig()
+	c.ProvenLimit, c.SuspectLimit = 100, 10
+	tab := newTable(&c)
+	tab.ask(1, 7, 1)
+	tab.crash(1, 7, 1)
+	tab.crash(1, 7, 1)
+	for i := range 5000 {
+		f := zinniatide.Fingerprint(1000 + i)
+		tab.ask(2, f, uint64(i+2))
+		tab.end(2, f, uint64(i+2), i%2 == 0)
+		tab.ask(2, f+100000, uint64(i+2))
+	}
+	if got := len(tab.young) + len(tab.old); got > c.ProvenLimit {
+		t.Errorf("got %d completed fingerprints, want at most %d", got, c.ProvenLimit)
+	}
+	if got := len(tab.suspects); got > c.SuspectLimit {
+		t.Errorf("got %d suspects, want at most %d", got, c.SuspectLimit)
+	}
+	if d, _ := tab.ask(3, 7, 9); d != decisionQuarantine {
+		t.Errorf("got %s for the quarantined fingerprint", d)
+	}
+}
--- a/querier/driver.go
+++ b/querier/driver.go
@@ -5,7 +5,9 @@
 	"sync/atomic"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/admitter"
 	"zinniatide.example/zinniatide/observer"
+	"zinniatide.example/zinniatide/quarantiner"
 )
 
 // eventKind tells the events of a run apart.
@@ -37,9 +39,11 @@
 	ready  chan struct{}
 }
 
-func (b *mailbox) post(e event) {
+// post returns false when the run has ended.
+func (b *mailbox) post(e event) bool {
 	b.mu.Lock()
-	if !b.closed {
+	open := !b.closed
+	if open {
 		b.events = append(b.events, e)
 	}
 	b.mu.Unlock()
@@ -47,6 +51,7 @@
 	case b.ready <- struct{}{}:
 	default:
 	}
+	return open
 }
 
 // take returns the waiting events. They are valid until the next call.
@@ -59,11 +64,13 @@
 	return events
 }
 
-// close drops what is waiting and what comes later.
-func (b *mailbox) close() {
+// close returns what is waiting. What comes later is dropped.
+func (b *mailbox) close() []event {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	events := b.events
 	b.closed, b.events, b.spare = true, nil, nil
+	return events
 }
 
 // wave is one call of DispatchAll.
@@ -78,7 +85,11 @@
 type driver struct {
 	querier *Querier
 	run     *run
+	pass    *quarantiner.Pass
+	ticket  *admitter.Ticket
 	box     mailbox
+	// running counts the sub-requests without a result, and the run itself.
+	running atomic.Int32
 	waves   []wave
 	wakeAt  zinniatide.Millis // when the timer fires; zero when it does not run
 	stop    func()
@@ -110,6 +121,24 @@
 	}
 }
 
+// close ends the driver. Crashes that the run has not seen still count.
+func (d *driver) close() {
+	for _, e := range d.box.close() {
+		if e.kind == eventResult && e.result.Crashed {
+			d.pass.Crashed(!d.run.proven, nil)
+		}
+	}
+	d.ended()
+}
+
+// ended counts the end of a sub-request or of the run. When all have ended no
+// server can run the request any more.
+func (d *driver) ended() {
+	if d.running.Add(-1) == 0 {
+		d.pass.End()
+	}
+}
+
 // arm sets the timer to at.
 func (d *driver) arm(at zinniatide.Millis) {
 	if at == d.wakeAt {
@@ -132,13 +161,20 @@
 		records[i].Begin()
 	}
 	ended := make([]atomic.Bool, len(rs))
+	d.running.Add(int32(len(rs)))
 	service := d.run.service
 	cancel := q.Forwarder.DispatchAll(rs, func(i int, result zinniatide.SubResult) {
 		if i < 0 || i >= len(ended) || !ended[i].CompareAndSwap(false, true) {
 			return // a doubled result must not be counted twice
 		}
 		records[i].Result(service, q.Clock.Now(), now, &result)
-		d.box.post(event{kind: eventResult, gen: gen, number: first + i, result: result})
+		q.Admitter.Observe(d.run.request.Service, result.InFlight, result.Queued, result.Outcome)
+		d.ticket.Part()
+		open := d.box.post(event{kind: eventResult, gen: gen, number: first + i, result: result})
+		if !open && result.Crashed {
+			d.pass.Crashed(true, nil)
+		}
+		d.ended()
 	})
 	d.waves = append(d.waves, wave{gen: gen, first: first, count: len(rs), cancel: cancel})
 }
@@ -155,8 +191,15 @@
 }
 
 // crashed implements carrier.
-func (d *driver) crashed(gen, shard int, ask bool) {
-	if ask {
-		d.box.post(event{kind: eventPermit, gen: gen, number: shard, allowed: true})
+func (d *driver) crashed(gen, shard int, tried, ask bool) {
+	if !ask {
+		d.pass.Crashed(tried, nil)
+		return
 	}
+	d.pass.Crashed(tried, func(allowed, quarantined bool) {
+		d.box.post(event{kind: eventPermit, gen: gen, number: shard, allowed: allowed, quarantined: quarantined})
+	})
 }
+
+// proven implements carrier.
+func (d *driver) proven() { d.pass.Proven() }
--- a/querier/progress.go
+++ b/querier/progress.go
@@ -8,15 +8,19 @@
 func (r *run) result(now zinniatide.Millis, gen, number int, result zinniatide.SubResult) {
 	g := r.gens[gen]
 	a := &g.attempts[number]
-	if r.done || gen != len(r.gens)-1 || !a.kept || a.state != inFlight {
+	if r.done || a.state != inFlight {
+		return
+	}
+	if gen != len(r.gens)-1 || !a.kept {
+		r.late(gen, a, &result)
 		return
 	}
 	shard := int(a.shard)
 	s := &g.shards[shard]
 	s.pending--
 	a.state = barred
-	a.notRun = result.Outcome == zinniatide.OutcomeNotRun
-	r.ran = r.ran || !a.notRun
+	a.crashed = result.Crashed
+	r.ran = r.ran || result.Outcome != zinniatide.OutcomeNotRun
 	if result.Outcome == zinniatide.OutcomeDone {
 		if err := g.merger.Add(shard, result.Body); err == nil {
 			a.state = answered
@@ -38,6 +42,15 @@
 	r.retry(now, g, shard, 0)
 }
 
+// late takes the result of an attempt that does not matter any more. Only a
+// crash is of interest.
+func (r *run) late(gen int, a *attempt, result *zinniatide.SubResult) {
+	a.state, a.crashed = barred, result.Crashed
+	if result.Crashed {
+		r.carrier.crashed(gen, int(a.shard), !r.proven, false)
+	}
+}
+
 // crash handles a server that was lost while it ran the request. During the
 // canary phase the servers that may still be asked are known. Later the guard
 // of the fingerprint decides, because other VMs may run the request too.
@@ -45,23 +58,29 @@
 	g := r.gens[gen]
 	s := &g.shards[shard]
 	r.crashOpen = true
+	tried := !r.proven || s.permit
 	if !r.canary {
-		s.waiting = true
-		r.carrier.crashed(gen, shard, true)
+		s.waiting, s.permit = true, false
+		r.carrier.crashed(gen, shard, tried, true)
 		return
 	}
-	r.carrier.crashed(gen, shard, false)
-	if s.pending == 0 && r.canaryUsed(g) < r.canaryServers {
+	r.crashes++
+	r.carrier.crashed(gen, shard, tried, false)
+	if s.pending == 0 && r.canaryUsed() < r.canaryServers {
 		r.retry(now, g, shard, 0)
 	}
-	if s.pending == 0 && s.retryAt == 0 {
+	if !r.done && s.pending == 0 && s.retryAt == 0 {
+		r.deadly = r.crashes >= r.canaryServers
 		r.finish()
 	}
 }
 
 // answered closes a shard and cancels its other attempts.
 func (r *run) answered(now zinniatide.Millis, g *generation, shard int) {
-	r.crashOpen = false
+	if s := &g.shards[shard]; !r.proven || s.permit {
+		r.proven, s.permit, r.crashOpen = true, false, false
+		r.carrier.proven()
+	}
 	r.close(g, shard)
 	r.release(now)
 	r.checkEnd()
@@ -263,6 +282,7 @@
 		r.lose(now, g, shard)
 		return
 	}
+	g.shards[shard].permit = true
 	r.retry(now, g, shard, 0)
 }
 
@@ -334,7 +354,7 @@
 	s.hedgeAt = 0
 	limit := r.config.HedgesPerShard
 	if r.canary {
-		limit = min(limit, int(s.hedges)+r.canaryServers-r.canaryUsed(g))
+		limit = min(limit, int(s.hedges)+r.canaryServers-r.canaryUsed())
 	}
 	if s.pending == 0 || int(s.hedges) >= limit || !r.untried(now, g, shard) {
 		return
--- a/querier/querier.go
+++ b/querier/querier.go
@@ -8,13 +8,14 @@
 	"strconv"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/admitter"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/observer"
 	"zinniatide.example/zinniatide/planner"
+	"zinniatide.example/zinniatide/quarantiner"
 )
 
 // Dependencies are the parts that a Querier works with.
@@ -25,6 +26,8 @@
 	Forwarder      zinniatide.Forwarder
 	Planner        *planner.Planner
 	Observer       *observer.Observer
+	Admitter       *admitter.Admitter       // nil admits everything
+	Quarantiner    *quarantiner.Quarantiner // nil sends no canaries
 	Registerer     prometheus.Registerer
 	// Random seeds the generators of the queries.
 	Random *rand.Rand
@@ -51,16 +54,6 @@
 	return q
 }
 
-// Fingerprint returns the fingerprint of a request.
-func Fingerprint(service zinniatide.ServiceID, body []byte) zinniatide.Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(service))
-	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
-	return zinniatide.Fingerprint(d.Sum64())
-}
-
 // maxCallerID is how much of the caller's request id a sub-request carries.
 const maxCallerID = zinniatide.MaxIDLength - 14
 
@@ -112,24 +105,41 @@
 		return zinniatide.SearchAnswer{}, zinniatide.Refuse(zinniatide.CodeNoVersion, "no backend server serves an allowed version of %q", r.Service)
 	}
 	r.Limit = min(max(r.Limit, 0), q.config.MaxLimit)
-	return q.drive(q.newRun(r, until))
+	run := q.newRun(r, until)
+	if refusal := q.Quarantiner.Check(run.print); refusal != nil {
+		return zinniatide.SearchAnswer{}, refusal
+	}
+	ticket, refusal := q.Admitter.Admit(admitter.Request{
+		Service: r.Service, Tenant: r.Tenant, Class: r.Class, Cost: len(version.Shards), Deadline: until})
+	if refusal != nil {
+		return zinniatide.SearchAnswer{}, refusal
+	}
+	defer ticket.Release()
+	pass, refusal := q.Quarantiner.Enter(run.print, until)
+	if refusal != nil {
+		return zinniatide.SearchAnswer{}, refusal
+	}
+	return q.drive(run, pass, ticket)
 }
 
 func (q *Querier) newRun(r zinniatide.SearchRequest, until zinniatide.Millis) *run {
 	return &run{
-		config: &q.config, request: r, print: Fingerprint(r.Service, r.Query), until: until,
+		config: &q.config, request: r, print: quarantiner.Fingerprint(r.Service, r.Query), until: until,
 		index: q.Planner.Index, service: q.Observer.Service(r.Service), budgets: q.budgetsOf(r.Service),
 	}
 }
 
 // drive runs r to its end on the calling goroutine.
-func (q *Querier) drive(r *run) (zinniatide.SearchAnswer, *zinniatide.Refusal) {
+func (q *Querier) drive(r *run, pass *quarantiner.Pass, ticket *admitter.Ticket) (zinniatide.SearchAnswer, *zinniatide.Refusal) {
 	r.random = q.randoms.Get().(*rand.Rand)
 	defer q.randoms.Put(r.random)
-	d := &driver{querier: q, run: r}
+	d := &driver{querier: q, run: r, pass: pass, ticket: ticket}
 	d.box.ready = make(chan struct{}, 1)
+	d.running.Store(1)
+	defer d.close()
 	r.carrier = d
-	defer d.box.close()
+	r.canaryServers = pass.CanaryServers()
+	r.canary = r.canaryServers > 0
 	if !r.start(q.Clock.Now()) {
 		return zinniatide.SearchAnswer{}, zinniatide.Refuse(zinniatide.CodeNoVersion, "no backend server serves an allowed version of %q", r.request.Service)
 	}
--- a/querier/run.go
+++ b/querier/run.go
@@ -16,10 +16,13 @@
 	send(gen, first int, rs []zinniatide.SubRequest)
 	// cancel cancels one attempt. Its result is ignored.
 	cancel(gen, attempt int)
-	// crashed reports that the request crashed a server. With ask set the
-	// carrier also asks whether another server may run it, and the reply comes
-	// back through run.permit.
-	crashed(gen, shard int, ask bool)
+	// crashed reports that the request crashed a server. Tried tells that no
+	// server had answered the request before, or that the server was permitted
+	// as an exception. With ask set the carrier also asks whether another
+	// server may run it, and the reply comes back through run.permit.
+	crashed(gen, shard int, tried, ask bool)
+	// proven tells that a server has answered the request.
+	proven()
 }
 
 // attemptState tells what became of an attempt.
@@ -38,11 +41,10 @@
 	before int32 // the previous attempt for the shard, or -1
 	state  attemptState
 	// kept is set while the result still matters.
-	kept bool
-	// notRun is set when the server refused the attempt.
-	notRun bool
-	server zinniatide.BackendServerID
-	record *observer.Server
+	kept    bool
+	crashed bool
+	server  zinniatide.BackendServerID
+	record  *observer.Server
 }
 
 // shardState is the progress of one shard.
@@ -53,6 +55,7 @@
 	tries    int16             // delayed attempts so far, for the exponential delay
 	closed   bool              // answered or given up
 	waiting  bool              // for permission to ask another server after a crash
+	permit   bool              // another server is asked with that permission
 	retryAt  zinniatide.Millis // zero when no retry is due
 	hedgeAt  zinniatide.Millis // zero when no hedge is due
 	waitFrom zinniatide.Millis // start of the wait for an owner
@@ -95,7 +98,9 @@
 	canaryUntil   zinniatide.Millis
 
 	ran       bool // a backend server may have run a part
+	proven    bool // a backend server has answered
 	crashOpen bool // a crash was not followed by an answer
+	crashes   int  // during the canary phase
 	deadly    bool // the request was found to crash servers
 	failure   zinniatide.Code
 	done      bool
@@ -171,12 +176,14 @@
 	return true
 }
 
-// canaryUsed counts the servers that run or ran the canary.
-func (r *run) canaryUsed(g *generation) int {
+// canaryUsed counts the servers that run the canary or were lost by it.
+func (r *run) canaryUsed() int {
 	used := 0
-	for i := range g.attempts {
-		if !g.attempts[i].notRun {
-			used++
+	for _, g := range r.gens {
+		for i := range g.attempts {
+			if a := &g.attempts[i]; a.crashed || a.state == inFlight {
+				used++
+			}
 		}
 	}
 	return used
--- a/querier/simulator_test.go
+++ b/querier/simulator_test.go
@@ -130,7 +130,7 @@
 func (w *world) cancel(_, _ int) { w.cancels++ }
 
 // crashed implements carrier.
-func (w *world) crashed(gen, shard int, ask bool) {
+func (w *world) crashed(gen, shard int, _, ask bool) {
 	w.crashes++
 	if !ask {
 		return
@@ -142,6 +142,9 @@
 	})
 }
 
+// proven implements carrier.
+func (w *world) proven() {}
+
 // search runs one query to its end. It returns its virtual duration.
 func (w *world) search(timeout zinniatide.Millis, canaryServers int) (zinniatide.SearchAnswer, *zinniatide.Refusal, zinniatide.Millis) {
 	r := &run{
