--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -20,10 +20,10 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // world is the surroundings of an Executor: a claim store and a forwarder that
-// follow a script, and timers that fire as soon as they are set.
+// follow a script. The last entry of a script is repeated.
 type world struct {
 	mu       sync.Mutex
-	clock    *clock.Clock
+	clock    zinniatide.Clock
 	catalog  *zinniatide.Catalog
 	conf     *zinniatide.Configuration
 	claim    []func(c zinniatide.Claim, done func(zinniatide.ClaimReply, error))
@@ -39,8 +39,10 @@
 func (w *world) Catalog() *zinniatide.Catalog             { return w.catalog }
 
 func (w *world) Claim(c zinniatide.Claim, done func(zinniatide.ClaimReply, error)) {
+	w.mu.Lock()
 	n := min(len(w.claims), len(w.claim)-1)
 	w.claims = append(w.claims, c)
+	w.mu.Unlock()
 	w.claim[n](c, done)
 }
 
@@ -57,19 +59,6 @@
 	return func(int) {}
 }
 
-// After implements timer.Timer: it advances the clock and fires at once, on
-// another goroutine, unless the step has ended.
-func (w *world) After(d zinniatide.Millis, f func()) func() {
-	w.clock.Advance(d)
-	f()
-	return func() {}
-}
-
-// lateTimer fires nothing: for scripts in which every step ends by itself.
-type lateTimer struct{}
-
-func (lateTimer) After(zinniatide.Millis, func()) func() { return func() {} }
-
 func granted(_ zinniatide.Claim, done func(zinniatide.ClaimReply, error)) {
 	done(zinniatide.ClaimReply{Granted: true}, nil)
 }
@@ -79,7 +68,7 @@
 }
 
 func newWorld(servers int) *world {
-	w := &world{clock: clock.NewManual(1000, 5000), lease: 1 << 40, catalog: &zinniatide.Catalog{}}
+	w := &world{clock: clock.New(), lease: 1 << 40, catalog: &zinniatide.Catalog{}}
 	w.conf = &zinniatide.Configuration{Services: map[zinniatide.ServiceID]zinniatide.ServiceSetting{
 		"s": {Versions: []zinniatide.IndexVersionSetting{{Version: 3, ShardCount: 1}}},
 	}}
@@ -93,10 +82,10 @@
 	return w
 }
 
-func (w *world) executor(t timer.Timer) *executor.Executor {
+func (w *world) executor() *executor.Executor {
 	table := observer.New()
 	return executor.New(executor.DefaultConfig(), executor.Dependencies{
-		VM: "e1", Clock: w.clock, Timer: t, Configurations: w, Claims: w, Forwarder: w, Observer: table,
+		VM: "e1", Clock: w.clock, Timer: timer.New(), Configurations: w, Claims: w, Forwarder: w, Observer: table,
 		Planner: planner.New(w, w, table, "a", w.clock, 0), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 }
@@ -118,6 +107,20 @@
 	}
 }
 
+func (w *world) checkFinished(t *testing.T, want ...zinniatide.Outcome) {
+	t.Helper()
+	var got []zinniatide.Outcome
+	for _, f := range w.finished {
+		got = append(got, f.Outcome)
+		if f.Token != w.claims[0].Token {
+			t.Errorf("finished with token %d, claimed with %d", f.Token, w.claims[0].Token)
+		}
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got finished %s, want %s", got, want)
+	}
+}
+
 // Guards against a request that is dispatched without a granted claim, twice,
 // or recorded with an outcome that it did not have.
 func TestOutcomeOfEachStep(t *testing.T) {
@@ -156,21 +159,138 @@
 			for _, r := range test.results {
 				w.forward = append(w.forward, answer(r))
 			}
-			body, err := w.executor(lateTimer{}).Execute(w.request())
+			body, err := w.executor().Execute(w.request())
 			check(t, body, err, test.body, test.code, test.outcome)
 			if len(w.sent) != test.sent {
 				t.Errorf("got %d dispatches, want %d", len(w.sent), test.sent)
 			}
-			var finished []zinniatide.Outcome
-			for _, f := range w.finished {
-				finished = append(finished, f.Outcome)
-			}
-			if got, want := fmt.Sprint(finished), fmt.Sprint(test.finished); got != want {
-				t.Errorf("got finished %s, want %s", got, want)
-			}
+			w.checkFinished(t, test.finished...)
 			if len(w.sent) == 2 && w.sent[0].Server == w.sent[1].Server {
 				t.Errorf("both dispatches went to %s", w.sent[0].Server)
 			}
 		})
 	}
 }
+
+// Guards against a claim that is lost for good when a reply is lost, against a
+// dispatch without a granted claim, and against a not-run that is not true.
+func TestLostClaimReplies(t *testing.T) {
+	fail := func(err error) func(zinniatide.Claim, func(zinniatide.ClaimReply, error)) {
+		return func(_ zinniatide.Claim, done func(zinniatide.ClaimReply, error)) { done(zinniatide.ClaimReply{}, err) }
+	}
+	var late func(zinniatide.ClaimReply, error)
+	silent := func(_ zinniatide.Claim, done func(zinniatide.ClaimReply, error)) { late = done }
+	open := &zinniatide.Refusal{Code: zinniatide.CodeNoQuorum, Outcome: zinniatide.OutcomeUnknown}
+	type script = []func(zinniatide.Claim, func(zinniatide.ClaimReply, error))
+	tests := []struct {
+		name     string
+		claim    script
+		granted  bool
+		finished []zinniatide.Outcome
+	}{
+		{"reply lost once", script{fail(zinniatide.ErrLinkLost), granted}, true, []zinniatide.Outcome{"done"}},
+		{"no reply, then granted", script{silent, granted}, true, []zinniatide.Outcome{"done"}},
+		{"never sent", script{fail(zinniatide.ErrNotSent)}, false, nil},
+		{"refused before it was proposed", script{fail(zinniatide.Refuse(zinniatide.CodeNoQuorum, "no leader"))}, false, nil},
+		{"all replies lost", script{fail(zinniatide.ErrLinkLost)}, false, []zinniatide.Outcome{"not-run"}},
+		{"fate open", script{fail(open)}, false, []zinniatide.Outcome{"not-run"}},
+		{"granted after the end", script{silent}, false, []zinniatide.Outcome{"not-run", "not-run"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(1)
+			w.claim, late = test.claim, nil
+			w.forward = append(w.forward, answer(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: []byte("{}")}))
+			body, err := w.executor().Execute(w.request())
+			if late != nil {
+				late(zinniatide.ClaimReply{Granted: true}, nil)
+			}
+			if test.granted {
+				check(t, body, err, "{}", "", "done")
+			} else {
+				check(t, body, err, "", zinniatide.CodeNoQuorum, "not-run")
+			}
+			if got := len(w.sent) == 1; got != test.granted {
+				t.Errorf("got %d dispatches, granted %t", len(w.sent), test.granted)
+			}
+			for _, c := range w.claims {
+				if c.Token != w.claims[0].Token || c.RequestID != w.claims[0].RequestID {
+					t.Errorf("the claim was repeated as %+v, first %+v", c, w.claims[0])
+				}
+			}
+			w.checkFinished(t, test.finished...)
+		})
+	}
+}
+
+// Guards against a result that arrives after the deadline being dropped, or
+// causing a second dispatch.
+func TestResultAfterTheDeadline(t *testing.T) {
+	for _, outcome := range []zinniatide.Outcome{zinniatide.OutcomeDone, zinniatide.OutcomeNotRun, zinniatide.OutcomeUnknown} {
+		w := newWorld(2)
+		w.claim = append(w.claim, granted)
+		var late func(zinniatide.SubResult)
+		w.forward = append(w.forward, func(_ zinniatide.SubRequest, done func(zinniatide.SubResult)) { late = done })
+		r := w.request()
+		r.Deadline = w.clock.Now() + 30
+		body, err := w.executor().Execute(r)
+		check(t, body, err, "", zinniatide.CodeDeadlinePassed, "unknown")
+		w.checkFinished(t)
+		late(zinniatide.SubResult{Outcome: outcome, Body: []byte("{}")})
+		late(zinniatide.SubResult{Outcome: zinniatide.OutcomeNotRun}) // doubled
+		w.checkFinished(t, outcome)
+		if len(w.sent) != 1 {
+			t.Errorf("%s: got %d dispatches, want 1", outcome, len(w.sent))
+		}
+	}
+}
+
+// Guards against an execute that fails during a hand-over, or that stays with a
+// version that its server has dropped.
+func TestRefusalsLeadToAnotherAttempt(t *testing.T) {
+	w := newWorld(1)
+	w.claim = append(w.claim, granted)
+	refuse := func(code zinniatide.Code) func(zinniatide.SubRequest, func(zinniatide.SubResult)) {
+		return answer(zinniatide.SubResult{Outcome: zinniatide.OutcomeNotRun, Code: code})
+	}
+	setting := w.conf.Services["s"]
+	setting.Versions = append(setting.Versions, zinniatide.IndexVersionSetting{Version: 2, ShardCount: 1})
+	w.conf.Services["s"] = setting
+	offer := &w.catalog.Servers[0].Offers[0]
+	offer.Searchers = append(offer.Searchers, zinniatide.Searcher{Version: 2, KeyRange: zinniatide.KeyRange{Last: zinniatide.KeySpace}})
+	w.forward = append(w.forward, refuse(zinniatide.CodeWrongVersion), refuse(zinniatide.CodeNotOwner),
+		answer(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: make([]byte, zinniatide.MaxRecordedBody+1)}))
+	body, err := w.executor().Execute(w.request())
+	if err != nil || len(body) != zinniatide.MaxRecordedBody+1 {
+		t.Fatalf("got %d bytes, %v", len(body), err)
+	}
+	var versions []zinniatide.IndexVersion
+	for _, r := range w.sent {
+		versions = append(versions, r.Version)
+	}
+	if got, want := fmt.Sprint(versions), "[3 2 2]"; got != want {
+		t.Errorf("got versions %s, want %s", got, want)
+	}
+	w.checkFinished(t, "done")
+	if len(w.finished[0].Body) != 0 {
+		t.Errorf("recorded %d bytes, more than may be kept", len(w.finished[0].Body))
+	}
+}
+
+// Guards against two different requests with one digest.
+func TestDigestCoversEveryPart(t *testing.T) {
+	base := zinniatide.ExecuteRequest{Service: "s", Tenant: "t", Key: 1, Body: []byte("b")}
+	variants := []zinniatide.ExecuteRequest{base, base, base, base, base}
+	variants[1].Service, variants[2].Tenant, variants[3].Key, variants[4].Body = "st", "u", 2, []byte("c")
+	moved := base
+	moved.Service, moved.Tenant = "st", ""
+	variants = append(variants, moved)
+	seen := map[zinniatide.Fingerprint]int{}
+	for i := range variants {
+		d := executor.Digest(&variants[i])
+		if j, ok := seen[d]; ok {
+			t.Errorf("requests %d and %d have the same digest", i, j)
+		}
+		seen[d] = i
+	}
+}
--- a/querier/progress.go
+++ b/querier/progress.go
@@ -354,11 +354,11 @@
 func (r *run) hedge(now zinniatide.Millis, g *generation, shard int) {
 	s := &g.shards[shard]
 	s.hedgeAt = 0
-	limit := r.config.HedgesPerShard
-	if r.canary {
-		limit = min(limit, int(s.hedges)+r.canaryServers-r.canaryUsed())
+	if s.pending == 0 || int(s.hedges) >= r.config.HedgesPerShard || !r.untried(now, g, shard) {
+		return
 	}
-	if s.pending == 0 || int(s.hedges) >= limit || !r.untried(now, g, shard) {
+	if r.canary && r.canaryUsed() >= r.canaryServers {
+		s.hedgeAt = now + r.hedgeWait // the canary phase may end before
 		return
 	}
 	if !r.budgets.hedges.take() {
