Keep idle tenants from saving up a claim; test mixes of faults

Change: virtual times are set on arrival only; only shed and overloaded count as shedding; tables and a property test over mixes of faults.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -143,15 +143,17 @@
 	return it.state
 }
 
-// Observe adds the result of a sub-request, with the load of its backend
+// Observe adds the result of a sub-request. It carries the load of the backend
 // server that the owner has counted.
-func (a *Admitter) Observe(service zinniatide.ServiceID, inFlight, queued uint16, outcome zinniatide.Outcome) {
+func (a *Admitter) Observe(service zinniatide.ServiceID, r *zinniatide.SubResult) {
 	if a == nil {
 		return
 	}
+	// Other refusals, such as not-owner, do not mean that a server is busy.
+	shed := r.Outcome == zinniatide.OutcomeNotRun && (r.Code == zinniatide.CodeShed || r.Code == zinniatide.CodeOverloaded)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if g := a.gates[service]; g != nil {
-		g.limiter.observe(inFlight, queued, outcome == zinniatide.OutcomeNotRun)
+		g.limiter.observe(r.InFlight, r.Queued, shed)
 	}
 }
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -86,6 +86,12 @@
 func (g *gate) arrive(now zinniatide.Millis, it *item, setting *zinniatide.ServiceSetting) {
 	c := g.queue(&it.Request, setting)
 	it.class = c
+	if c.tenant.count == 0 {
+		c.tenant.virtual = max(c.tenant.virtual, g.clock)
+	}
+	if len(c.items) == 0 {
+		c.virtual = max(c.virtual, c.tenant.clock)
+	}
 	if g.count == 0 && g.fits(it) {
 		g.admit(now, it)
 		return
@@ -95,12 +101,6 @@
 		it.state = refused
 		return
 	}
-	if c.tenant.count == 0 {
-		c.tenant.virtual = max(c.tenant.virtual, g.clock)
-	}
-	if len(c.items) == 0 {
-		c.virtual = max(c.virtual, c.tenant.clock)
-	}
 	c.items = append(c.items, it)
 	g.add(c, 1, it.Cost)
 	g.serve(now)
@@ -122,10 +122,8 @@
 // admit starts a request and charges its queue.
 func (g *gate) admit(now zinniatide.Millis, it *item) {
 	c, t := it.class, it.class.tenant
-	t.virtual = max(t.virtual, g.clock)
 	g.clock = t.virtual
 	t.virtual += float64(it.Cost) / t.share
-	c.virtual = max(c.virtual, t.clock)
 	t.clock = c.virtual
 	c.virtual += float64(it.Cost) / c.weight
 	it.state, it.admittedAt, it.left = admitted, now, it.Cost
--- a/admitter/limiter.go
+++ b/admitter/limiter.go
@@ -39,11 +39,11 @@
 }
 
 // observe adds a result.
-func (l *limiter) observe(inFlight, queued uint16, notRun bool) {
+func (l *limiter) observe(inFlight, queued uint16, shed bool) {
 	l.results++
 	l.busy += int(inFlight)
 	l.queued += int(queued)
-	if notRun {
+	if shed {
 		l.shed++
 	}
 }
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -139,3 +139,75 @@
 		t.Errorf("got %d waiting, %d running, want the late ones refused and the last one running", g.count, g.running)
 	}
 }
+
+// Guards against a tenant or class that was idle and then takes everything, or
+// that has to wait because it was busy before.
+func TestIdleTimeIsNotSavedUp(t *testing.T) {
+	c := DefaultConfig()
+	g, s := newGate(&c), setting()
+	g.limiter.resize(&c, 1, 1)
+	served := map[zinniatide.TenantID]map[zinniatide.ClassID]int{"a": {}, "b": {}}
+	var running *item
+	arrive := func(tenant zinniatide.TenantID, class zinniatide.ClassID, n int) {
+		for range n {
+			it := &item{Request: Request{Tenant: tenant, Class: class, Cost: 1, Deadline: 1000}}
+			it.ended = func() { served[tenant][class]++; running = it }
+			if g.arrive(1, it, &s); it.state == admitted {
+				running = it
+			}
+		}
+	}
+	finish := func(n int) {
+		for range n {
+			g.release(1, running, 1)
+		}
+	}
+	arrive("b", "slow", 300)
+	finish(200)
+	arrive("a", "slow", 100)
+	finish(40)
+	if got := served["a"]["slow"]; got < 29 || got > 31 {
+		t.Errorf("got %d of 40 for the tenant that was idle, want 30", got)
+	}
+	arrive("a", "fast", 100)
+	before := served["a"]["slow"]
+	finish(40)
+	if got := served["a"]["fast"]; got < 23 || got > 25 || served["a"]["slow"]-before < 5 {
+		t.Errorf("got %d fast and %d slow of 40, want 24 and 6", got, served["a"]["slow"]-before)
+	}
+}
+
+// Guards against a limit that ignores the queues of the servers, or that grows
+// while nobody waits.
+func TestLimitFollowsQueues(t *testing.T) {
+	c := DefaultConfig()
+	tests := []struct {
+		name             string
+		queued, shed     int // requests at a server with 2 busy slots, refusals of 100
+		blocked          bool
+		least, most, end float64 // bounds of the limit after 1 and many intervals
+	}{
+		{"long queues", 6, 0, true, 7, 9.1, 5},
+		{"shedding", 0, 3, true, 7, 9.1, 5},
+		{"short queues, requests wait", 0, 0, true, 10.4, 10.6, 400},
+		{"short queues, nobody waits", 0, 0, false, 10, 10, 10},
+		{"queues as wanted", 1, 0, true, 10, 10, 10},
+	}
+	for _, test := range tests {
+		var l limiter
+		l.resize(&c, 100, 10)
+		for i := range 200 {
+			for n := range 100 {
+				l.observe(2, uint16(test.queued), n < test.shed)
+			}
+			l.blocked = test.blocked
+			l.adjust(&c, zinniatide.Millis(100*(i+1)))
+			if i == 0 && (l.limit < test.least || l.limit > test.most) {
+				t.Errorf("%s: got limit %g after one interval, want %g to %g", test.name, l.limit, test.least, test.most)
+			}
+		}
+		if l.limit != test.end {
+			t.Errorf("%s: got limit %g in the end, want %g", test.name, l.limit, test.end)
+		}
+	}
+}
--- a/executor/call.go
+++ b/executor/call.go
@@ -269,6 +269,7 @@
 			return
 		}
 		c.judge(&result)
+		x.Admitter.Observe(c.request.Service, &result)
 		replica.Record.Result(service, x.Clock.Now(), now, &result)
 		if state.CompareAndSwap(false, true) {
 			s.post(event{result: result})
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -215,6 +215,16 @@
 	if got, want := int(c.sent.Load()), 40*shards+4; got != want {
 		t.Errorf("got %d sub-requests, want %d", got, want)
 	}
+	// The VM that ran the canary needs no guard for it afterwards.
+	body := "a"
+	for c.nodes[0].guard.Guard(quarantiner.Fingerprint("s", []byte(body))) == "e0" {
+		body += "a"
+	}
+	c.search(0, body)
+	c.cut["e0"] = true
+	if p, _ := c.nodes[0].guard.Enter(quarantiner.Fingerprint("s", []byte(body)), 1<<40); p.CanaryServers() != 0 {
+		t.Errorf("got %d canary servers for a completed request, want none", p.CanaryServers())
+	}
 }
 
 // Guards against a request that waits for a guard that cannot be reached, and
--- a/querier/driver.go
+++ b/querier/driver.go
@@ -168,7 +168,7 @@
 			return // a doubled result must not be counted twice
 		}
 		records[i].Result(service, q.Clock.Now(), now, &result)
-		q.Admitter.Observe(d.run.request.Service, result.InFlight, result.Queued, result.Outcome)
+		q.Admitter.Observe(d.run.request.Service, &result)
 		d.ticket.Part()
 		open := d.box.post(event{kind: eventResult, gen: gen, number: first + i, result: result})
 		if !open && result.Crashed {
--- a/querier/faults_test.go
+++ b/querier/faults_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"zinniatide.example/zinniatide"
 )
 
@@ -62,6 +64,9 @@
 		{"an older whole version is preferred", []zinniatide.IndexVersionSetting{version(7, 4), version(8, 2)}, unserve(8), always(done(1)), 7, 4, "", "", 4},
 		{"the version has disappeared", []zinniatide.IndexVersionSetting{version(7, 4), version(8, 2)}, nil, ofVersion(7), 7, 4, "", "", 0},
 		{"the other version covers no more", []zinniatide.IndexVersionSetting{version(7, 4), version(8, 4)}, unserve(7), onShard(0, always(refuse(zinniatide.CodeWrongVersion))), 8, 3, "", "", 5},
+		{"no time for a restart", []zinniatide.IndexVersionSetting{version(7, 1), version(8, 1)}, func(w *world) {
+			w.table.Service("s").Sample(w.now, 299)
+		}, ofVersion(7), 0, 0, "wrong-version", "not-run", 2},
 		{"all replicas shed", []zinniatide.IndexVersionSetting{version(7, 2)}, nil, always(refuse(zinniatide.CodeShed)), 0, 0, "shed", "not-run", 0},
 		{"all replicas are lost", []zinniatide.IndexVersionSetting{version(7, 2)}, nil, always(lost(zinniatide.CodeServerGone, false)), 0, 0, "server-gone", "unknown", 4},
 		{"one shard is lost", []zinniatide.IndexVersionSetting{version(7, 2)}, nil, onShard(0, always(lost(zinniatide.CodeServerGone, false))), 7, 1, "", "", 3},
@@ -230,3 +235,45 @@
 		}
 	}
 }
+
+// Guards against any mix of faults that makes a query ask a server twice for a
+// shard, outlive its deadline, lose count or answer with another coverage.
+func TestAnyMixOfFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 3).Draw(t, "replicas"), version(7, uint32(rapid.IntRange(1, 6).Draw(t, "shards"))), version(8, 3))
+		w.budgets.hedges.tokens = 5
+		type asked struct {
+			server  zinniatide.BackendServerID
+			version zinniatide.IndexVersion
+		}
+		repeatable := map[asked]bool{}
+		w.reply = func(_ *world, r *zinniatide.SubRequest) (zinniatide.Millis, *zinniatide.SubResult) {
+			a := asked{r.Server, r.Version}
+			if again, seen := repeatable[a]; seen && !again {
+				t.Errorf("server %s was asked again", r.Server)
+			}
+			results := []*zinniatide.SubResult{done(1), done(1), nil, crash(), lost(zinniatide.CodePeerLost, false),
+				refuse(zinniatide.CodeWrongVersion), refuse(zinniatide.CodeShed), refuse(zinniatide.CodeNotOwner), done(0)}
+			n := rapid.IntRange(0, len(results)-1).Draw(t, "result")
+			repeatable[a] = n == 6 || n == 7
+			return zinniatide.Millis(rapid.IntRange(0, 150).Draw(t, "delay")), results[n]
+		}
+		answer, refusal, took := w.search(200, rapid.IntRange(0, 2).Draw(t, "canary"))
+		if took > 200 {
+			t.Errorf("took %d ms of 200", took)
+		}
+		if refusal == nil && answer.Coverage.ShardsAnswered != int(answer.Total) {
+			t.Errorf("got %d shards, total %d", answer.Coverage.ShardsAnswered, answer.Total)
+		}
+		for _, g := range w.run.gens {
+			for i, s := range g.shards {
+				if s.pending != 0 {
+					t.Errorf("shard %d: got %d in flight after the end", i, s.pending)
+				}
+			}
+		}
+		for _, e := range w.events {
+			e.do(w.now + 1000)
+		}
+	})
+}
--- a/querier/progress.go
+++ b/querier/progress.go
@@ -60,7 +60,7 @@
 	r.crashOpen = true
 	tried := !r.proven || s.permit
 	if !r.canary {
-		s.waiting, s.permit = true, false
+		s.permit = false
 		r.carrier.crashed(gen, shard, tried, true)
 		return
 	}
@@ -89,7 +89,7 @@
 // close ends the work on a shard.
 func (r *run) close(g *generation, shard int) {
 	s := &g.shards[shard]
-	s.closed, s.retryAt, s.hedgeAt, s.waiting = true, 0, 0, false
+	s.closed, s.retryAt, s.hedgeAt = true, 0, 0
 	g.open--
 	for i := s.last; i >= 0 && s.pending > 0; i = g.attempts[i].before {
 		r.abandon(g, int(i))
@@ -277,7 +277,6 @@
 		r.finish()
 		return
 	}
-	g.shards[shard].waiting = false
 	if !allowed {
 		if g.shards[shard].pending == 0 {
 			r.lose(now, g, shard)
--- a/querier/run.go
+++ b/querier/run.go
@@ -54,7 +54,6 @@
 	hedges   int16
 	tries    int16             // delayed attempts so far, for the exponential delay
 	closed   bool              // answered or given up
-	waiting  bool              // for permission to ask another server after a crash
 	permit   bool              // another server is asked with that permission
 	retryAt  zinniatide.Millis // zero when no retry is due
 	hedgeAt  zinniatide.Millis // zero when no hedge is due
