--- a/cmd/zinniabench/scenarios/cold.go
+++ b/cmd/zinniabench/scenarios/cold.go
@@ -13,13 +13,13 @@
 var trueRamp = zinniatide.ColdStartSetting{InitialRate: 20, DoubleAfter: 10, FullRate: 160}
 
 const (
-	coldRate  = 60 // queries per second
+	coldRate  = 150 // queries per second
 	coldTime  = 12 * time.Second
 	coldAfter = 3 * time.Second
 )
 
 // coldPlan is a service of 8 shards with three replicas each, so that each
-// server gets about 20 requests per second.
+// server gets about 50 requests per second, above what it bears after a start.
 func coldPlan(cold zinniatide.ColdStartSetting) plan {
 	return plan{
 		shards: 8, serversPerZone: 8, searchers: 1, slots: 2, serviceTime: 3, minTime: 1,
@@ -40,7 +40,7 @@
 			_ = s.Start() // a port that is taken leaves the server down, which the counts show
 		}
 		time.Sleep(1500 * time.Millisecond)
-		c.Kill(len(zones) * 1) // e4, an entry VM of zone-1
+		c.Kill(len(zones)) // the second entry VM of the zone
 	}
 	return runCold(e, "cold-start", disturb)
 }}
--- a/gateway/addresses.go
+++ b/gateway/addresses.go
@@ -44,10 +44,29 @@
 	return l.all
 }
 
+// connected leaves out the VMs without a live link, so that callers are not
+// sent to a VM that was lost and whose lease still runs. When more than half
+// of the links are down, this VM is cut off itself and leaves out none.
+func connected(all []address, live func(zinniatide.VMID) bool) []address {
+	if live == nil {
+		return all
+	}
+	kept := make([]address, 0, len(all))
+	for _, a := range all {
+		if live(a.VM) {
+			kept = append(kept, a)
+		}
+	}
+	if 2*len(kept) < len(all) {
+		return all
+	}
+	return kept
+}
+
 // answer lists the serving VMs, those of zone first. Both groups start one
 // further with each answer, so that callers spread over them.
-func (t *addressTable) answer(c *zinniatide.Configuration, zone zinniatide.ZoneID) []address {
-	all := t.list(c)
+func (t *addressTable) answer(c *zinniatide.Configuration, zone zinniatide.ZoneID, live func(zinniatide.VMID) bool) []address {
+	all := connected(t.list(c), live)
 	near := make([]address, 0, len(all))
 	var far []address
 	for _, a := range all {
@@ -86,7 +105,7 @@
 	r.answer(fasthttp.StatusOK, struct {
 		Addresses []address         `json:"addresses"`
 		Lifetime  zinniatide.Millis `json:"lifetime-ms"`
-	}{g.addresses.answer(g.deps.Configuration.Configuration(), zinniatide.ZoneID(zone)), zinniatide.AddressLifetime})
+	}{g.addresses.answer(g.deps.Configuration.Configuration(), zinniatide.ZoneID(zone), g.deps.Connected), zinniatide.AddressLifetime})
 }
 
 // health tells whether this VM takes new work. It is answered with status 200
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,9 @@
 	Querier       zinniatide.Querier
 	Executor      zinniatide.Executor
 	Announcer     zinniatide.Announcer
+	// Connected reports whether a live link to a VM exists; nil lists every
+	// serving VM.
+	Connected func(zinniatide.VMID) bool
 	// Operator is nil on VMs without the control role.
 	Operator   zinniatide.Operator
 	Registerer prometheus.Registerer
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -155,13 +156,27 @@
 		return nil, zinniatide.WrapStep(err, "encode search", address)
 	}
 	answer := new(SearchAnswer)
-	if err := l.call("POST", address, "/v1/search", body, l.cfg.Timeout+time.Second, answer); err != nil {
+	err = l.call("POST", address, "/v1/search", body, l.cfg.Timeout+time.Second, answer)
+	for tries := 0; refused(err) && tries < maxConnects; tries++ {
+		l.Forget(address)
+		if address, err = l.Address(); err == nil {
+			err = l.call("POST", address, "/v1/search", body, l.cfg.Timeout+time.Second, answer)
+		}
+	}
+	if err != nil {
 		l.Forget(address)
 		return nil, err
 	}
 	return answer, check(id, answer)
 }
 
+// maxConnects is how many further addresses a caller tries.
+const maxConnects = 4
+
+// refused reports whether the connection was refused, so that no byte of the
+// request was sent.
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // check compares the answer with the documents that the stand-ins return: a
 // shard of n keys reports n matches.
 func check(id zinniatide.RequestID, a *SearchAnswer) error {
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,10 @@
 	Route func(peer zinniatide.VMID, address string) string
 	// Query is the policy of searches.
 	Query querier.Config
+	// WithoutQuarantine sends every request without a canary, and
+	// WithoutAdmission admits every request. Measurements compare with them.
+	WithoutQuarantine bool
+	WithoutAdmission  bool
 }
 
 // Node is one process of the query tier.
--- a/observer/server.go
+++ b/observer/server.go
@@ -19,6 +19,12 @@
 	forgetAfter zinniatide.Millis = 5000
 	// failureLatency is the least latency that a failure counts for.
 	failureLatency = 50.0
+	// firstPause and maxPause bound how long a server is avoided after it, or
+	// its owner, could not be reached. Without a pause, a lost zone takes part in
+	// every plan until its servers have expired, and the retries of every query
+	// exceed the retry budget.
+	firstPause zinniatide.Millis = 100
+	maxPause   zinniatide.Millis = 2000
 	// coldPenalty multiplies the score of a server that reports that it is not
 	// warm.
 	coldPenalty = 2.0
@@ -34,6 +40,9 @@
 	reported  atomic.Int32 // announced by the server itself
 	reportAt  atomic.Int64
 	cold      atomic.Bool
+
+	unreachable atomic.Int32 // results in a row that did not reach the server
+	pausedUntil atomic.Int64
 }
 
 // Begin counts a sub-request that is about to be sent.
@@ -49,6 +58,7 @@
 // server and for the distribution of its service.
 func (s *Server) Result(service *Service, now, sent zinniatide.Millis, r *zinniatide.SubResult) {
 	s.End()
+	s.reach(now, r)
 	latency := now - sent
 	switch {
 	case r.Outcome == zinniatide.OutcomeDone:
@@ -66,6 +76,26 @@
 	}
 }
 
+// reach counts results that did not reach the server in a row. Each one doubles
+// the pause.
+func (s *Server) reach(now zinniatide.Millis, r *zinniatide.SubResult) {
+	switch r.Code {
+	case zinniatide.CodePeerLost, zinniatide.CodeServerGone:
+		if s.Paused(now) {
+			return // sent before the pause began
+		}
+		n := s.unreachable.Add(1)
+		s.pausedUntil.Store(int64(now + min(firstPause<<min(n-1, 10), maxPause)))
+	case "":
+		s.unreachable.Store(0)
+		s.pausedUntil.Store(0)
+	}
+}
+
+// Paused reports whether the server should be avoided because it could not be
+// reached a moment ago.
+func (s *Server) Paused(now zinniatide.Millis) bool { return int64(now) < s.pausedUntil.Load() }
+
 // Sample adds the latency of an answer.
 func (s *Server) Sample(now, latency zinniatide.Millis) {
 	s.update(now, func(old float64) float64 {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -94,22 +94,24 @@
 
 // Pick chooses a replica of a shard by the power of two choices: the better of
 // two random replicas, by in-flight count and latency. Servers in barred are
-// left out. It returns nil when no replica is left, and does not allocate.
+// left out, and servers that could not be reached a moment ago are chosen only
+// when there is no other. It returns nil when no replica is left, and does not
+// allocate.
 func Pick(v *Version, shard int, barred []zinniatide.BackendServerID, now zinniatide.Millis, random *rand.Rand) *Replica {
-	replicas := v.Replicas(shard)
-	free := countFree(replicas, barred)
+	c := candidates{replicas: v.Replicas(shard), barred: barred, now: now}
+	free := c.count()
 	switch free {
 	case 0:
 		return nil
 	case 1:
-		return nth(replicas, barred, 0)
+		return c.nth(0)
 	}
 	a := random.IntN(free)
 	b := random.IntN(free - 1)
 	if b >= a {
 		b++
 	}
-	first, second := nth(replicas, barred, a), nth(replicas, barred, b)
+	first, second := c.nth(a), c.nth(b)
 	if score(second, now) < score(first, now) {
 		return second
 	}
@@ -117,39 +119,67 @@
 }
 
 // PickRandom chooses a random replica of a shard, by the same rules otherwise.
-func PickRandom(v *Version, shard int, barred []zinniatide.BackendServerID, _ zinniatide.Millis, random *rand.Rand) *Replica {
-	replicas := v.Replicas(shard)
-	free := countFree(replicas, barred)
+func PickRandom(v *Version, shard int, barred []zinniatide.BackendServerID, now zinniatide.Millis, random *rand.Rand) *Replica {
+	c := candidates{replicas: v.Replicas(shard), barred: barred, now: now}
+	free := c.count()
 	if free == 0 {
 		return nil
 	}
-	return nth(replicas, barred, random.IntN(free))
+	return c.nth(random.IntN(free))
 }
 
-func countFree(replicas []Replica, barred []zinniatide.BackendServerID) int {
-	free := len(replicas)
-	for i := range replicas {
-		if len(barred) > 0 && slices.Contains(barred, replicas[i].Server) {
-			free--
-		}
+// candidates are the replicas of a shard among which a choice is made.
+type candidates struct {
+	replicas  []Replica
+	barred    []zinniatide.BackendServerID
+	now       zinniatide.Millis
+	desperate bool // every replica that is not barred is paused
+}
+
+func (c *candidates) free(r *Replica) bool {
+	if len(c.barred) > 0 && slices.Contains(c.barred, r.Server) {
+		return false
 	}
-	return free
+	return c.desperate || !r.Record.Paused(c.now)
 }
 
-func nth(replicas []Replica, barred []zinniatide.BackendServerID, n int) *Replica {
-	if len(barred) == 0 {
-		return &replicas[n]
+func (c *candidates) count() int {
+	if n := c.countFree(); n > 0 {
+		return n
 	}
-	for i := range replicas {
-		if slices.Contains(barred, replicas[i].Server) {
+	c.desperate = true
+	return c.countFree()
+}
+
+func (c *candidates) countFree() int {
+	n := 0
+	for i := range c.replicas {
+		if c.free(&c.replicas[i]) {
+			n++
+		}
+	}
+	return n
+}
+
+// nth returns the candidate with the given number, or another one when servers
+// have been paused since they were counted.
+func (c *candidates) nth(n int) *Replica {
+	var last *Replica
+	for i := range c.replicas {
+		if !c.free(&c.replicas[i]) {
 			continue
 		}
+		last = &c.replicas[i]
 		if n == 0 {
-			return &replicas[i]
+			return last
 		}
 		n--
 	}
-	return nil
+	if last == nil && !c.desperate {
+		c.desperate = true
+		return c.nth(0)
+	}
+	return last
 }
 
 func score(r *Replica, now zinniatide.Millis) float64 {
--- a/replication.go
+++ b/replication.go
@@ -67,9 +67,9 @@
 	LeaseDuration     Millis = 4000
 	// LeaseMargin covers the drift between two clocks over one lease.
 	LeaseMargin Millis = 400
-	// MaxRequestTime is the longest that a sub-request may hold a slot. It is
-	// below the lease, so a lost owner's work has ended when its lease has.
-	MaxRequestTime     Millis = 3900
+	// MaxRequestTime is the longest deadline of a request. It is below the part of
+	// a lease that is left between two heartbeats.
+	MaxRequestTime     Millis = 3500
 	AnnounceInterval   Millis = 1000
 	AnnouncementExpiry Millis = 4000
 	AddressLifetime    Millis = 5000
