End the canary of a request whose result arrives after the deadline

Cause: a late not-run left the canary open, so identical requests waited and were refused as overloaded until the grant ran out, and on this VM for good. Change: the late result ends the pass; a flight that is older than its grant is replaced; shards that wait for a canary are planned on the newest index. Figures: without the change TestResultAfterTheDeadline fails for not-run. Conclusion: fixed.

--- a/executor/call.go
+++ b/executor/call.go
@@ -276,6 +276,7 @@
 			return
 		}
 		c.record(&result)
+		c.pass.End()
 	})
 	e := <-s
 	if !e.timeout {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -15,6 +15,7 @@
 	"zinniatide.example/zinniatide/executor"
 	"zinniatide.example/zinniatide/observer"
 	"zinniatide.example/zinniatide/planner"
+	"zinniatide.example/zinniatide/quarantiner"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -32,8 +33,14 @@
 	sent     []zinniatide.SubRequest
 	finished []zinniatide.ClaimResult
 	lease    zinniatide.Millis
+	guard    *quarantiner.Quarantiner
 }
 
+// noLink is the Linker of a VM without peers.
+type noLink struct{ zinniatide.Linker }
+
+func (noLink) Handle(zinniatide.MessageKind, zinniatide.LinkHandler) {}
+
 func (w *world) Configuration() *zinniatide.Configuration { return w.conf }
 func (w *world) LeaseUntil() zinniatide.Millis            { return w.lease }
 func (w *world) Catalog() *zinniatide.Catalog             { return w.catalog }
@@ -84,8 +91,10 @@
 
 func (w *world) executor() *executor.Executor {
 	table := observer.New()
+	w.guard = quarantiner.New(quarantiner.DefaultConfig(), quarantiner.Dependencies{VM: "e1", Clock: w.clock, Timer: timer.New(),
+		Linker: noLink{}, ServingVMs: func() []zinniatide.VMID { return []zinniatide.VMID{"e1"} }})
 	return executor.New(executor.DefaultConfig(), executor.Dependencies{
-		VM: "e1", Clock: w.clock, Timer: timer.New(), Configurations: w, Claims: w, Forwarder: w, Observer: table,
+		VM: "e1", Clock: w.clock, Timer: timer.New(), Configurations: w, Claims: w, Forwarder: w, Observer: table, Quarantiner: w.guard,
 		Planner: planner.New(w, w, table, "a", w.clock, 0), Random: rand.New(rand.NewPCG(1, 1)),
 	})
 }
@@ -223,8 +232,8 @@
 	}
 }
 
-// Guards against a result that arrives after the deadline being dropped, or
-// causing a second dispatch.
+// Guards against a result that arrives after the deadline being dropped,
+// causing a second dispatch, or leaving the canary of its fingerprint open.
 func TestResultAfterTheDeadline(t *testing.T) {
 	for _, outcome := range []zinniatide.Outcome{zinniatide.OutcomeDone, zinniatide.OutcomeNotRun, zinniatide.OutcomeUnknown} {
 		w := newWorld(2)
@@ -242,6 +251,31 @@
 		if len(w.sent) != 1 {
 			t.Errorf("%s: got %d dispatches, want 1", outcome, len(w.sent))
 		}
+		if _, refusal := w.guard.Enter(w.sent[0].Fingerprint, w.clock.Now()+60); refusal != nil {
+			t.Errorf("%s: the same request got %v afterwards", outcome, refusal)
+		}
+	}
+}
+
+// Guards against a deadly request that takes more than two servers when it is
+// sent under new request ids.
+func TestDeadlyRequestIsQuarantined(t *testing.T) {
+	w := newWorld(5)
+	w.claim = append(w.claim, granted)
+	w.forward = append(w.forward, answer(zinniatide.SubResult{Outcome: zinniatide.OutcomeUnknown, Code: zinniatide.CodeServerGone, Crashed: true}))
+	x := w.executor()
+	for i := range 5 {
+		r := w.request()
+		r.RequestID = zinniatide.RequestID(fmt.Sprintf("9000-abcdefg%d", i))
+		body, err := x.Execute(r)
+		if i < 2 {
+			check(t, body, err, "", zinniatide.CodeServerGone, "unknown")
+		} else {
+			check(t, body, err, "", zinniatide.CodeQuarantined, "not-run")
+		}
+	}
+	if len(w.sent) != 2 {
+		t.Errorf("got %d dispatches, want 2", len(w.sent))
 	}
 }
 
--- a/quarantiner/pass.go
+++ b/quarantiner/pass.go
@@ -15,7 +15,7 @@
 	mu      sync.Mutex
 	token   uint64 // of the canary; zero when there is none
 	servers int
-	flight  chan struct{}
+	flight  *flight
 }
 
 // CanaryServers returns on how many backend servers the request may run before
@@ -49,7 +49,7 @@
 	return nil
 }
 
-// Enter blocks until the request may run, at most until half of the time to its
+// Enter blocks until the request may run, at most until half of the time to
 // deadline has passed. Every Pass must be ended with End.
 func (q *Quarantiner) Enter(f zinniatide.Fingerprint, deadline zinniatide.Millis) (*Pass, *zinniatide.Refusal) {
 	if q == nil {
@@ -58,15 +58,15 @@
 	now := q.Clock.Now()
 	until := now + min((deadline-now)/2, q.config.WaitLimit)
 	for {
-		flight, leader, d := q.join(f)
+		fl, leader, d := q.join(f)
 		switch {
 		case d == decisionGo:
 			return &Pass{q: q, print: f}, nil
 		case d == decisionQuarantine:
 			return nil, q.refusal()
 		case leader:
-			return q.lead(f, flight, until)
-		case !q.wait(flight, until-q.Clock.Now()):
+			return q.lead(f, fl, until)
+		case !q.wait(fl.ended, until-q.Clock.Now()):
 			return nil, zinniatide.Refuse(zinniatide.CodeOverloaded, "an identical request is being tried first and has not ended in time")
 		}
 	}
@@ -74,7 +74,7 @@
 
 // join decides from what this VM knows. Otherwise it returns the flight of the
 // fingerprint, and whether the caller leads it.
-func (q *Quarantiner) join(f zinniatide.Fingerprint) (flight chan struct{}, leader bool, d decision) {
+func (q *Quarantiner) join(f zinniatide.Fingerprint) (fl *flight, leader bool, d decision) {
 	now := q.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -85,29 +85,30 @@
 	case s != nil && s.quarantined != 0:
 		return nil, false, decisionQuarantine
 	}
-	if flight = q.flights[f]; flight != nil {
-		return flight, false, decisionWait
+	fl = q.flights[f]
+	if fl != nil && now-fl.start < q.config.WaitLimit+q.config.GrantLifetime {
+		return fl, false, decisionWait
 	}
-	flight = make(chan struct{})
-	q.flights[f] = flight
-	return flight, true, decisionWait
+	if fl != nil {
+		close(fl.ended) // its grant has ended long ago
+	}
+	fl = &flight{start: now, ended: make(chan struct{})}
+	q.flights[f] = fl
+	return fl, true, decisionWait
 }
 
 // land ends a flight. It does nothing when the flight has ended or is nil.
-func (q *Quarantiner) land(f zinniatide.Fingerprint, flight chan struct{}) {
-	if flight == nil {
-		return
-	}
+func (q *Quarantiner) land(f zinniatide.Fingerprint, fl *flight) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.flights[f] == flight {
+	if fl != nil && q.flights[f] == fl {
 		delete(q.flights, f)
-		close(flight)
+		close(fl.ended)
 	}
 }
 
-// wait waits for a flight to end, at most for d. It returns false after d.
-func (q *Quarantiner) wait(flight <-chan struct{}, d zinniatide.Millis) bool {
+// wait waits for a channel to be closed, at most for d. It returns false after d.
+func (q *Quarantiner) wait(ended <-chan struct{}, d zinniatide.Millis) bool {
 	if d <= 0 {
 		return false
 	}
@@ -115,7 +116,7 @@
 	stop := q.Timer.After(d, func() { close(expired) })
 	defer stop()
 	select {
-	case <-flight:
+	case <-ended:
 		return true
 	case <-expired:
 		return false
@@ -123,7 +124,7 @@
 }
 
 // lead asks the guard until it decides, at most until until.
-func (q *Quarantiner) lead(f zinniatide.Fingerprint, flight chan struct{}, until zinniatide.Millis) (*Pass, *zinniatide.Refusal) {
+func (q *Quarantiner) lead(f zinniatide.Fingerprint, fl *flight, until zinniatide.Millis) (*Pass, *zinniatide.Refusal) {
 	for {
 		token := newToken()
 		replies := make(chan canaryReply, 1)
@@ -132,20 +133,20 @@
 		switch reply.Decision {
 		case decisionCanary:
 			q.canaries.Inc()
-			return &Pass{q: q, print: f, token: token, servers: reply.Servers, flight: flight}, nil
+			return &Pass{q: q, print: f, token: token, servers: reply.Servers, flight: fl}, nil
 		case decisionGo:
 			q.mu.Lock()
 			q.table.proof(q.Clock.Now(), f)
 			q.mu.Unlock()
-			q.land(f, flight)
+			q.land(f, fl)
 			return &Pass{q: q, print: f}, nil
 		case decisionQuarantine:
-			q.land(f, flight)
+			q.land(f, fl)
 			return nil, q.refusal()
 		}
 		left := until - q.Clock.Now()
 		if left <= 0 {
-			q.land(f, flight)
+			q.land(f, fl)
 			return nil, zinniatide.Refuse(zinniatide.CodeOverloaded, "an identical request is being tried first and has not ended in time")
 		}
 		q.wait(nil, min(q.config.AskInterval, left))
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -35,20 +35,25 @@
 // is safe for concurrent use. A nil Quarantiner lets everything run.
 type Quarantiner struct {
 	Dependencies
-	config Config
-	mu     sync.Mutex
-	table  *table
-	// flights holds a channel for each fingerprint that this VM asks about or
-	// runs a canary of. It is closed when that has ended.
-	flights  map[zinniatide.Fingerprint]chan struct{}
+	config   Config
+	mu       sync.Mutex
+	table    *table
+	flights  map[zinniatide.Fingerprint]*flight
 	canaries prometheus.Counter
 	refused  prometheus.Counter
 	strikes  prometheus.Counter
 }
 
+// flight is a fingerprint that this VM asks about or runs a canary of. Others
+// with the same fingerprint wait for its end instead of asking the guard too.
+type flight struct {
+	start zinniatide.Millis
+	ended chan struct{}
+}
+
 // New returns a Quarantiner and registers its handlers at the linker.
 func New(config Config, d Dependencies) *Quarantiner {
-	q := &Quarantiner{Dependencies: d, config: config, flights: make(map[zinniatide.Fingerprint]chan struct{})}
+	q := &Quarantiner{Dependencies: d, config: config, flights: make(map[zinniatide.Fingerprint]*flight)}
 	q.table = newTable(&q.config)
 	q.canaries = prometheus.NewCounter(prometheus.CounterOpts{Name: "zinniatide_canaries_total", Help: "Requests that were first sent to one backend server."})
 	q.refused = prometheus.NewCounter(prometheus.CounterOpts{Name: "zinniatide_quarantine_refusals_total", Help: "Requests that were refused because they crash backend servers."})
--- a/querier/run.go
+++ b/querier/run.go
@@ -259,8 +259,8 @@
 // fresh returns the newest view of the generation's version. The planned view
 // is kept when the version has disappeared or its shards have changed.
 func (r *run) fresh(g *generation, shard int) *planner.Version {
-	if s := &g.shards[shard]; s.last < 0 && s.waitFrom == 0 {
-		return g.version
+	if s := &g.shards[shard]; s.last < 0 && s.waitFrom == 0 && !r.proven {
+		return g.version // just planned
 	}
 	service := r.index().Service(r.request.Service)
 	if service == nil {
