--- a/planner/index.go
+++ b/planner/index.go
@@ -153,7 +153,7 @@
 	for id, versions := range builders {
 		service := x.services[id]
 		for _, b := range versions {
-			service.versions = append(service.versions, b.finish(catalog, records, zone))
+			service.versions = append(service.versions, b.finish(catalog, records, zone, &service.Setting))
 		}
 		service.newest = slices.Clone(service.versions)
 		slices.SortFunc(service.newest, func(a, b *Version) int { return cmp.Compare(b.Number, a.Number) })
@@ -193,13 +193,22 @@
 				used = true
 			}
 		}
-		if used && s.Owner != "" {
-			x.services[offer.Service].Slots += int(max(s.Slots, 1))
+		if service := x.services[offer.Service]; used && s.Owner != "" {
+			service.Slots += int(slots(s, &service.Setting))
 		}
 	}
 }
 
-func (b *builder) finish(catalog *zinniatide.Catalog, records []*observer.Server, zone zinniatide.ZoneID) *Version {
+// slots returns how many requests a server may run at once: what it announces,
+// at most what the service allows.
+func slots(s *zinniatide.ServerStatus, setting *zinniatide.ServiceSetting) uint16 {
+	if setting.Slots > 0 {
+		return min(max(s.Slots, 1), setting.Slots)
+	}
+	return max(s.Slots, 1)
+}
+
+func (b *builder) finish(catalog *zinniatide.Catalog, records []*observer.Server, zone zinniatide.ZoneID, setting *zinniatide.ServiceSetting) *Version {
 	v := b.version
 	slices.SortFunc(b.placed, func(a, c placement) int {
 		if a.shard != c.shard {
@@ -221,7 +230,7 @@
 			}
 			v.replicas = append(v.replicas, Replica{
 				Server: s.Server, Owner: s.Owner, Near: s.Zone == zone,
-				Slots: s.Slots, Record: records[b.placed[next].server],
+				Slots: slots(s, setting), Record: records[b.placed[next].server],
 			})
 		}
 		v.offsets[i+1] = uint32(len(v.replicas))
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// Guards against counting slots that the service does not allow, or that
+// belong to servers that must not get work.
+func TestSlotsOfAService(t *testing.T) {
+	p := newProvider(2, 3)
+	for i, slots := range []uint16{0, 1, 2, 9, 2, 2} {
+		p.catalog.Servers[i].Slots = slots
+	}
+	p.catalog.Servers[4].Owner, p.catalog.Servers[5].Draining = "", true
+	setting := p.conf.Services["s"]
+	setting.Slots = 3
+	p.conf.Services["s"] = setting
+	if got := planner.Build(p.conf, p.catalog, "a", observer.New(), 0).Service("s").Slots; got != 1+1+2+3 {
+		t.Errorf("got %d slots, want 7", got)
+	}
+}
+
 // Guards against a query on a version that covers less than another.
 func TestVersionChoice(t *testing.T) {
 	first, second := zinniatide.KeyRange{Last: 1 << 15}, zinniatide.KeyRange{First: 1 << 15, Last: zinniatide.KeySpace}
--- a/querier/faults_test.go
+++ b/querier/faults_test.go
@@ -265,13 +265,22 @@
 		if refusal == nil && answer.Coverage.ShardsAnswered != int(answer.Total) {
 			t.Errorf("got %d shards, total %d", answer.Coverage.ShardsAnswered, answer.Total)
 		}
+		abandoned := 0
 		for _, g := range w.run.gens {
+			for i := range g.attempts {
+				if !g.attempts[i].kept {
+					abandoned++
+				}
+			}
 			for i, s := range g.shards {
 				if s.pending != 0 {
 					t.Errorf("shard %d: got %d in flight after the end", i, s.pending)
 				}
 			}
 		}
+		if w.cancels != abandoned {
+			t.Errorf("got %d cancellations, want %d", w.cancels, abandoned)
+		}
 		for _, e := range w.events {
 			e.do(w.now + 1000)
 		}
--- a/querier/search_test.go
+++ b/querier/search_test.go
@@ -123,3 +123,26 @@
 		t.Error("a search without a lease got no refusal")
 	}
 }
+
+// instant answers during DispatchAll.
+type instant struct{ unreliable }
+
+func (u *instant) DispatchAll(rs []zinniatide.SubRequest, done func(int, zinniatide.SubResult)) func(int) {
+	for i := range rs {
+		done(i, zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: []byte(`{"total":1,"hits":[{"id":"a","score":1.5,"document":{"a":1}}]}`)})
+	}
+	return func(int) {}
+}
+
+func BenchmarkSearch84Shards(b *testing.B) {
+	u := &instant{unreliable{w: newWorld(3, version(7, 84)), lease: 1 << 40}}
+	c, table := clock.New(), observer.New()
+	q := New(DefaultConfig(), Dependencies{Clock: c, Timer: timer.New(), Configurations: u, Forwarder: u, Observer: table,
+		Planner: planner.New(u, u, table, "a", c, 0), Random: rand.New(rand.NewPCG(1, 1))})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := q.Search(zinniatide.SearchRequest{RequestID: "r", Service: "s", Limit: 10, Deadline: c.Now() + 1000}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
