Check the lease again before sending

Cause: admission, canaries and claims can take until after the end of the lease, when the configuration may have changed. Change: querier and executor check the lease before the first dispatch. Conclusion: a claim that outlives the lease ends as not-run.

--- a/executor/call.go
+++ b/executor/call.go
@@ -179,6 +179,11 @@
 		if now >= c.until {
 			return c.giveUp()
 		}
+		if x.Configurations.LeaseUntil() <= now {
+			// The claim took long, and the configuration may have changed.
+			c.failure = zinniatide.CodeNotServing
+			return c.giveUp()
+		}
 		t, _ := c.choose(now)
 		if t.replica == nil && !t.pending {
 			return c.giveUp()
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -279,6 +279,21 @@
 	}
 }
 
+// Guards against a dispatch under a configuration that may have changed.
+func TestLeaseEndsDuringTheClaim(t *testing.T) {
+	w := newWorld(1)
+	w.claim = append(w.claim, func(c zinniatide.Claim, done func(zinniatide.ClaimReply, error)) {
+		w.lease = 0
+		granted(c, done)
+	})
+	body, err := w.executor().Execute(w.request())
+	check(t, body, err, "", zinniatide.CodeNotServing, "not-run")
+	w.checkFinished(t, "not-run")
+	if len(w.sent) != 0 {
+		t.Errorf("got %d dispatches, want none", len(w.sent))
+	}
+}
+
 // Guards against an execute that fails during a hand-over, or that stays with a
 // version that its server has dropped.
 func TestRefusalsLeadToAnotherAttempt(t *testing.T) {
--- a/querier/querier.go
+++ b/querier/querier.go
@@ -93,8 +93,8 @@
 	if until <= now {
 		return zinniatide.SearchAnswer{}, zinniatide.Refuse(zinniatide.CodeDeadlinePassed, "the deadline of the search has passed")
 	}
-	if q.Configurations.LeaseUntil() <= now {
-		return zinniatide.SearchAnswer{}, zinniatide.Refuse(zinniatide.CodeNotServing, "this VM holds no lease")
+	if refusal := q.leased(now); refusal != nil {
+		return zinniatide.SearchAnswer{}, refusal
 	}
 	service := q.Planner.Index().Service(r.Service)
 	if service == nil {
@@ -119,9 +119,22 @@
 	if refusal != nil {
 		return zinniatide.SearchAnswer{}, refusal
 	}
+	// The request may have waited. Without a lease the configuration may have
+	// changed, so nothing is sent.
+	if refusal := q.leased(q.Clock.Now()); refusal != nil {
+		pass.End()
+		return zinniatide.SearchAnswer{}, refusal
+	}
 	return q.drive(run, pass, ticket)
 }
 
+func (q *Querier) leased(now zinniatide.Millis) *zinniatide.Refusal {
+	if q.Configurations.LeaseUntil() > now {
+		return nil
+	}
+	return zinniatide.Refuse(zinniatide.CodeNotServing, "this VM holds no lease")
+}
+
 func (q *Querier) newRun(r zinniatide.SearchRequest, until zinniatide.Millis) *run {
 	return &run{
 		config: &q.config, request: r, print: quarantiner.Fingerprint(r.Service, r.Query), until: until,
