Give back a permission that arrives after its query

Cause: after a crash the querier asks the guard whether another server may run the request. A reply after the deadline left the right with the ended query, and identical requests were refused for 4.4 s. Change: the query counts the open request and ends its pass after the reply. Figures: TestPermissionAfterTheEnd fails without the change, on both VMs.

--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -27,6 +27,7 @@
 	handlers map[zinniatide.VMID]map[zinniatide.MessageKind]zinniatide.LinkHandler
 	vms      []zinniatide.VMID
 	cut      map[zinniatide.VMID]bool
+	delay    atomic.Int64 // of replies
 }
 
 type link struct {
@@ -85,7 +86,7 @@
 			return
 		}
 		reply, err := cbor.Marshal(value)
-		done(reply, err)
+		time.AfterFunc(time.Duration(l.net.delay.Load()), func() { done(reply, err) })
 	})
 }
 
@@ -248,6 +249,37 @@
 	}
 }
 
+// Guards against a permission that arrives after the end of its query and is
+// kept until its lifetime ends, while identical requests wait.
+func TestPermissionAfterTheEnd(t *testing.T) {
+	var c *cluster
+	var runs atomic.Int32
+	c = newCluster(2, func(string) bool {
+		if runs.Add(1) != 5 {
+			return false
+		}
+		c.delay.Store(int64(400 * time.Millisecond))
+		return true
+	})
+	body := "a"
+	for c.nodes[0].guard.Guard(quarantiner.Fingerprint("s", []byte(body))) == "e0" {
+		body += "a"
+	}
+	q := c.nodes[0].querier
+	answer, err := q.Search(zinniatide.SearchRequest{Service: "s", Deadline: q.Clock.Now() + 300, Query: []byte(body)})
+	if err != nil || answer.Coverage.ShardsAnswered != shards-1 {
+		t.Fatalf("got %+v, %v, want all shards but one", answer.Coverage, err)
+	}
+	c.delay.Store(0)
+	for i, n := range c.nodes {
+		p, refusal := n.guard.Enter(quarantiner.Fingerprint("s", []byte(body)), q.Clock.Now()+3000)
+		if refusal != nil || p.CanaryServers() != 1 {
+			t.Errorf("VM %d: got %v, %d canary servers, want 1", i, refusal, p.CanaryServers())
+		}
+		p.End()
+	}
+}
+
 // Guards against a guard that is lost between its grant and the crash: the
 // holder must count by itself and tell the others.
 func TestGuardLostAfterGrant(t *testing.T) {
--- a/querier/driver.go
+++ b/querier/driver.go
@@ -88,7 +88,8 @@
 	pass    *quarantiner.Pass
 	ticket  *admitter.Ticket
 	box     mailbox
-	// running counts the sub-requests without a result, and the run itself.
+	// running counts the sub-requests without a result, the requests for
+	// permission without a reply, and the run itself.
 	running atomic.Int32
 	waves   []wave
 	wakeAt  zinniatide.Millis // when the timer fires; zero when it does not run
@@ -196,8 +197,10 @@
 		d.pass.Crashed(tried, nil)
 		return
 	}
+	d.running.Add(1) // a permission that comes after the run must be given back
 	d.pass.Crashed(tried, func(allowed, quarantined bool) {
 		d.box.post(event{kind: eventPermit, gen: gen, number: shard, allowed: allowed, quarantined: quarantined})
+		d.ended()
 	})
 }
 
