Cap the strikes of a notice without quarantine

Cause: a notice with all strikes but no time left would have given a canary zero servers, which means no restriction. Change: such a notice leaves one strike short; a canary has at least one server. Conclusion: covered by TestNoticesOfOtherVMs.

--- a/quarantiner/pass.go
+++ b/quarantiner/pass.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// lead asks the guard until it decides, at most until until.
+// lead asks the guard until it decides or the time until has come.
 func (q *Quarantiner) lead(f zinniatide.Fingerprint, fl *flight, until zinniatide.Millis) (*Pass, *zinniatide.Refusal) {
 	for {
 		token := newToken()
@@ -133,7 +133,7 @@
 		switch reply.Decision {
 		case decisionCanary:
 			q.canaries.Inc()
-			return &Pass{q: q, print: f, token: token, servers: reply.Servers, flight: fl}, nil
+			return &Pass{q: q, print: f, token: token, servers: max(reply.Servers, 1), flight: fl}, nil
 		case decisionGo:
 			q.mu.Lock()
 			q.table.proof(q.Clock.Now(), f)
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -217,6 +217,11 @@
 func (t *table) learn(now zinniatide.Millis, f zinniatide.Fingerprint, strikes int, remaining zinniatide.Millis) {
 	t.forget(f)
 	s := t.touch(now, f)
+	if remaining <= 0 {
+		// Only a quarantine has all strikes. A canary on no server would be
+		// taken for a request without restriction.
+		strikes = min(strikes, t.config.Strikes-1)
+	}
 	if strikes > s.strikes {
 		s.strikes, s.strikeAt = min(strikes, t.config.Strikes), now
 	}
--- a/quarantiner/table_test.go
+++ b/quarantiner/table_test.go
@@ -67,6 +67,28 @@
 	}
 }
 
+// Guards against a notice that makes the number of servers of a canary zero,
+// which would mean no restriction, and against one that lifts a quarantine.
+func TestNoticesOfOtherVMs(t *testing.T) {
+	c := DefaultConfig()
+	tests := []struct {
+		strikes   int
+		remaining zinniatide.Millis
+		want      decision
+		servers   int
+	}{{0, 0, decisionCanary, 2}, {1, 0, decisionCanary, 1}, {2, 0, decisionCanary, 1}, {99, 0, decisionCanary, 1}, {2, 50, decisionQuarantine, 0}, {0, 50, decisionQuarantine, 0}}
+	for _, test := range tests {
+		tab := newTable(&c)
+		tab.ask(1, 9, 1)
+		tab.end(1, 9, 1, true)
+		tab.learn(1, 9, test.strikes, test.remaining)
+		tab.learn(1, 9, 0, 0)
+		if d, servers := tab.ask(2, 9, 2); d != test.want || servers != test.servers {
+			t.Errorf("%d strikes, %d ms: got %s on %d servers, want %s on %d", test.strikes, test.remaining, d, servers, test.want, test.servers)
+		}
+	}
+}
+
 // Guards against any order of events in which a request that crashes every
 // server is let through to a third one.
 func TestNoOrderOfEventsLosesThreeServers(t *testing.T) {
