Lower the trust in servers that shed

Cause: a server that sheds at once had a low latency and nothing in flight, so it attracted first attempts and used up the retry budget; other refusals reset its known load to zero. Change: shed counts as a failure of the server; refusals that did not reach it change nothing. Figures: picks of the server that sheds, of 300 among three: at most 120 now; the test fails without the change.

--- a/observer/server.go
+++ b/observer/server.go
@@ -58,8 +58,11 @@
 	case r.Code == zinniatide.CodeCancelled:
 		s.AtLeast(now, latency)
 		service.Sample(now, latency)
+	case r.Code == zinniatide.CodeShed:
+		// Without this a server that sheds at once would look fast and idle.
+		s.Fail(now)
 	case r.Outcome == zinniatide.OutcomeNotRun:
-		s.Load(now, r.InFlight, r.Queued)
+		// The request has not reached the server, so nothing is known of it.
 	default:
 		s.Fail(now)
 		service.Sample(now, latency)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -145,6 +145,17 @@
 	if picks["b0-0"] != 0 || picks["b0-1"] < 50 || picks["b0-2"] < 50 {
 		t.Errorf("got picks %v, want none of the slow server", picks)
 	}
+	// A server that sheds answers fast and has nothing in flight.
+	table.Server("b0-1").Begin()
+	table.Server("b0-1").Result(table.Service("s"), 2, 1, &zinniatide.SubResult{Outcome: zinniatide.OutcomeNotRun, Code: zinniatide.CodeShed})
+	clear(picks)
+	for range 300 {
+		picks[planner.Pick(v, 0, nil, 2, random).Server]++
+	}
+	// It is still the better one of a third of all pairs.
+	if picks["b0-1"] > 120 {
+		t.Errorf("got picks %v, want a third for the server that sheds", picks)
+	}
 }
 
 // Guards against a load report that attracts work: it may only lower the trust.
