--- a/registrar/claims.go
+++ b/registrar/claims.go
@@ -2,8 +2,6 @@
 
 import (
 	"container/heap"
-	"strconv"
-	"strings"
 
 	"zinniatide.example/zinniatide"
 )
@@ -103,15 +101,8 @@
 
 // requestExpiry returns the expiry that starts a request id.
 func requestExpiry(id zinniatide.RequestID) (zinniatide.Millis, bool) {
-	digits, rest, found := strings.Cut(string(id), "-")
-	if !found || len(rest) < 8 || len(id) > zinniatide.MaxIDLength {
-		return 0, false
-	}
-	expires, err := strconv.ParseInt(digits, 10, 64)
-	if err != nil || expires <= 0 || strconv.FormatInt(expires, 10) != digits {
-		return 0, false
-	}
-	return zinniatide.Millis(expires), true
+	expires, err := zinniatide.ParseRequestExpiry(id)
+	return expires, err == nil && len(id) <= zinniatide.MaxIDLength
 }
 
 // reply answers a claim of an id that has a record.
--- a/subscriber/release.go
+++ b/subscriber/release.go
@@ -18,18 +18,22 @@
 // ReleaseBucket tells that this VM has drained a bucket that it owns and whose
 // Next is set: nothing is in flight, and its connections are closed. The
 // release is repeated until a configuration shows the new owner. A call for
-// another bucket has no effect.
+// another bucket has no effect. The caller must act on the configuration that
+// Configuration returns; one that acts on an older copy uses ReleaseBucketAt.
 func (s *Subscriber) ReleaseBucket(zone zinniatide.ZoneID, index int) {
-	// The epoch is read here: the caller has drained the bucket for the move
-	// that this configuration shows, not for a later one.
-	c := s.Configuration()
-	if !s.releasable(c, bucketID{Zone: zone, Index: index}) {
+	s.ReleaseBucketAt(zone, index, s.Configuration().Epoch)
+}
+
+// ReleaseBucketAt is ReleaseBucket for a caller that drained the bucket for the
+// move which the configuration of epoch shows. It cannot end a later move.
+func (s *Subscriber) ReleaseBucketAt(zone zinniatide.ZoneID, index int, epoch zinniatide.Epoch) {
+	bucket := bucketID{Zone: zone, Index: index}
+	if !s.releasable(s.Configuration(), bucket) {
 		return
 	}
 	s.post(func() {
-		bucket := bucketID{Zone: zone, Index: index}
-		if !slices.Contains(s.releases[c.Epoch], bucket) {
-			s.releases[c.Epoch] = append(s.releases[c.Epoch], bucket)
+		if !slices.Contains(s.releases[epoch], bucket) {
+			s.releases[epoch] = append(s.releases[epoch], bucket)
 		}
 	})
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -80,8 +80,7 @@
 
 // New returns a subscriber. It registers its handlers with links, so it is
 // called before links is started. Links must deliver messages to this VM
-// itself, because the control leader may run here; package selflink adds that.
-// Random is used by Step only.
+// itself, because the control leader may run here. Random is used by Step only.
 func New(config Config, links zinniatide.Linker, clock zinniatide.Clock, random *rand.Rand, registerer prometheus.Registerer) *Subscriber {
 	if config.Member.State == "" {
 		config.Member.State = zinniatide.StateIn
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -151,6 +153,34 @@
 	}
 }
 
+// Guards against the release of an earlier move that is sent as one of the
+// move in force, and against releases of buckets that are not moving.
+func TestReleasesCarryTheirEpoch(t *testing.T) {
+	s, links, manual := newScripted(t)
+	var sent []string
+	links.answer = func(_ zinniatide.VMID, kind zinniatide.MessageKind, body any) (any, error) {
+		if release, ok := body.(*controlproto.BucketRelease); ok {
+			sent = append(sent, fmt.Sprint(release.Epoch, release.Buckets))
+		}
+		return &controlproto.ReleaseReply{Leadership: controlproto.Leadership{Leading: true}}, nil
+	}
+	mine := zinniatide.Bucket{Owner: "e1", OwnerIncarnation: 1, Next: "e2"}
+	s.installed.Store(&zinniatide.Configuration{Epoch: 9, Buckets: map[zinniatide.ZoneID][]zinniatide.Bucket{"a": {mine, mine, {Owner: "e1", OwnerIncarnation: 1}}}})
+	s.ReleaseBucket("a", 0)
+	s.ReleaseBucketAt("a", 1, 6)
+	for _, index := range []int{-1, 2, 3} {
+		s.ReleaseBucket("a", index)
+	}
+	for range 4 {
+		s.Step()
+		s.Step()
+		manual.Advance(releaseRetry)
+	}
+	if want := []string{"6 [{a 1}]", "9 [{a 0}]", "6 [{a 1}]", "9 [{a 0}]"}; !slices.Equal(sent, want) {
+		t.Errorf("sent %v, want %v", sent, want)
+	}
+}
+
 // Guards against a goroutine that outlives its context, and against requests
 // that wait for the next tick although Run has been woken.
 func TestRun(t *testing.T) {
