--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -93,10 +93,17 @@
 // that of a second process with the same VM id, stays until an operator acts.
 func (s *Subscriber) reportUnanswered(peer zinniatide.VMID, err error) {
 	s.metrics.unanswered.Inc()
-	if text := err.Error(); text != s.lease.reported {
-		s.lease.reported = text
-		klog.ErrorS(err, "heartbeat without answer", "step", "heartbeat", "peer", peer)
+	text := err.Error()
+	if text == s.lease.reported {
+		return
+	}
+	s.lease.reported = text
+	if errors.Is(err, zinniatide.ErrNotSent) {
+		// Usual while links are being set up.
+		klog.InfoS("heartbeat not sent", "step", "heartbeat", "peer", peer, "err", text)
+		return
 	}
+	klog.ErrorS(err, "heartbeat without answer", "step", "heartbeat", "peer", peer)
 }
 
 // extendLease puts a granted lease in force once its epoch is installed. A
