--- a/cmd/zinniactl/internal/commands/history.go
+++ b/cmd/zinniactl/internal/commands/history.go
@@ -25,11 +25,13 @@
 			if err != nil {
 				return err
 			}
-			var records []zinniatide.TicketRecord
-			if err := c.do(http.MethodGet, fmt.Sprintf("/v1/tickets?limit=%d", limit), nil, &records); err != nil {
+			var answer struct {
+				Tickets []zinniatide.TicketRecord `json:"tickets"`
+			}
+			if err := c.do(http.MethodGet, fmt.Sprintf("/v1/tickets?limit=%d", limit), nil, &answer); err != nil {
 				return err
 			}
-			records = records[:min(limit, len(records))]
+			records := answer.Tickets
 			return e.print(records, func(w *tabwriter.Writer) {
 				row(w, "TICKET", "EPOCH", "DIGEST")
 				for _, r := range records {
