Close silent links whose last message is incomplete; reduce allocations

Cause: a wake-up of the event loop took the buffered part of an incomplete message for newly received bytes, so each ping of ours renewed the silence timeout and the link stayed up for good. Change: only growth of the buffered bytes counts.

Headers are encoded and decoded in memory that a link or pooled buffer owns.

Tests with a hand-made peer cover back-pressure, bad input, silence and connections without a hello.

--- a/linker/frame.go
+++ b/linker/frame.go
@@ -58,29 +58,42 @@
 	return zinniatide.CodeInternal, failure{Outcome: zinniatide.OutcomeUnknown, Message: err.Error()}
 }
 
-// parseFrame splits a message into its header and its body.
-func parseFrame(message []byte) (frameHeader, []byte, error) {
-	var h frameHeader
-	body, err := encoder.UnmarshalFirst(message, &h)
+// parseFrame splits a message into its header, which it stores in h, and its
+// body.
+func parseFrame(message []byte, h *frameHeader) ([]byte, error) {
+	*h = frameHeader{}
+	body, err := encoder.UnmarshalFirst(message, h)
 	if err != nil {
-		return h, nil, err
+		return nil, err
 	}
 	if h.Reply && h.Call == 0 {
-		return h, nil, errors.New("reply without a call number")
+		return nil, errors.New("reply without a call number")
 	}
 	if h.Code != "" && !h.Reply {
-		return h, nil, errors.New("error code outside a reply")
+		return nil, errors.New("error code outside a reply")
 	}
 	if len(body) == 0 {
-		return h, nil, errors.New("frame without a body")
+		return nil, errors.New("frame without a body")
 	}
-	return h, body, nil
+	return body, nil
 }
 
 // scratch holds one frame while it is encoded.
 type scratch struct {
 	bytes.Buffer
-	header [ws.MaxHeaderSize]byte
+	header headerWriter
+}
+
+// headerWriter writes a WebSocket header to a slice. As a part of a scratch
+// it costs no allocation for each message.
+type headerWriter struct {
+	room [ws.MaxHeaderSize]byte
+	out  []byte
+}
+
+func (w *headerWriter) Write(p []byte) (int, error) {
+	w.out = append(w.out, p...)
+	return len(p), nil
 }
 
 var scratches = sync.Pool{New: func() any { return new(scratch) }}
@@ -100,7 +113,7 @@
 func encodeFrame(h *frameHeader, body any, masked bool) (*scratch, []byte, error) {
 	s := scratches.Get().(*scratch)
 	s.Reset()
-	s.Write(s.header[:]) // room for the WebSocket header
+	s.Write(s.header.room[:]) // place for the WebSocket header
 	err := encoder.MarshalTo(&s.Buffer, h)
 	if err == nil {
 		err = encoder.MarshalTo(&s.Buffer, body)
@@ -113,12 +126,13 @@
 		s.release()
 		return nil, nil, fmt.Errorf("message of kind %d has %d bytes, more than the limit of %d", h.Kind, size, MaxMessage)
 	}
-	return s, wrapMessage(s.Bytes(), ws.OpBinary, masked), nil
+	return s, s.wrap(ws.OpBinary, masked), nil
 }
 
-// wrapMessage writes the WebSocket header in front of the payload, which
-// starts at ws.MaxHeaderSize in buffer, and masks the payload in place.
-func wrapMessage(buffer []byte, op ws.OpCode, masked bool) []byte {
+// wrap writes the WebSocket header in front of the payload, which starts at
+// ws.MaxHeaderSize in s, and masks the payload in place.
+func (s *scratch) wrap(op ws.OpCode, masked bool) []byte {
+	buffer := s.Bytes()
 	payload := buffer[ws.MaxHeaderSize:]
 	h := ws.Header{Fin: true, OpCode: op, Masked: masked, Length: int64(len(payload))}
 	if masked {
@@ -127,21 +141,15 @@
 		ws.Cipher(payload, h.Mask, 0)
 	}
 	start := ws.MaxHeaderSize - ws.HeaderSize(h)
-	w := sliceWriter{buffer[start:start]}
-	var room [ws.MaxHeaderSize]byte
-	_ = ws.WriteHeaderBuffer(&w, h, room[:]) // the writer cannot fail and the length is bounded
+	s.header.out = buffer[start:start]
+	_ = ws.WriteHeaderBuffer(&s.header, h, s.header.room[:]) // the writer cannot fail and the length is bounded
 	return buffer[start:]
 }
 
 // controlMessage returns a WebSocket control message such as a ping.
 func controlMessage(op ws.OpCode, payload []byte, masked bool) []byte {
-	buffer := make([]byte, ws.MaxHeaderSize, ws.MaxHeaderSize+len(payload))
-	return wrapMessage(append(buffer, payload...), op, masked)
-}
-
-type sliceWriter struct{ b []byte }
-
-func (w *sliceWriter) Write(p []byte) (int, error) {
-	w.b = append(w.b, p...)
-	return len(p), nil
+	var s scratch
+	s.Write(s.header.room[:])
+	s.Write(payload)
+	return s.wrap(op, masked)
 }
--- a/linker/hello.go
+++ b/linker/hello.go
@@ -71,7 +71,8 @@
 
 func decodeHello(message []byte) (hello, error) {
 	var h hello
-	header, body, err := parseFrame(message)
+	var header frameHeader
+	body, err := parseFrame(message, &header)
 	if err == nil && (header.Kind != kindHello || header.Call != 0) {
 		err = fmt.Errorf("first message has kind %d instead of a hello", header.Kind)
 	}
--- a/linker/internal_test.go
+++ b/linker/internal_test.go
@@ -35,12 +35,13 @@
 	f.Add([]byte{0x82, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, false)
 	f.Add([]byte{0x82, 0x05, 0x84, 0x01, 0x01, 0xf5, 0x60}, false)
 	f.Fuzz(func(t *testing.T, stream []byte, server bool) {
+		headers := new(headerReader)
 		r, state := &sliceReader{bytes.Clone(stream)}, ws.StateClientSide
 		if server {
 			state = ws.StateServerSide
 		}
 		for {
-			h, size, ok, err := peekHeader(r, state, MaxMessage)
+			h, size, ok, err := headers.peekHeader(r, state, MaxMessage)
 			if err != nil || !ok {
 				return
 			}
@@ -49,8 +50,9 @@
 			}
 			message, _ := r.Peek(size)
 			payload := unmask(&h, message)
-			if frame, body, err := parseFrame(payload); err == nil {
-				again, rest, err := parseFrame(append(mustEncode(t, &frame), body...))
+			var frame, again frameHeader
+			if body, err := parseFrame(payload, &frame); err == nil {
+				rest, err := parseFrame(append(mustEncode(t, &frame), body...), &again)
 				if err != nil || again != frame || !bytes.Equal(rest, body) {
 					t.Fatalf("frame %+v became %+v, %v", frame, again, err)
 				}
--- a/linker/link.go
+++ b/linker/link.go
@@ -37,6 +37,11 @@
 	received    atomic.Int64 // clock time of the last byte
 	pinged      zinniatide.Millis
 
+	// Used by the link's thread only.
+	headers  headerReader
+	frame    frameHeader
+	leftover int // bytes of an incomplete message
+
 	mu        sync.Mutex
 	closed    bool
 	leaving   bool   // a goodbye ends the queue
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -191,15 +191,17 @@
 	return err
 }
 
-// receive handles one message on the thread of its link.
+// receive handles one message on the thread of its link. The header is stored
+// in the link, which saves an allocation for each message.
 func (l *Linker) receive(k *link, message []byte) error {
-	h, body, err := parseFrame(message)
+	h := &k.frame
+	body, err := parseFrame(message, h)
 	if err != nil {
 		return err
 	}
 	l.metrics.received.Inc()
 	if h.Reply {
-		k.finish(&h, body)
+		k.finish(h, body)
 		return nil
 	}
 	if h.Kind == kindHello {
--- /dev/null
+++ b/linker/raw_test.go
@@ -0,0 +1,196 @@
+package linker_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/gobwas/ws"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
+	"zinniatide.example/zinniatide/linker"
+)
+
+// rawPeer connects to n as VM "a" by hand, so that a test decides about each
+// byte.
+func rawPeer(t *testing.T, n *node, incarnation int) net.Conn {
+	t.Helper()
+	conn, _, _, err := ws.Dial(context.Background(), "ws://"+n.Address()+"/link")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	writeFrame(t, conn, rawFrame(t, []any{1, 0, false, ""}, map[string]any{
+		"vm": "a", "incarnation": incarnation, "version-min": 1, "version-max": 3, "address": "127.0.0.1:1", "later-field": 1}))
+	if _, answer := readFrame(t, conn); strings.Contains(string(answer), "refusal") {
+		t.Fatalf("hello got %q", answer)
+	}
+	eventually(t, "link", func() bool { return n.Connected("a") })
+	return conn
+}
+
+func rawFrame(t *testing.T, header []any, body any) []byte {
+	t.Helper()
+	h, err := encoder.Marshal(header)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := encoder.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append(h, b...)
+}
+
+func readFrame(t *testing.T, conn net.Conn) (ws.Header, []byte) {
+	t.Helper()
+	h, err := ws.ReadHeader(conn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	payload := make([]byte, h.Length)
+	if _, err := io.ReadFull(conn, payload); err != nil {
+		t.Fatal(err)
+	}
+	return h, payload
+}
+
+func writeFrame(t *testing.T, conn net.Conn, payload []byte) {
+	t.Helper()
+	if err := ws.WriteFrame(conn, ws.MaskFrame(ws.NewBinaryFrame(payload))); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a link that stays in use though its peer has gone silent in
+// the middle of a message, and one that is closed though bytes arrive. It also
+// checks the pings.
+func TestSilentLinkCloses(t *testing.T) {
+	n := start(t, "b", nil)
+	conn := rawPeer(t, n, 1)
+	for range 4 {
+		n.clock.Advance(zinniatide.LinkPingInterval)
+		if h, _ := readFrame(t, conn); h.OpCode != ws.OpPing {
+			t.Fatalf("got opcode %v, want a ping", h.OpCode)
+		}
+		before := n.metric(t, "received_messages_total")
+		writeFrame(t, conn, rawFrame(t, []any{kindNote, 0, false, ""}, []byte("x")))
+		eventually(t, "message", func() bool { return n.metric(t, "received_messages_total") > before })
+	}
+	call := n.call("a", kindHold, "", 60000)
+	eventually(t, "write", func() bool { return n.metric(t, "writes_total") >= 5 })
+	if _, err := conn.Write([]byte{0x82, 0xfe}); err != nil { // half a header
+		t.Fatal(err)
+	}
+	for range 4 {
+		n.clock.Advance(zinniatide.LinkPingInterval)
+		writes := n.metric(t, "writes_total")
+		eventually(t, "ping or loss", func() bool { return !n.Connected("a") || n.metric(t, "writes_total") > writes })
+	}
+	eventually(t, "end of the call", func() bool { return len(call) == 1 })
+	if got := <-call; !errors.Is(got.err, zinniatide.ErrLinkLost) {
+		t.Errorf("call got %v, want ErrLinkLost", got.err)
+	}
+	if n.Connected("a") {
+		t.Error("silent link is still up")
+	}
+	if _, err := io.Copy(io.Discard, conn); err != nil {
+		t.Errorf("connection ended with %v, want its end", err)
+	}
+}
+
+// Guards against a peer that stops reading and thereby fills the memory of
+// its sender, or stays blocked after it reads again.
+func TestBackPressure(t *testing.T) {
+	n := start(t, "b", func(c *linker.Config) { c.QueueBytes = linker.MaxMessage })
+	conn := rawPeer(t, n, 1)
+	message := make([]byte, 64<<10)
+	send := func() error { return n.Send("a", kindNote, message) }
+	var err error
+	sent := 0
+	for range 4096 { // 256 MiB, more than any socket takes
+		if err = send(); err != nil {
+			break
+		}
+		sent++
+	}
+	if !errors.Is(err, zinniatide.ErrNotSent) || n.metric(t, "rejected_messages_total") < 1 {
+		t.Fatalf("send %d to a stalled peer got %v, want ErrNotSent", sent, err)
+	}
+	for range sent {
+		if h, _ := readFrame(t, conn); h.Length < 64<<10 {
+			t.Fatalf("got %d bytes", h.Length)
+		}
+	}
+	eventually(t, "room in the queue", func() bool { return send() == nil })
+}
+
+// Guards against damaged or foreign input that is skipped, which would hide
+// it and may lose messages: the link must close.
+func TestBadInputClosesTheLink(t *testing.T) {
+	n := start(t, "b", nil)
+	masked := func(f ws.Frame) []byte { return ws.MustCompileFrame(ws.MaskFrame(f)) }
+	binary := func(payload string) []byte { return masked(ws.NewBinaryFrame([]byte(payload))) }
+	cases := map[string][]byte{
+		"damaged header":   binary("\xff\x00"),
+		"short header":     binary("\x82\x01\x02\x00"),
+		"no body":          binary("\x84\x01\x02\xf4\x60"),
+		"second hello":     binary("\x84\x01\x00\xf4\x60\xf6"),
+		"reply to nothing": binary("\x84\x01\x00\xf5\x60\xf6"),
+		"code in a call":   binary("\x84\x01\x02\xf4\x61x\xf6"),
+		"text":             masked(ws.NewTextFrame([]byte("hi"))),
+		"fragment":         masked(ws.NewFrame(ws.OpBinary, false, []byte("x"))),
+		"not masked":       ws.MustCompileFrame(ws.NewBinaryFrame([]byte("x"))),
+		"too long":         {0x82, 0xff, 0, 0, 0, 0, 0, 0x80, 0, 1, 1, 2, 3, 4},
+		"reserved bits":    {0xf2, 0x80, 1, 2, 3, 4},
+		"goodbye":          masked(ws.NewCloseFrame(nil)),
+	}
+	incarnation := 1
+	for name, bytes := range cases {
+		incarnation++
+		conn := rawPeer(t, n, incarnation)
+		if _, err := conn.Write(bytes); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, conn) // ends because the link is closed
+		if n.Connected("a") {
+			t.Errorf("%s: link is still up", name)
+		}
+	}
+}
+
+// Guards against connections without a hello that are kept for good, and
+// requests of other protocols that are answered as links.
+func TestVisitorsAreRefused(t *testing.T) {
+	n := start(t, "b", nil)
+	for name, send := range map[string]string{
+		"silent":       "",
+		"half request": "GET /link HTTP/1.1\r\nHost: b\r\n",
+		"no upgrade":   "GET /link HTTP/1.1\r\nHost: b\r\n\r\n",
+		"long request": "GET /link HTTP/1.1\r\nX: " + strings.Repeat("x", 5000),
+	} {
+		conn, err := net.Dial("tcp", n.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(conn, send); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		go func() { _, _ = io.Copy(io.Discard, conn); close(ended) }()
+		eventually(t, name+" refused", func() bool {
+			n.clock.Advance(zinniatide.LinkSilenceTimeout)
+			select {
+			case <-ended:
+				return true
+			default:
+				return false
+			}
+		})
+		_ = conn.Close()
+	}
+}
--- a/linker/receive.go
+++ b/linker/receive.go
@@ -23,9 +23,16 @@
 
 var _ peeker = gnet.Conn(nil)
 
+// headerReader reads WebSocket headers. Each link has one, so that a message
+// costs no allocation for it.
+type headerReader struct {
+	bytes.Reader
+	room [ws.MaxHeaderSize]byte
+}
+
 // peekHeader reads the WebSocket header of the next message. It reports false
 // while the message is incomplete. Size includes the header.
-func peekHeader(c peeker, state ws.State, limit int64) (h ws.Header, size int, ok bool, err error) {
+func (r *headerReader) peekHeader(c peeker, state ws.State, limit int64) (h ws.Header, size int, ok bool, err error) {
 	available := c.InboundBuffered()
 	if available < ws.MinHeaderSize {
 		return h, 0, false, nil
@@ -34,7 +41,8 @@
 	if err != nil {
 		return h, 0, false, err
 	}
-	h, err = ws.ReadHeader(bytes.NewReader(start))
+	r.Reset(start)
+	h, err = ws.ReadHeaderBuffer(r, r.room[:])
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return h, 0, false, nil
 	}
@@ -70,7 +78,7 @@
 		state = ws.StateClientSide
 	}
 	for {
-		h, size, ok, err := peekHeader(c, state, MaxMessage)
+		h, size, ok, err := k.headers.peekHeader(c, state, MaxMessage)
 		if err != nil || !ok {
 			return err
 		}
--- a/linker/server.go
+++ b/linker/server.go
@@ -215,7 +215,8 @@
 }
 
 func (s *server) serveLink(c gnet.Conn, k *link) gnet.Action {
-	if c.InboundBuffered() > 0 {
+	// A wake-up finds the rest of an incomplete message that was there before.
+	if c.InboundBuffered() > k.leftover {
 		k.received.Store(int64(s.owner.clock.Now()))
 		k.hold()
 	}
@@ -227,6 +228,7 @@
 		s.owner.drop(k, step, err)
 		return gnet.Close
 	}
+	k.leftover = c.InboundBuffered()
 	k.pump()
 	return gnet.None
 }
@@ -253,7 +255,7 @@
 		}
 		v.upgraded = true
 	}
-	h, size, ok, err := peekHeader(c, ws.StateServerSide, maxHello)
+	h, size, ok, err := new(headerReader).peekHeader(c, ws.StateServerSide, maxHello)
 	if err != nil || !ok {
 		return err
 	}
