Refuse unknown query parameters; answer addresses under overload

A misspelt dry-run filed the ticket for real. Parameters that an operation does not take, or that are given twice, are refused with their name. The limit on open requests covers only operations that wait for others, so that callers of a loaded VM still learn other addresses. Pongs are left out when the queue is full: a peer that pings without reading made it grow without bound.

--- a/gateway/contract_test.go
+++ b/gateway/contract_test.go
@@ -114,7 +114,9 @@
 	{"GET /v1/addresses", "", "", "", 200, "", ""},
 	{"GET /v1/addresses", "?zone=z1", "", "", 200, "", ""},
 	{"GET /v1/addresses", "?zone=a%20b", "", "", 400, bad, "zone"},
+	{"GET /v1/addresses", "?zone=z1&zone=z2", "", "", 400, bad, "twice"},
 	{"GET /v1/health", "", "", "", 200, "", ""},
+	{"GET /v1/health", "?x=1", "", "", 400, bad, "unknown"},
 	{"GET /v1/state", "", "", "", 200, "", ""},
 	{"GET /v1/tickets", "", "", "", 200, "", ""},
 	{"GET /v1/tickets", "?limit=1", "", "", 200, "", ""},
@@ -124,6 +126,7 @@
 	{"POST /v1/tickets", "", "", "", 200, "", ""},
 	{"POST /v1/tickets", "?dry-run=true", "", "", 200, "", ""},
 	{"POST /v1/tickets", "?dry-run=1", "", "", 400, bad, "dry-run"},
+	{"POST /v1/tickets", "?dryrun=true", "", "", 400, bad, "dryrun"},
 
 	{"POST /v1/search", "", "", "", 200, "", ""},
 	{"POST /v1/search", "", `"limit":3,`, "", 200, "", ""},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,7 +22,8 @@
 	Zone zinniatide.ZoneID
 	// MaxConnections bounds open connections. The default is 10,000.
 	MaxConnections int
-	// MaxRequests bounds requests being served at once. The default is 5,000.
+	// MaxRequests bounds the searches, executions and operators' requests
+	// being served at once. The default is 5,000.
 	MaxRequests int
 	// IdleTimeout ends a connection without a request. The default is 30 s.
 	IdleTimeout time.Duration
@@ -72,6 +73,7 @@
 	server    *fasthttp.Server
 	addresses addressTable
 	open      atomic.Int64 // requests being served
+	waiting   atomic.Int64 // those of them that count towards MaxRequests
 	draining  atomic.Bool
 }
 
@@ -137,11 +139,8 @@
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
 	start := time.Now() // for the histogram only
 	r := &request{RequestCtx: ctx, gateway: g, operation: "unknown", class: otherLabel, tenant: otherLabel}
-	if open := g.open.Add(1); open > int64(g.config.MaxRequests) {
-		r.refuse(zinniatide.Refuse(zinniatide.CodeOverloaded, "%d requests are being served", g.config.MaxRequests))
-	} else {
-		g.route(r)
-	}
+	g.open.Add(1)
+	g.route(r)
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
--- a/linker/link.go
+++ b/linker/link.go
@@ -93,8 +93,7 @@
 		k.mu.Unlock()
 		return fmt.Errorf("%w: link to %s is closed", zinniatide.ErrNotSent, k.peer)
 	}
-	full := k.messages >= k.owner.config.QueueMessages ||
-		len(k.out)+k.pending+len(message) > k.owner.config.QueueBytes
+	full := !k.hasRoom(len(message))
 	if !full {
 		if done != nil {
 			k.calls[call] = pendingCall{done: done, start: k.queued}
@@ -117,6 +116,19 @@
 	return nil
 }
 
+// hasRoom reports whether the queue takes a message of size bytes. The caller
+// holds the lock.
+func (k *link) hasRoom(size int) bool {
+	return k.messages < k.owner.config.QueueMessages && len(k.out)+k.pending+size <= k.owner.config.QueueBytes
+}
+
+// full reports whether the queue takes no further message.
+func (k *link) full() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.hasRoom(1)
+}
+
 // append queues a message. The caller holds the lock.
 func (k *link) append(message []byte) {
 	k.out = append(k.out, message...)
@@ -125,7 +137,7 @@
 }
 
 // enqueueControl queues a WebSocket control message. It is exempt from the
-// limits, as a link whose queue is full must still answer pings.
+// limits, as a link whose queue is full must still ping.
 func (k *link) enqueueControl(op ws.OpCode, payload []byte) {
 	message := controlMessage(op, payload, k.dialled)
 	k.mu.Lock()
--- a/linker/receive.go
+++ b/linker/receive.go
@@ -101,7 +101,11 @@
 	case ws.OpBinary:
 		return l.receive(k, payload)
 	case ws.OpPing:
-		k.enqueueControl(ws.OpPong, payload)
+		// A full queue shows the peer as much life as a pong, and a peer that
+		// pings without reading must not make the queue grow.
+		if !k.full() {
+			k.enqueueControl(ws.OpPong, payload)
+		}
 	case ws.OpPong:
 	case ws.OpClose:
 		return errGoodbye
