Start the event loops again when they end; list tickets as an array

gnet ends its event loops for good when an accept fails, which happens without a free file descriptor. The VM then stayed up without links. It now starts them again after 200 ms; TestEventLoopsStartAgain guards this.

GET /v1/tickets answers with an array, as zinniactl decodes it.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -189,6 +189,12 @@
 	if response.Header.Get("Content-Type") != "application/json" {
 		t.Errorf("answer has type %q", response.Header.Get("Content-Type"))
 	}
+	if !json.Valid(a.body) {
+		t.Fatalf("answer is no JSON: %q", a.body)
+	}
+	if a.body[0] == '[' {
+		return a
+	}
 	if err := json.Unmarshal(a.body, &a); err != nil {
 		t.Fatalf("answer %q: %v", a.body, err)
 	}
--- a/gateway/operator.go
+++ b/gateway/operator.go
@@ -73,9 +73,7 @@
 	if records == nil {
 		records = []zinniatide.TicketRecord{}
 	}
-	r.reply(struct {
-		Tickets []zinniatide.TicketRecord `json:"tickets"`
-	}{records}, err)
+	r.reply(records, err)
 }
 
 func (g *Gateway) ticketStatus(r *request) {
--- a/linker/hello.go
+++ b/linker/hello.go
@@ -16,8 +16,9 @@
 )
 
 var (
-	errClosing = errors.New("the VM is closing its links")
-	errStale   = errors.New("a later incarnation of the VM is known")
+	errClosing    = errors.New("the VM is closing its links")
+	errNotServing = errors.New("event loops do not run")
+	errStale      = errors.New("a later incarnation of the VM is known")
 )
 
 // maxHello bounds the hello message, which arrives before the peer is known.
--- a/linker/internal_test.go
+++ b/linker/internal_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/gobwas/ws"
 	"github.com/prometheus/client_golang/prometheus"
@@ -172,3 +174,40 @@
 		}
 	})
 }
+
+// Guards against a VM that stays without links after its event loops ended,
+// as they do when an accept finds no file descriptor.
+func TestEventLoopsStartAgain(t *testing.T) {
+	var ends [2]*Linker
+	for i, id := range []zinniatide.VMID{"a", "b"} {
+		l, err := New(Config{Self: id, ListenAddress: "127.0.0.1:0"}, clock.New(), prometheus.NewRegistry())
+		if err == nil {
+			err = l.Start()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		ends[i] = l
+	}
+	a, b := ends[0], ends[1]
+	a.SetPeers(map[zinniatide.VMID]string{"b": b.Address()})
+	connected := func(want bool) {
+		t.Helper()
+		for range 10000 {
+			if a.Connected("b") == want && b.Connected("a") == want {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		t.Fatalf("connected is not %v on both sides", want)
+	}
+	connected(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, l := range ends {
+		_ = l.server.engine.Load().Stop(ctx)
+		connected(false)
+		connected(true)
+	}
+}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -145,8 +145,7 @@
 // Address returns the IP:port listened on. It is valid after Start.
 func (l *Linker) Address() string { return l.server.address }
 
-// Stopped is closed when the linker serves no more: after Close, or because
-// its event loops failed, which is logged.
+// Stopped is closed when the linker serves no more, which is after Close.
 func (l *Linker) Stopped() <-chan struct{} { return l.server.stopped }
 
 // Send implements zinniatide.Linker. Body is encoded before Send returns.
--- a/linker/server.go
+++ b/linker/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gobwas/ws"
@@ -26,11 +27,13 @@
 	address string
 	// bootError is set before the event loops start.
 	bootError error
-	engine    gnet.Engine
-	running   chan struct{} // closed once the event loops accept connections
-	tick      sync.Once
-	stopped   chan struct{} // closed once the event loops have ended
-	ended     error         // set before stopped is closed
+	booting   *gnet.Engine
+	// engine is nil while no event loops run.
+	engine  atomic.Pointer[gnet.Engine]
+	running chan struct{} // closed once the event loops accept connections
+	tick    sync.Once
+	stopped chan struct{} // closed once the event loops have ended
+	ended   error         // set before stopped is closed
 
 	mu       sync.Mutex
 	visitors map[gnet.Conn]*visitor
@@ -50,6 +53,8 @@
 	// readBuffer is read by one system call of an event loop.
 	readBuffer = 256 << 10
 	stopWait   = 5 * time.Second
+	// restartPause spaces attempts to serve again after a failure.
+	restartPause = 200 * time.Millisecond
 )
 
 func newServer(l *Linker) *server {
@@ -59,33 +64,58 @@
 func (s *server) start(address string) error {
 	go func() {
 		defer close(s.stopped)
-		// The choice by least connections only reads the event loops. The
-		// round-robin one would be a data race between dials and accepts.
-		s.ended = gnet.Run(s, "tcp://"+address,
-			gnet.WithNumEventLoop(s.owner.config.EventLoops),
-			gnet.WithLoadBalancing(gnet.LeastConnections),
-			gnet.WithReadBufferCap(readBuffer),
-			gnet.WithReuseAddr(true),
-			gnet.WithTicker(true),
-			gnet.WithLogger(engineLogger{}))
-		if s.owner.ctx.Err() == nil {
-			klog.ErrorS(s.ended, "event loops ended; this VM has no links any more", "step", "listen", "peer", address)
+		s.ended = s.run(address)
+		// gnet ends its event loops when an accept fails, as it does when the
+		// process is out of file descriptors. All links are then down.
+		for s.started() && s.owner.ctx.Err() == nil {
+			klog.ErrorS(s.ended, "event loops ended and are started again", "step", "listen", "peer", s.address)
+			select {
+			case <-s.owner.ctx.Done():
+			case <-time.After(restartPause):
+				s.ended = s.run(s.address)
+			}
 		}
 	}()
 	select {
 	case <-s.running:
 		return nil
 	case <-s.stopped:
-		if s.bootError != nil {
-			return s.bootError
-		}
 		return s.ended
 	}
 }
 
-// OnTick implements gnet.EventHandler. Its first call tells that all event
+// run serves until the event loops end.
+func (s *server) run(address string) error {
+	// The choice by least connections only reads the event loops. The
+	// round-robin one would be a data race between dials and accepts.
+	err := gnet.Run(s, "tcp://"+address,
+		gnet.WithNumEventLoop(s.owner.config.EventLoops),
+		gnet.WithLoadBalancing(gnet.LeastConnections),
+		gnet.WithReadBufferCap(readBuffer),
+		gnet.WithReuseAddr(true),
+		gnet.WithTicker(true),
+		gnet.WithLogger(engineLogger{}))
+	s.engine.Store(nil)
+	if s.bootError != nil {
+		return s.bootError
+	}
+	return err
+}
+
+// started reports whether the event loops have run before.
+func (s *server) started() bool {
+	select {
+	case <-s.running:
+		return true
+	default:
+		return false
+	}
+}
+
+// OnTick implements gnet.EventHandler. Its call tells that all event
 // loops are registered; before, a dialled connection cannot be given to them.
 func (s *server) OnTick() (time.Duration, gnet.Action) {
+	s.engine.Store(s.booting)
 	s.tick.Do(func() { close(s.running) })
 	return time.Hour, gnet.None
 }
@@ -107,27 +137,36 @@
 }
 
 func (s *server) stop() {
-	select {
-	case <-s.running:
-	default:
+	if !s.started() {
 		return
 	}
 	// Stop would poll twice a second for the end. It only signals here.
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = s.engine.Stop(ctx)
-	select {
-	case <-s.stopped:
-	case <-time.After(stopWait):
-		klog.ErrorS(nil, "event loops did not stop", "step", "close", "peer", s.address)
+	limit := time.NewTimer(stopWait)
+	defer limit.Stop()
+	for {
+		if engine := s.engine.Load(); engine != nil {
+			_ = engine.Stop(ctx)
+		}
+		select {
+		case <-s.stopped:
+			return
+		case <-limit.C:
+			klog.ErrorS(nil, "event loops did not stop", "step", "close", "peer", s.address)
+			return
+		case <-time.After(restartPause): // they may have been starting again
+		}
 	}
 }
 
 // OnBoot implements gnet.EventHandler. It runs before any connection is served.
 func (s *server) OnBoot(engine gnet.Engine) gnet.Action {
-	s.engine = engine
-	s.address, s.bootError = listenAddress(engine)
-	if s.bootError != nil {
+	s.booting = &engine
+	if s.address == "" {
+		s.address, s.bootError = listenAddress(engine)
+	}
+	if s.bootError != nil || s.owner.ctx.Err() != nil {
 		return gnet.Shutdown
 	}
 	if config := &s.owner.config; config.AdvertiseAddress == "" {
@@ -138,7 +177,12 @@
 
 // enroll moves a connection that was dialled to an event loop.
 func (s *server) enroll(ctx context.Context, conn net.Conn, k *link) error {
-	result, err := s.engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), conn), k))
+	engine := s.engine.Load()
+	if engine == nil {
+		_ = conn.Close()
+		return errNotServing
+	}
+	result, err := engine.Register(gnet.NewContext(gnet.NewNetConnContext(context.Background(), conn), k))
 	if err != nil {
 		_ = conn.Close()
 		return err
