Test releases while connecting and doubled answers without delay

Cause: trial mutations of the check of open connections, of the check for bytes beyond an answer, of the pause before a server comes back and of a report's incarnation passed the tests.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -106,6 +106,10 @@
 
 func (r result) Finished(a Answer) { r <- a }
 
+type handlerFunc func(Answer)
+
+func (f handlerFunc) Finished(a Answer) { f(a) }
+
 func newExchange(deadline zinniatide.Millis) (*Exchange, result) {
 	r := make(result, 4)
 	return &Exchange{
@@ -197,6 +201,10 @@
 			p.Tick(c.Now())
 			eventually(t, "a free connection", p.Free)
 			x, got := newExchange(2000)
+			// The connection must be unusable by the time the exchange ends: the
+			// next request would be sent right then.
+			free := false
+			x.Handler = handlerFunc(func(a Answer) { free = p.Free(); got <- a })
 			if !p.Send(x) {
 				t.Fatal("request was not sent")
 			}
@@ -207,7 +215,7 @@
 			if a.Outcome == zinniatide.OutcomeDone && (string(a.Body) != "{}" || a.Incarnation != 5 || a.Busy != 1) {
 				t.Errorf("got body %q incarnation %d busy %d", a.Body, a.Incarnation, a.Busy)
 			}
-			if free := p.Free(); free != tt.reused {
+			if free != tt.reused {
 				t.Errorf("got connection reused %v, want %v", free, tt.reused)
 			}
 			if n := f.requests.Load(); n != 1 {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -369,12 +369,12 @@
 // TestMovedServer guards against two entries of one server that send at once,
 // when it appears at another address.
 func TestMovedServer(t *testing.T) {
+	other := newBackend(t) // stopped after the host, whose connections it would wait for
 	h, b, _ := newWarmHost(t)
 	release := holding(t, b)
 	got := make(results, 4)
 	h.dispatcher.Dispatch(h.request("r", 5000), got.done)
 	eventually(t, "a start", func() bool { return b.starts.Load() == 1 })
-	other := newBackend(t)
 	other.incarnation.Store(2)
 	h.list(announcementOf(other))
 	for range 3 {
@@ -392,6 +392,46 @@
 	if n, m := b.starts.Load(), other.starts.Load(); n != 1 || m != 1 {
 		t.Errorf("got %d starts at the old address and %d at the new one, want 1 and 1", n, m)
 	}
+	// A server that vanishes and comes back is held for one window as well.
+	h.list()
+	h.dispatcher.Tick()
+	h.list(announcementOf(other))
+	h.clock.Advance(pacer.Window - 1)
+	h.dispatcher.Tick()
+	h.dispatcher.Dispatch(h.request("r", 5000), got.done)
+	got.want(t, zinniatide.OutcomeNotRun, zinniatide.CodeNotOwner)
+	h.clock.Advance(1)
+	h.dispatcher.Tick()
+	h.serverOf(t)
+}
+
+// TestHandOverWhileConnecting guards against a release while a connection is
+// being opened, which the server may count against the next owner.
+func TestHandOverWhileConnecting(t *testing.T) {
+	b := newBackend(t)
+	h := newHost(t, "a", clock.NewManual(10_000, 0))
+	proceed := make(chan struct{})
+	h.dispatcher.o.Dial = func(address string, _ zinniatide.Millis) (net.Conn, error) {
+		<-proceed
+		return net.Dial("tcp", address)
+	}
+	h.list(announcementOf(b))
+	h.dispatcher.Tick()
+	h.configuration.Store(configurationOf(2, "a", "b"))
+	releases := func() int {
+		h.dispatcher.Tick()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.released)
+	}
+	for range 3 {
+		releases()
+	}
+	if got := releases(); got != zinniatide.BucketsPerZone-1 {
+		t.Errorf("got %d releases while connecting, want %d", got, zinniatide.BucketsPerZone-1)
+	}
+	close(proceed)
+	eventually(t, "the release", func() bool { return releases() == zinniatide.BucketsPerZone })
 }
 
 // TestSuddenSlowness guards against a server that stays warm because its late
@@ -483,9 +523,15 @@
 // TestDistrust guards against a load report that gives a server more work, or
 // takes all of it away.
 func TestDistrust(t *testing.T) {
-	h, b, _ := newWarmHost(t)
+	h, b, s := newWarmHost(t)
 	release := holding(t, b)
 	a := announcementOf(b)
+	older := a
+	older.Incarnation, older.Load.Queue = 0, 4
+	h.dispatcher.Observe(older)
+	if got := s.slots.Limit(h.clock.Now()); got != 2 {
+		t.Errorf("got %d slots after the report of an older process, want 2", got)
+	}
 	a.Load = zinniatide.LoadReport{Busy: 9, Queue: 4}
 	h.dispatcher.Observe(a)
 	got := make(results, 4)
