Drop late cancellations and give each pool its own random numbers

Cause: a cancellation that waited for a connection could be sent after its request had ended and hit a later attempt with the same id. The pools shared one generator under different locks. Change: a waiting cancellation is dropped with its request; each pool has its own generator. The check for silent connections allocates nothing.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -117,13 +117,16 @@
 }
 
 func cancellation(x *Exchange, now zinniatide.Millis) *Exchange {
-	return &Exchange{Request: x.Request, Deadline: now + cancelTimeout, cancel: true}
+	return &Exchange{Request: x.Request, Deadline: now + cancelTimeout, cancel: true, target: x}
 }
 
 func (p *Pool) sendCancels(now zinniatide.Millis) {
 	for len(p.cancels) > 0 {
 		x := p.cancels[0]
-		if x.Deadline > now && !p.send(x, now) {
+		// A cancellation that comes after the end of its request could hit a
+		// later attempt with the same id.
+		wanted := x.Deadline > now && p.connOf(x.target) != nil
+		if wanted && !p.send(x, now) {
 			return
 		}
 		p.cancels = p.cancels[1:]
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -396,6 +396,39 @@
 	}
 }
 
+// TestLateCancel guards against a cancellation that is sent after its request
+// has ended: it could hit a later attempt with the same id.
+func TestLateCancel(t *testing.T) {
+	hold := make(chan struct{})
+	f := newFake(t, func(_ int, req *fasthttp.Request) (string, bool) {
+		if string(req.URI().Path()) == "/v1/cancel" {
+			return cancelAnswer, false
+		}
+		<-hold
+		return goodAnswer, false
+	})
+	c := clock.NewManual(1000, 0)
+	p := newPool(t, f.listener.Addr().String(), c, 1, 1)
+	p.Tick(c.Now())
+	eventually(t, "a free connection", p.Free)
+	x, got := newExchange(2000)
+	if !p.Send(x) {
+		t.Fatal("request was not sent")
+	}
+	p.Cancel(x) // waits, since the only connection is in use
+	close(hold)
+	<-got
+	p.Tick(c.Now())
+	again, got := newExchange(2000)
+	if !p.Send(again) {
+		t.Fatal("request was not sent")
+	}
+	<-got
+	if n := f.cancels.Load(); n != 0 {
+		t.Errorf("got %d cancellations, want 0", n)
+	}
+}
+
 // TestOldAnswer guards against calling a connection silent because one that
 // is as old answers: the request may simply take long.
 func TestOldAnswer(t *testing.T) {
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -19,7 +19,9 @@
 	Handler Handler
 
 	started zinniatide.Millis
-	cancel  bool // the request is POST /v1/cancel
+	// cancel is set for POST /v1/cancel, which stops target.
+	cancel bool
+	target *Exchange
 }
 
 // Handler receives the end of an exchange.
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -13,7 +13,9 @@
 // MaxRequestTime is closed in any case.
 func (p *Pool) watch(now zinniatide.Millis) {
 	var overdue *conn
-	for _, c := range slices.Clone(p.conns) {
+	// Backwards, because closing removes the connection.
+	for i := len(p.conns) - 1; i >= 0; i-- {
+		c := p.conns[i]
 		x := c.current
 		switch {
 		case x == nil || now < x.Deadline+silenceGrace:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,7 +26,7 @@
 	Configuration zinniatide.ConfigurationProvider
 	Catalog       zinniatide.CatalogProvider
 	Linker        zinniatide.Linker
-	Random        *rand.Rand
+	Random        *rand.Rand // used by the tick; nil for delays without jitter
 	Registerer    prometheus.Registerer
 	// Release tells the control leader that this VM has nothing left in a
 	// bucket whose Next is set in the configuration of epoch. It runs on the
--- a/dispatcher/systems.go
+++ b/dispatcher/systems.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"zinniatide.example/zinniatide"
@@ -170,11 +171,20 @@
 	}
 	s.pace.Begin(d.ownedSince[key], s.ramp.Rate())
 	s.pool = connector.New(connector.Options{
-		Address: a.Address, Clock: d.o.Clock, Random: d.o.Random, Dial: d.o.Dial, Ready: s.ready,
+		Address: a.Address, Clock: d.o.Clock, Random: d.newRandom(), Dial: d.o.Dial, Ready: s.ready,
 	})
 	return s
 }
 
+// newRandom returns a generator for one pool, since they are not safe for
+// concurrent use.
+func (d *Dispatcher) newRandom() *rand.Rand {
+	if d.o.Random == nil {
+		return nil
+	}
+	return rand.New(rand.NewPCG(d.o.Random.Uint64(), d.o.Random.Uint64()))
+}
+
 // update takes over what the server announces and the configuration says.
 func (s *server) update(a *zinniatide.Announcement, c *zinniatide.Configuration, now zinniatide.Millis) {
 	s.mu.Lock()
