Grow the admission limit while admitted requests end far from their deadlines

Each VM starts with its part of the slots, one query of ten shards at a time, and short bursts at the owners kept the limit from growing. Change: the limiter compares the time that admitted requests take with their deadlines. Below a quarter the limit grows whatever the queues are, above half long queues shrink it. The early refusal by drain rate applies only to requests that take more than a quarter of their time. Table cases for both rules.

--- a/admitter/config.go
+++ b/admitter/config.go
@@ -16,6 +16,13 @@
 	ShrinkAbove float64
 	Grow        float64 // factor per interval
 	Shrink      float64
+	// LooseBelow and TightAbove compare the time that admitted requests take with
+	// their deadlines. Below LooseBelow the limit grows whatever the queues are,
+	// and only above TightAbove do long queues shrink it: a service far below
+	// its capacity also has short bursts of queueing, and refusing work because
+	// of them would waste its slots.
+	LooseBelow float64
+	TightAbove float64
 	// ShedShare is the share of refused sub-requests that shrinks the limit.
 	ShedShare float64
 	// MinFactor bounds the limit from below, as a factor of the slots of one VM.
@@ -29,6 +36,6 @@
 func DefaultConfig() Config {
 	return Config{
 		QueueLimit: 2048, AdjustInterval: 100, GrowBelow: 0.5, ShrinkAbove: 1, Grow: 1.05, Shrink: 0.9,
-		ShedShare: 0.02, MinFactor: 0.5, MaxFactor: 4,
+		LooseBelow: 0.25, TightAbove: 0.5, ShedShare: 0.02, MinFactor: 0.5, MaxFactor: 4,
 	}
 }
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -59,6 +59,7 @@
 	// Drain rate and time of service, for the early refusal.
 	rate    rate
 	service spread
+	allowed spread // time from arrival to deadline
 }
 
 func newGate(c *Config) *gate {
@@ -86,6 +87,8 @@
 func (g *gate) arrive(now zinniatide.Millis, it *item, setting *zinniatide.ServiceSetting) {
 	c := g.queue(&it.Request, setting)
 	it.class = c
+	g.allowed.add(float64(it.Deadline - now))
+	g.limiter.tension = g.service.high() / max(g.allowed.mean, 1)
 	if c.tenant.count == 0 {
 		c.tenant.virtual = max(c.tenant.virtual, g.clock)
 	}
@@ -134,13 +137,14 @@
 // deadline. The work ahead of it drains at the part of the rate that its queue
 // gets among the queues that are backlogged now.
 func (g *gate) hopeless(now zinniatide.Millis, it *item) bool {
-	left := float64(it.Deadline-now) - g.service.high()
+	total := float64(it.Deadline - now)
+	left := total - g.service.high()
 	if left <= 0 {
 		return true
 	}
 	perMilli := g.rate.perMilli
-	if perMilli <= 0 {
-		return false
+	if perMilli <= 0 || g.service.high() < g.config.LooseBelow*total {
+		return false // the limit still grows, so the rate is not that of the servers
 	}
 	c := it.class
 	shares := c.tenant.share
--- a/admitter/limiter.go
+++ b/admitter/limiter.go
@@ -18,6 +18,9 @@
 	busy       int
 	queued     int
 	blocked    bool // a request had to wait or was refused
+	// tension is the time that admitted requests take, as a part of the time
+	// that requests have to their deadlines. It is 0 while unknown.
+	tension float64
 }
 
 // resize takes over the slots and the number of serving VMs.
@@ -48,6 +51,9 @@
 	}
 }
 
+// loose reports whether admitted requests end long before their deadlines.
+func (l *limiter) loose(c *Config) bool { return l.tension > 0 && l.tension < c.LooseBelow }
+
 // adjust corrects the limit once per interval.
 func (l *limiter) adjust(c *Config, now zinniatide.Millis) {
 	if now-l.adjustedAt < c.AdjustInterval {
@@ -55,9 +61,12 @@
 	}
 	if l.results > 0 {
 		queued, busy := float64(l.queued), float64(max(l.busy, 1))
+		tight := l.tension == 0 || l.tension > c.TightAbove
 		switch {
-		case queued > c.ShrinkAbove*busy || float64(l.shed) > c.ShedShare*float64(l.results):
+		case queued > c.ShrinkAbove*busy && tight, float64(l.shed) > c.ShedShare*float64(l.results):
 			l.factor *= c.Shrink
+		case l.loose(c) && l.blocked:
+			l.factor *= c.Grow * c.Grow
 		case queued < c.GrowBelow*busy && l.blocked:
 			l.factor *= c.Grow
 		}
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -186,16 +186,23 @@
 		queued, shed     int // requests at a server with 2 busy slots, refusals of 100
 		blocked          bool
 		least, most, end float64 // bounds of the limit after 1 and many intervals
+		tension          float64 // time taken, as a part of the time allowed; 0 is unknown
 	}{
-		{"long queues", 6, 0, true, 7, 9.1, 5},
-		{"shedding", 0, 3, true, 7, 9.1, 5},
-		{"short queues, requests wait", 0, 0, true, 10.4, 10.6, 400},
-		{"short queues, nobody waits", 0, 0, false, 10, 10, 10},
-		{"queues as wanted", 1, 0, true, 10, 10, 10},
+		{"long queues", 6, 0, true, 7, 9.1, 5, 0},
+		{"long queues, tight deadlines", 6, 0, true, 7, 9.1, 5, 0.6},
+		{"long queues, far from the deadlines", 6, 0, true, 10.9, 11.1, 400, 0.1},
+		{"long queues, in between", 6, 0, true, 10, 10, 10, 0.4},
+		{"shedding", 0, 3, true, 7, 9.1, 5, 0},
+		{"shedding far from the deadlines", 0, 3, true, 7, 9.1, 5, 0.1},
+		{"short queues, requests wait", 0, 0, true, 10.4, 10.6, 400, 0},
+		{"short queues, nobody waits", 0, 0, false, 10, 10, 10, 0},
+		{"far from the deadlines, nobody waits", 0, 0, false, 10, 10, 10, 0.1},
+		{"queues as wanted", 1, 0, true, 10, 10, 10, 0},
 	}
 	for _, test := range tests {
 		var l limiter
 		l.resize(&c, 100, 10)
+		l.tension = test.tension
 		for i := range 200 {
 			for n := range 100 {
 				l.observe(2, uint16(test.queued), n < test.shed)
