Let a VM run four requests at a time while deadlines are far

Change: the limit has a floor of four mean requests unless deadlines are tight; a drain rate expires 1 s after the last backlog.

--- a/admitter/config.go
+++ b/admitter/config.go
@@ -29,13 +29,17 @@
 	// From above it is bounded by MaxFactor times all slots, for the case that
 	// all callers use the same VM.
 	MinFactor float64
-	MaxFactor float64
+	// MinRequests is how many requests may always run unless deadlines are
+	// tight. With a limit below the cost of two requests, a VM runs one request
+	// at a time, and its slots idle while it waits for the last shard.
+	MinRequests float64
+	MaxFactor   float64
 }
 
 // DefaultConfig returns the rules in use.
 func DefaultConfig() Config {
 	return Config{
 		QueueLimit: 2048, AdjustInterval: 100, GrowBelow: 0.5, ShrinkAbove: 1, Grow: 1.05, Shrink: 0.9,
-		LooseBelow: 0.25, TightAbove: 0.5, ShedShare: 0.02, MinFactor: 0.5, MaxFactor: 4,
+		LooseBelow: 0.25, TightAbove: 0.5, ShedShare: 0.02, MinFactor: 0.5, MinRequests: 4, MaxFactor: 4,
 	}
 }
--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -88,6 +88,7 @@
 	c := g.queue(&it.Request, setting)
 	it.class = c
 	g.allowed.add(float64(it.Deadline - now))
+	g.limiter.cost += 0.1 * (float64(it.Cost) - g.limiter.cost)
 	g.limiter.tension = g.service.high() / max(g.allowed.mean, 1)
 	if c.tenant.count == 0 {
 		c.tenant.virtual = max(c.tenant.virtual, g.clock)
--- a/admitter/limiter.go
+++ b/admitter/limiter.go
@@ -21,6 +21,7 @@
 	// tension is the time that admitted requests take, as a part of the time
 	// that requests have to their deadlines. It is 0 while unknown.
 	tension float64
+	cost    float64 // moving average of the sub-requests of one request
 }
 
 // resize takes over the slots and the number of serving VMs.
@@ -39,6 +40,9 @@
 	base := float64(max(l.slots, 1)) / float64(max(l.vms, 1))
 	l.factor = min(max(l.factor, c.MinFactor), c.MaxFactor*float64(max(l.vms, 1)))
 	l.limit = max(base*l.factor, 1)
+	if l.tension <= c.TightAbove {
+		l.limit = max(l.limit, c.MinRequests*l.cost)
+	}
 }
 
 // observe adds a result.
@@ -81,15 +85,23 @@
 	since    zinniatide.Millis
 	sum      int
 	backlog  bool
+	sampled  zinniatide.Millis
 }
 
 // rateWindow is long enough to hold several requests of 84 sub-requests.
 const rateWindow zinniatide.Millis = 50
 
+// rateLifetime is how long a rate counts once nothing waits any more. Servers
+// that were cold then may be warm by the next backlog.
+const rateLifetime zinniatide.Millis = 1000
+
 func (r *rate) add(now zinniatide.Millis, n int, backlog bool) {
 	if !backlog {
 		// Without a backlog the rate is that of arrivals, not of the servers.
 		r.since, r.sum, r.backlog = now, 0, false
+		if now-r.sampled > rateLifetime {
+			r.perMilli = 0
+		}
 		return
 	}
 	if !r.backlog {
@@ -102,7 +114,7 @@
 			r.perMilli = sample
 		}
 		r.perMilli += 0.2 * (sample - r.perMilli)
-		r.since, r.sum = now, 0
+		r.since, r.sum, r.sampled = now, 0, now
 	}
 }
 
