Start the zone scenarios with warm servers

Cause: the measured load began while the servers still bore 108 queries/s of the 150 sent, so the refusals of the first second (38 of 40 in zone-out-in, timeline of a trial) were true and not what the scenario measures. Change: a second warm-up step at the full rate.

--- a/cmd/zinniabench/scenarios/zone.go
+++ b/cmd/zinniabench/scenarios/zone.go
@@ -114,7 +114,9 @@
 	}
 	defer c.Close()
 	l := e.callers(c, time.Second, "counter")
+	// Cold servers bear less than the load, so it rises in steps.
 	l.load(recorder.New(), zoneRate/3, 3*time.Second, "warm-up")
+	l.load(recorder.New(), zoneRate, 3*time.Second, "warm-up-full")
 	r, failed := recorder.New(), make(chan error, 1)
 	var happened change
 	go func() {
