Gather results for a millisecond before they are sent

Cause: results of a batch trickle in, and nearly each went out in a message of its own. Change: the first unsent result waits up to 1 ms; the last result of a batch goes out at once and takes the waiting ones along.

--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
@@ -9,8 +10,14 @@
 	"zinniatide.example/zinniatide"
 )
 
-// maxResultBytes is the size at which a message of results is closed.
-const maxResultBytes = 1 << 20
+const (
+	// maxResultBytes is the size at which a message of results is closed.
+	maxResultBytes = 1 << 20
+	// gatherTime is how long a result may wait for others to the same
+	// coordinator. Without it most messages carry a single result, and the link
+	// costs as much as the backend connections.
+	gatherTime = time.Millisecond
+)
 
 // server is the owner's side: it dispatches the batches that arrive, and
 // sends results as they come, several in one message when they come together.
@@ -24,6 +31,8 @@
 	// ready holds results to be sent, by coordinator.
 	ready map[zinniatide.VMID][]resultItem
 	wake  chan struct{}
+	// waking is set from the first unsent result until the next flush.
+	waking bool
 }
 
 type batchKey struct {
@@ -99,14 +108,18 @@
 	b.outstanding--
 	s.ready[key.from] = append(s.ready[key.from], item)
 	message := s.complete(key, b)
+	wake := message == nil && !s.waking
+	s.waking = s.waking || wake
 	s.mu.Unlock()
 	if message != nil {
 		b.reply(message, nil)
-		return
 	}
-	select {
-	case s.wake <- struct{}{}:
-	default:
+	if wake {
+		// A wake-up that is still to be received serves this result too.
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -135,11 +148,16 @@
 	return items
 }
 
-// send sends results until stop is closed.
+// send sends results until stop is closed. The first result waits gatherTime for
+// others. The last result of a batch does not wait; it takes along those that do.
 func (s *server) send(stop <-chan struct{}) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
 		select {
 		case <-s.wake:
+			timer.Reset(gatherTime)
+		case <-timer.C:
 			s.flush()
 		case <-stop:
 			return
@@ -154,6 +172,7 @@
 	ready := s.ready
 	s.ready = make(map[zinniatide.VMID][]resultItem, len(ready))
 	s.count(ready, 1)
+	s.waking = false
 	s.mu.Unlock()
 	for vm, items := range ready {
 		for len(items) > 0 {
