--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -21,6 +21,7 @@
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).goTicktock"),
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).goPurge"),
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*goWorker).run.func1"),
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
