Keep replies, batches and catalogue lists within the link's message limit

Cause: the reply to a batch took all waiting results along, so that a few large ones could exceed 8 MB and lose the whole batch. Batches of 65536 items and lists of large announcements could do the same. Change: results beyond 1 MB go ahead of the reply; a batch has at most 4096 items and an announcement at most 1024 searchers (38 KB with one offer).

--- a/cataloger/message.go
+++ b/cataloger/message.go
@@ -6,12 +6,13 @@
 	"zinniatide.example/zinniatide"
 )
 
-// Bounds of an announcement. They are far above any known server and keep one
-// announcement from filling memory.
+// Bounds of an announcement. They are far above any known server, keep one
+// announcement from filling memory, and let the largest announcements of 150
+// servers travel in one list within the link's limit of 8 MB.
 const (
 	maxSlots     = 4096
 	maxOffers    = 64
-	maxSearchers = 4096 // over all offers
+	maxSearchers = 1024 // over all offers
 	maxServers   = 1 << 16
 )
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// TestLargeReply guards against a reply beyond the size of a link's messages
+// when large results wait for the last one.
+func TestLargeReply(t *testing.T) {
+	c := clock.NewManual(1000, 0)
+	a, b := newPair(t, c)
+	got, _ := dispatchAll(a, requests(c, "b1", "b2", "b3", "b4"))
+	for _, d := range b.running {
+		d.done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: make([]byte, maxResultBytes)})
+	}
+	for i := range got.counts {
+		got.want(t, i, zinniatide.OutcomeDone, "")
+	}
+	if n := b.sent[zinniatide.KindSubResult]; n != 3 || b.largest > maxResultBytes+1000 {
+		t.Errorf("got %d messages and at most %d bytes, want 3 and about %d", n, b.largest, maxResultBytes)
+	}
+}
+
 // TestFaults guards against a missing, second or wrong result when the link or
 // the owner fails.
 func TestFaults(t *testing.T) {
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// maxItems bounds the sub-requests of one message.
-	maxItems = 1 << 16
+	// maxItems bounds the sub-requests of one message, so that with the longest
+	// ids and body it stays far below the link's limit.
+	maxItems = 4096
 	// maxRemaining is far above every deadline and keeps sums from overflowing.
 	maxRemaining zinniatide.Millis = 3_600_000
 )
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -112,7 +112,7 @@
 	s.waking = s.waking || wake
 	s.mu.Unlock()
 	if message != nil {
-		b.reply(message, nil)
+		s.reply(key, b, message)
 	}
 	if wake {
 		// A wake-up that is still to be received serves this result too.
@@ -123,6 +123,29 @@
 	}
 }
 
+// reply ends a batch. Results that would make the reply too large for a link
+// go ahead of it; the link keeps the order.
+func (s *server) reply(key batchKey, b *servedBatch, m *resultMessage) {
+	n := fitting(m.Items)
+	for n < len(m.Items) {
+		if !s.post(key.from, m.Items[:n]) {
+			break
+		}
+		m.Items = m.Items[n:]
+		n = fitting(m.Items)
+	}
+	b.reply(&resultMessage{Items: m.Items[:n]}, nil)
+}
+
+// post sends results and reports whether the link took them.
+func (s *server) post(vm zinniatide.VMID, items []resultItem) bool {
+	err := s.linker.Send(vm, zinniatide.KindSubResult, &resultMessage{Items: items})
+	if err != nil {
+		klog.V(2).InfoS("results dropped", "step", "serve", "peer", vm, "err", err.Error())
+	}
+	return err == nil
+}
+
 // complete returns the reply to a batch all of whose results have been sent or
 // wait to be sent, and forgets the batch. It returns nil for other batches.
 func (s *server) complete(key batchKey, b *servedBatch) *resultMessage {
@@ -177,8 +200,7 @@
 	for vm, items := range ready {
 		for len(items) > 0 {
 			n := fitting(items)
-			if err := s.linker.Send(vm, zinniatide.KindSubResult, &resultMessage{Items: items[:n]}); err != nil {
-				klog.V(2).InfoS("results dropped", "step", "serve", "peer", vm, "err", err.Error())
+			if !s.post(vm, items[:n]) {
 				break
 			}
 			items = items[n:]
@@ -199,6 +221,7 @@
 // sent replies to the batches that are complete now.
 func (s *server) sent(ready map[zinniatide.VMID][]resultItem) {
 	type completed struct {
+		key     batchKey
 		batch   *servedBatch
 		message *resultMessage
 	}
@@ -210,14 +233,14 @@
 			key := batchKey{vm, items[i].Batch}
 			if b := s.batches[key]; b != nil {
 				if m := s.complete(key, b); m != nil {
-					all = append(all, completed{b, m})
+					all = append(all, completed{key, b, m})
 				}
 			}
 		}
 	}
 	s.mu.Unlock()
 	for _, c := range all {
-		c.batch.reply(c.message, nil)
+		s.reply(c.key, c.batch, c.message)
 	}
 }
 
--- a/forwarder/support_test.go
+++ b/forwarder/support_test.go
@@ -38,6 +38,8 @@
 	// "lost" loses the link after delivery, "mute" after losing the message.
 	fail string
 	sent map[zinniatide.MessageKind]int
+	// largest is the size of the largest message of results, replies included.
+	largest int
 	// during runs once, in the next Send before it delivers.
 	during func()
 
@@ -93,6 +95,7 @@
 		panic(err)
 	}
 	n.mu.Lock()
+	n.largest = max(n.largest, len(raw))
 	n.sent[kind]++
 	n.mu.Unlock()
 	n.peers[peer].handlers[kind](n.vm, raw, reply)
@@ -110,6 +113,7 @@
 	}
 	n.deliver(peer, kind, body, func(value any, err error) {
 		raw, _ := cbor.Marshal(value)
+		n.peers[peer].note(len(raw))
 		if n.fail == "" {
 			done(raw, err)
 		}
@@ -119,6 +123,12 @@
 	}
 }
 
+func (n *node) note(size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.largest = max(n.largest, size)
+}
+
 // newPair returns coordinator a and owner b. Server "a1" is owned by a, "b1" to
 // "b9" by b, and "x1" by nobody.
 func newPair(tb testing.TB, c zinniatide.Clock) (a, b *node) {
