--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
@@ -9,8 +10,14 @@
 	"zinniatide.example/zinniatide"
 )
 
-// maxResultBytes is the size at which a message of results is closed.
-const maxResultBytes = 1 << 20
+const (
+	// maxResultBytes is the size at which a message of results is closed.
+	maxResultBytes = 1 << 20
+	// gatherTime is how long a result may wait for others to the same
+	// coordinator. Without it most messages carry a single result, and the link
+	// costs as much as the backend connections.
+	gatherTime = time.Millisecond
+)
 
 // server is the owner's side: it dispatches the batches that arrive, and
 // sends results as they come, several in one message when they come together.
@@ -24,6 +31,8 @@
 	// ready holds results to be sent, by coordinator.
 	ready map[zinniatide.VMID][]resultItem
 	wake  chan struct{}
+	// waking is set from the first unsent result until the next flush.
+	waking bool
 }
 
 type batchKey struct {
@@ -99,15 +108,42 @@
 	b.outstanding--
 	s.ready[key.from] = append(s.ready[key.from], item)
 	message := s.complete(key, b)
+	wake := message == nil && !s.waking
+	s.waking = s.waking || wake
 	s.mu.Unlock()
 	if message != nil {
-		b.reply(message, nil)
-		return
+		s.reply(key, b, message)
+	}
+	if wake {
+		// A wake-up that is still to be received serves this result too.
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
 	}
-	select {
-	case s.wake <- struct{}{}:
-	default:
+}
+
+// reply ends a batch. Results that would make the reply too large for a link
+// go ahead of it; the link keeps the order.
+func (s *server) reply(key batchKey, b *servedBatch, m *resultMessage) {
+	n := fitting(m.Items)
+	for n < len(m.Items) {
+		if !s.post(key.from, m.Items[:n]) {
+			break
+		}
+		m.Items = m.Items[n:]
+		n = fitting(m.Items)
+	}
+	b.reply(&resultMessage{Items: m.Items[:n]}, nil)
+}
+
+// post sends results and reports whether the link took them.
+func (s *server) post(vm zinniatide.VMID, items []resultItem) bool {
+	err := s.linker.Send(vm, zinniatide.KindSubResult, &resultMessage{Items: items})
+	if err != nil {
+		klog.V(2).InfoS("results dropped", "step", "serve", "peer", vm, "err", err.Error())
 	}
+	return err == nil
 }
 
 // complete returns the reply to a batch all of whose results have been sent or
@@ -135,11 +171,16 @@
 	return items
 }
 
-// send sends results until stop is closed.
+// send sends results until stop is closed. The first result waits gatherTime for
+// others. The last result of a batch does not wait; it takes along those that do.
 func (s *server) send(stop <-chan struct{}) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
 		select {
 		case <-s.wake:
+			timer.Reset(gatherTime)
+		case <-timer.C:
 			s.flush()
 		case <-stop:
 			return
@@ -154,12 +195,12 @@
 	ready := s.ready
 	s.ready = make(map[zinniatide.VMID][]resultItem, len(ready))
 	s.count(ready, 1)
+	s.waking = false
 	s.mu.Unlock()
 	for vm, items := range ready {
 		for len(items) > 0 {
 			n := fitting(items)
-			if err := s.linker.Send(vm, zinniatide.KindSubResult, &resultMessage{Items: items[:n]}); err != nil {
-				klog.V(2).InfoS("results dropped", "step", "serve", "peer", vm, "err", err.Error())
+			if !s.post(vm, items[:n]) {
 				break
 			}
 			items = items[n:]
@@ -180,6 +221,7 @@
 // sent replies to the batches that are complete now.
 func (s *server) sent(ready map[zinniatide.VMID][]resultItem) {
 	type completed struct {
+		key     batchKey
 		batch   *servedBatch
 		message *resultMessage
 	}
@@ -191,14 +233,14 @@
 			key := batchKey{vm, items[i].Batch}
 			if b := s.batches[key]; b != nil {
 				if m := s.complete(key, b); m != nil {
-					all = append(all, completed{b, m})
+					all = append(all, completed{key, b, m})
 				}
 			}
 		}
 	}
 	s.mu.Unlock()
 	for _, c := range all {
-		c.batch.reply(c.message, nil)
+		s.reply(c.key, c.batch, c.message)
 	}
 }
 
