Measure entry loss, resends, query of death and partitions of control VMs

Callers can choose the entry VM of a search. The log lines of the stand-ins' HTTP server go through klog.

--- a/cmd/zinniabench/cluster/cluster.go
+++ b/cmd/zinniabench/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -39,6 +40,9 @@
 	Layout *provisioner.Layout
 	Query  querier.Config
 	Seed   uint64
+	// WithoutAdmission and WithoutQuarantine switch parts off for baselines.
+	WithoutAdmission  bool
+	WithoutQuarantine bool
 }
 
 // Cluster is a running system.
@@ -53,10 +57,11 @@
 	ticket  zinniatide.TicketNumber
 }
 
-// member is one VM. Node is nil while it is down.
+// member is one VM. Node is nil while it is down. Scenarios read it while
+// others kill and start the VM.
 type member struct {
 	config node.Config
-	node   *node.Node
+	node   atomic.Pointer[node.Node]
 }
 
 const readyTimeout = 20 * time.Second
@@ -107,6 +112,7 @@
 		cfg := node.Config{
 			VM: zinniatide.VMID(fmt.Sprintf("e%d", i+1)), Zone: c.Options.Zones[i%len(c.Options.Zones)],
 			Entry: true, Control: i < c.Options.Controls, Query: c.Options.Query,
+			WithoutAdmission: c.Options.WithoutAdmission, WithoutQuarantine: c.Options.WithoutQuarantine,
 			DataFolder: filepath.Join(c.folder, fmt.Sprintf("e%d", i+1)),
 		}
 		addresses, err := freeAddresses(2)
@@ -155,7 +161,7 @@
 	}
 	return c.Wait(func() bool {
 		for _, m := range c.members {
-			if m.node != nil && len(m.node.Catalog().Servers) < len(c.StandIns.Servers) {
+			if n := m.node.Load(); n != nil && len(n.Catalog().Servers) < len(c.StandIns.Servers) {
 				return false
 			}
 		}
@@ -166,7 +172,7 @@
 func (c *Cluster) waitMembers() error {
 	return c.Wait(func() bool {
 		for _, m := range c.members {
-			if m.node != nil && (len(m.node.Configuration().Members) < len(c.members) || m.node.LeaseUntil() == 0) {
+			if n := m.node.Load(); n != nil && (len(n.Configuration().Members) < len(c.members) || n.LeaseUntil() == 0) {
 				return false
 			}
 		}
@@ -191,20 +197,19 @@
 	if err != nil {
 		return err
 	}
-	m.node = n
+	m.node.Store(n)
 	return n.Start()
 }
 
 // Kill ends VM i as a crash does.
 func (c *Cluster) Kill(i int) {
-	if n := c.members[i].node; n != nil {
-		c.members[i].node = nil
+	if n := c.members[i].node.Swap(nil); n != nil {
 		n.Kill()
 	}
 }
 
 // Node returns VM i, nil while it is down.
-func (c *Cluster) Node(i int) *node.Node { return c.members[i].node }
+func (c *Cluster) Node(i int) *node.Node { return c.members[i].node.Load() }
 
 // VM returns the id of VM i.
 func (c *Cluster) VM(i int) zinniatide.VMID { return c.members[i].config.VM }
@@ -224,8 +229,8 @@
 // Operator returns the operators' interface of a running control VM.
 func (c *Cluster) Operator() zinniatide.Operator {
 	for _, m := range c.members {
-		if m.node != nil && m.config.Control {
-			return m.node.Operator()
+		if n := m.node.Load(); n != nil && m.config.Control {
+			return n.Operator()
 		}
 	}
 	return nil
@@ -234,7 +239,7 @@
 // Leader returns the number of the control VM that leads, -1 without one.
 func (c *Cluster) Leader() int {
 	for i, m := range c.members {
-		if m.node != nil && m.node.Leading() {
+		if n := m.node.Load(); n != nil && n.Leading() {
 			return i
 		}
 	}
--- a/cmd/zinniabench/scenarios/common.go
+++ b/cmd/zinniabench/scenarios/common.go
@@ -40,6 +40,8 @@
 	entries        int
 	delay          time.Duration
 	query          *querier.Config // nil for the default
+
+	withoutAdmission, withoutQuarantine bool
 }
 
 func (p plan) layout() provisioner.ServiceLayout {
@@ -73,8 +75,9 @@
 	}
 	return cluster.New(cluster.Options{
 		Entries: p.entries, Controls: 3, Zones: zones, LinkDelay: p.delay, Query: query, Seed: e.Seed,
-		Services: map[zinniatide.ServiceID]*zinniatide.ServiceSetting{service: p.setting()},
-		Layout:   &provisioner.Layout{Zones: zones, Services: []provisioner.ServiceLayout{p.layout()}},
+		Services:         map[zinniatide.ServiceID]*zinniatide.ServiceSetting{service: p.setting()},
+		WithoutAdmission: p.withoutAdmission, WithoutQuarantine: p.withoutQuarantine,
+		Layout: &provisioner.Layout{Zones: zones, Services: []provisioner.ServiceLayout{p.layout()}},
 	})
 }
 
--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -80,6 +80,7 @@
 func All() []Scenario {
 	return []Scenario{
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
+		entryLoss, resend, queryOfDeath, controlPartition,
 	}
 }
 
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -4,6 +4,7 @@
 package emulator
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
 )
@@ -95,6 +97,7 @@
 	e.server = &fasthttp.Server{
 		Handler: e.handle, NoDefaultServerHeader: true, Concurrency: 4096,
 		MaxRequestBodySize: zinniatide.MaxRequestBody, IdleTimeout: time.Minute,
+		Logger: quiet{},
 	}
 	e.stop = make(chan struct{})
 	go func(s *fasthttp.Server, l net.Listener) { _ = s.Serve(l) }(e.server, e.listener)
@@ -102,6 +105,15 @@
 	return nil
 }
 
+// quiet takes the log lines of the HTTP server. A crash on purpose breaks
+// connections, and would otherwise fill the output of a measurement.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(format string, args ...any) {
+	klog.V(1).InfoS("connection of a stand-in failed", "step", "serve", "err", fmt.Sprintf(format, args...))
+}
+
 // Kill ends the server at once, as a crash does. Start brings it back.
 func (e *Emulator) Kill() {
 	e.mu.Lock()
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -148,6 +148,17 @@
 	if err != nil {
 		return nil, err
 	}
+	answer, err := l.SearchAt(address, id, query)
+	for tries := 0; Refused(err) && tries < maxConnects; tries++ {
+		if address, err = l.Address(); err == nil {
+			answer, err = l.SearchAt(address, id, query)
+		}
+	}
+	return answer, err
+}
+
+// SearchAt is Search on a chosen address.
+func (l *Loader) SearchAt(address string, id zinniatide.RequestID, query string) (*SearchAnswer, error) {
 	body, err := json.Marshal(map[string]any{
 		"request-id": id, "service": l.cfg.Service, "tenant": l.cfg.Tenant, "class": l.cfg.Class,
 		"deadline-ms": l.cfg.Timeout.Milliseconds(), "limit": 10, "query": map[string]string{"text": query},
@@ -156,14 +167,7 @@
 		return nil, zinniatide.WrapStep(err, "encode search", address)
 	}
 	answer := new(SearchAnswer)
-	err = l.call("POST", address, "/v1/search", body, l.cfg.Timeout+time.Second, answer)
-	for tries := 0; refused(err) && tries < maxConnects; tries++ {
-		l.Forget(address)
-		if address, err = l.Address(); err == nil {
-			err = l.call("POST", address, "/v1/search", body, l.cfg.Timeout+time.Second, answer)
-		}
-	}
-	if err != nil {
+	if err := l.call("POST", address, "/v1/search", body, l.cfg.Timeout+time.Second, answer); err != nil {
 		l.Forget(address)
 		return nil, err
 	}
@@ -173,9 +177,9 @@
 // maxConnects is how many further addresses a caller tries.
 const maxConnects = 4
 
-// refused reports whether the connection was refused, so that no byte of the
+// Refused reports whether the connection was refused, so that no byte of the
 // request was sent.
-func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // check compares the answer with the documents that the stand-ins return: a
 // shard of n keys reports n matches.
