Measure leader loss, catch-up, overload and changes of versions

leader-loss and catch-up file tickets through the control VMs that are left. overload offers twice the capacity from two tenants. version-change and repartition replace the index version under running queries.

--- a/cmd/zinniabench/scenarios/death.go
+++ b/cmd/zinniabench/scenarios/death.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/cmd/zinniabench/cluster"
+	"zinniatide.example/zinniatide/emulator"
 	"zinniatide.example/zinniatide/loader"
 	"zinniatide.example/zinniatide/recorder"
 )
@@ -57,8 +59,7 @@
 	for _, s := range c.StandIns.Servers {
 		s.SetCrashBody(deadlyText)
 	}
-	stop, failed := make(chan struct{}), make(chan error, 1)
-	go func() { failed <- restartCrashed(c, stop) }()
+	watch, stop := watchCrashes(c), make(chan struct{})
 	d, sent := newDeadly(e, c), make(chan struct{})
 	go func() {
 		defer close(sent)
@@ -69,35 +70,66 @@
 	l.load(r, innocentRate, deathTime, "innocent")
 	close(stop)
 	<-sent
-	if err := <-failed; err != nil {
+	lost, err := watch.end()
+	if err != nil {
 		return deaths{}, err
 	}
 	refused := r.Count(func(s recorder.Sample) bool { return stated(s.Err) })
-	lost := c.StandIns.Totals().Crashes
 	return deaths{float64(lost), float64(refused)}, d.check(lost, withoutQuarantine)
 }
 
-// restartCrashed starts servers again some time after they have crashed.
-func restartCrashed(c *cluster.Cluster, stop chan struct{}) error {
-	restarted := make([]int64, len(c.StandIns.Servers))
-	for {
-		for i, s := range c.StandIns.Servers {
-			if crashes := s.Counts.Crashes.Load(); crashes > restarted[i] {
-				restarted[i] = crashes
-				time.Sleep(deathRestart)
-				if err := s.Start(); err != nil {
-					return err
-				}
+// crashWatch starts servers again some time after they have crashed, and
+// counts the losses. Several requests that crash one process are one loss.
+type crashWatch struct {
+	servers sync.WaitGroup
+	stop    chan struct{}
+	lost    atomic.Int64
+
+	mu      sync.Mutex
+	failure error
+}
+
+func watchCrashes(c *cluster.Cluster) *crashWatch {
+	w := &crashWatch{stop: make(chan struct{})}
+	for _, s := range c.StandIns.Servers {
+		w.servers.Add(1)
+		go func() {
+			defer w.servers.Done()
+			if err := w.watch(s); err != nil {
+				w.mu.Lock()
+				w.failure = errors.Join(w.failure, err)
+				w.mu.Unlock()
+			}
+		}()
+	}
+	return w
+}
+
+func (w *crashWatch) watch(s *emulator.Emulator) error {
+	for restarted := int64(0); ; {
+		if s.Counts.Crashes.Load() > restarted {
+			w.lost.Add(1)
+			time.Sleep(deathRestart)
+			restarted = s.Counts.Crashes.Load()
+			if err := s.Start(); err != nil {
+				return err
 			}
 		}
 		select {
-		case <-stop:
+		case <-w.stop:
 			return nil
-		case <-time.After(20 * time.Millisecond):
+		case <-time.After(10 * time.Millisecond):
 		}
 	}
 }
 
+// end returns the number of losses.
+func (w *crashWatch) end() (int64, error) {
+	close(w.stop)
+	w.servers.Wait()
+	return w.lost.Load(), w.failure
+}
+
 // deadly is the caller that resends the request that crashes servers.
 type deadly struct {
 	cluster *cluster.Cluster
--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -81,6 +81,7 @@
 	return []Scenario{
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
 		entryLoss, resend, queryOfDeath, controlPartition,
+		leaderLoss, catchUp, overload, versionChange, repartition,
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -165,16 +165,20 @@
 }
 
 // Leading reports whether this process leads the replicated log.
-func (n *Node) Leading() bool {
+func (n *Node) Leading() bool { return n.LogStatus().Leading }
+
+// LogStatus returns the state of the replicated log here. It is zero without
+// the control role, and once the process has ended.
+func (n *Node) LogStatus() zinniatide.LogStatus {
 	if n.keeper == nil {
-		return false
+		return zinniatide.LogStatus{}
 	}
-	answer := make(chan bool, 1)
-	n.keeper.Post(func() { answer <- n.keeper.Status().Leading })
+	answer := make(chan zinniatide.LogStatus, 1)
+	n.keeper.Post(func() { answer <- n.keeper.Status() })
 	select {
-	case leading := <-answer:
-		return leading
+	case status := <-answer:
+		return status
 	case <-n.ctx.Done():
-		return false
+		return zinniatide.LogStatus{}
 	}
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -17,6 +17,7 @@
 	Start    time.Time
 	Latency  time.Duration
 	Coverage float64 // of a search that was answered
+	Version  zinniatide.IndexVersion
 	Err      error
 }
 
@@ -53,7 +54,7 @@
 	answer, err := caller.Search(zinniatide.RequestID(id), id)
 	s := Sample{Start: start, Latency: time.Since(start), Err: err}
 	if err == nil {
-		s.Coverage = answer.Coverage.Ratio
+		s.Coverage, s.Version = answer.Coverage.Ratio, answer.Version
 	}
 	r.Add(s)
 }
