Measure silent connections and combined faults

silent-connection makes open connections of servers, and then the links of an entry VM, silent for good. combined runs eight pairs of faults, each on a system of its own, and counts wrong answers and doubled runs.

--- a/cmd/zinniabench/network/network.go
+++ b/cmd/zinniabench/network/network.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// Silence makes the open links of vm silent for good and returns their number.
+// No connection is closed, and links that are dialled later work.
+func (n *Network) Silence(vm zinniatide.VMID) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	silenced := 0
+	for p, r := range n.relays {
+		if p.from != vm && p.to != vm {
+			continue
+		}
+		for c := range r.conns {
+			c.silent = true
+			silenced++
+		}
+	}
+	return silenced
+}
+
 // Heal ends a cut. Links that were silent stay so; new ones work.
 func (n *Network) Heal(vm zinniatide.VMID) {
 	n.mu.Lock()
--- a/cmd/zinniabench/scenarios/common.go
+++ b/cmd/zinniabench/scenarios/common.go
@@ -36,7 +36,6 @@
 	cold           zinniatide.ColdStartSetting // what the query tier is told
 	trueCold       zinniatide.ColdStartSetting // what the servers bear
 	tenants        map[zinniatide.TenantID]zinniatide.TenantSetting
-	deadline       time.Duration
 	entries        int
 	delay          time.Duration
 	query          *querier.Config // nil for the default
--- a/cmd/zinniabench/scenarios/control.go
+++ b/cmd/zinniabench/scenarios/control.go
@@ -116,12 +116,16 @@
 	return rawLoser, <-won
 }
 
+// errNotRefused means that the loser of a race of tickets got another answer
+// than a refusal for the conflict.
+var errNotRefused = errors.New("wrong answer to a ticket that lost")
+
 // resendLoser sends the loser of a race again, which must be refused.
 func resendLoser(c *cluster.Cluster, raw []byte, victim int) error {
 	_, err := c.Node(victim).Operator().FileTicket(raw, false, operatorTimeout)
 	refusal := new(zinniatide.Refusal)
 	if !errors.As(err, &refusal) || refusal.Code != zinniatide.CodeTicketConflict {
-		return fmt.Errorf("the loser of a race was answered with %v instead of %s", err, zinniatide.CodeTicketConflict)
+		return fmt.Errorf("the loser of a race was not refused with %s: %w", zinniatide.CodeTicketConflict, errors.Join(errNotRefused, err))
 	}
 	return nil
 }
--- a/cmd/zinniabench/scenarios/executes.go
+++ b/cmd/zinniabench/scenarios/executes.go
@@ -36,9 +36,10 @@
 // executions sends non-idempotent requests and compares the answers with the
 // stand-ins' own count of runs. It is safe for concurrent use.
 type executions struct {
-	cluster *cluster.Cluster
-	caller  *loader.Loader
-	prefix  string
+	cluster  *cluster.Cluster
+	caller   *loader.Loader
+	prefix   string
+	attempts int // of one id
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -48,7 +49,7 @@
 
 func (e *Env) executions(c *cluster.Cluster, timeout time.Duration, prefix string) *executions {
 	return &executions{
-		cluster: c, prefix: prefix, random: rand.New(rand.NewPCG(e.Seed, 7)), inFlight: make(map[string]int),
+		cluster: c, prefix: prefix, attempts: executeAttempts, random: rand.New(rand.NewPCG(e.Seed, 7)), inFlight: make(map[string]int),
 		caller: c.Caller(loader.Config{
 			Service: service, Tenant: "counter", Class: "interactive", Timeout: timeout, Seed: e.Seed + 100,
 		}),
@@ -119,7 +120,7 @@
 // runs can refute it.
 func (x *executions) resend(i int) {
 	r := x.open(i)
-	for range executeAttempts {
+	for range x.attempts {
 		outcome, err := x.attempt(r, x.order()[0])
 		if outcome == zinniatide.OutcomeDone || outcome == zinniatide.OutcomeNotRun && stated(err) && i%2 == 0 {
 			return
@@ -141,7 +142,7 @@
 		}()
 	}
 	calls.Wait()
-	for range executeAttempts {
+	for range x.attempts {
 		if x.isDone(r) {
 			return
 		}
--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -82,6 +82,7 @@
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
 		entryLoss, resend, queryOfDeath, controlPartition,
 		leaderLoss, catchUp, overload, versionChange, repartition,
+		silentConnection, combined,
 	}
 }
 
--- a/cmd/zinniabench/scenarios/version.go
+++ b/cmd/zinniabench/scenarios/version.go
@@ -15,9 +15,9 @@
 	versionRate = 120 // queries per second
 	versionTime = 16 * time.Second
 	versionStep = 2 * time.Second
-	// rolloutPause lies between the changes of two servers, so that running
-	// queries meet servers of both kinds.
-	rolloutPause = 40 * time.Millisecond
+	// rolloutParts divides a step into the pauses between the changes of two
+	// servers, so that running queries meet servers of both kinds.
+	rolloutParts = 50
 )
 
 func versionPlan() plan {
@@ -78,19 +78,19 @@
 		_, err := c.File(&zinniatide.Ticket{Services: map[zinniatide.ServiceID]*zinniatide.ServiceSetting{service: both}})
 		filed <- err
 	}()
-	rollOut(c, p, factor, 0, 1, true)
+	rollOut(c, p, factor, rollout{0, 1, true, step / rolloutParts})
 	if err := <-filed; err != nil {
 		return err
 	}
 	time.Sleep(step)
-	rollOut(c, p, factor, 0, 2, false)
+	rollOut(c, p, factor, rollout{0, 2, false, step / rolloutParts})
 	only := p.setting()
 	only.Versions = []zinniatide.IndexVersionSetting{next}
 	go func() {
 		_, err := c.File(&zinniatide.Ticket{Services: map[zinniatide.ServiceID]*zinniatide.ServiceSetting{service: only}})
 		filed <- err
 	}()
-	rollOut(c, p, factor, 1, 2, false)
+	rollOut(c, p, factor, rollout{1, 2, false, step / rolloutParts})
 	if err := <-filed; err != nil {
 		return err
 	}
@@ -98,19 +98,26 @@
 	return nil
 }
 
-// rollOut gives every stride-th server version 2, with or without version 1.
-func rollOut(c *cluster.Cluster, p plan, factor uint32, first, stride int, withOld bool) {
+// rollout says which servers change, and whether they keep version 1.
+type rollout struct {
+	first, stride int
+	withOld       bool
+	pause         time.Duration
+}
+
+// rollOut gives servers version 2, one after the other.
+func rollOut(c *cluster.Cluster, p plan, factor uint32, o rollout) {
 	layout := p.layout()
 	next := layout
 	next.Version, next.ShardCount, next.SearchersPerServer = 2, p.shards*factor, p.searchers*int(factor)
-	for i := first; i < len(c.StandIns.Servers); i += stride {
+	for i := o.first; i < len(c.StandIns.Servers); i += o.stride {
 		place := i % p.serversPerZone
 		searchers := provisioner.Searchers(next, place)
-		if withOld {
+		if o.withOld {
 			searchers = append(searchers, provisioner.Searchers(layout, place)...)
 		}
 		c.StandIns.Servers[i].SetOffers([]zinniatide.ServiceOffer{{Service: service, Searchers: searchers}})
-		time.Sleep(rolloutPause)
+		time.Sleep(o.pause)
 	}
 }
 
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -190,9 +190,10 @@
 	e.diesRun = true
 }
 
-// SilenceConnections makes all open connections silent for good. New ones work.
-func (e *Emulator) SilenceConnections() {
+// SilenceConnections makes all open connections silent for good and returns
+// their number. New ones work.
+func (e *Emulator) SilenceConnections() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.listener.silenceAll()
+	return e.listener.silenceAll()
 }
--- a/emulator/listener.go
+++ b/emulator/listener.go
@@ -51,12 +51,13 @@
 	return c
 }
 
-func (l *faultListener) silenceAll() {
+func (l *faultListener) silenceAll() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		c.silent.Store(true)
 	}
+	return len(l.conns)
 }
 
 func (l *faultListener) closeAll() {
