--- a/cmd/zinniabench/scenarios/combined.go
+++ b/cmd/zinniabench/scenarios/combined.go
@@ -81,7 +81,7 @@
 	defer c.Close()
 	run := &pairRun{
 		env: e, plan: combinedPlan(), cluster: c, operators: &operators{cluster: c}, searches: recorder.New(),
-		callers: e.callers(c, time.Second, "counter"), executes: e.executions(c, time.Second, "combined"),
+		callers: e.callers(c, time.Second, "counter"), executes: e.executions(c, "combined"),
 	}
 	run.executes.attempts = combinedAttempts
 	run.callers.load(recorder.New(), combinedSearches/2, time.Second, "warm-up")
--- a/cmd/zinniabench/scenarios/entry.go
+++ b/cmd/zinniabench/scenarios/entry.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	defer c.Close()
-	x := e.executions(c, executeTimeout, "entry-loss")
+	x := e.executions(c, "entry-loss")
 	cost, err := x.recordCost()
 	if err != nil {
 		return err
@@ -114,7 +114,7 @@
 		return err
 	}
 	defer c.Close()
-	x := e.executions(c, executeTimeout, "resend")
+	x := e.executions(c, "resend")
 	cost, err := x.recordCost()
 	if err != nil {
 		return err
--- a/cmd/zinniabench/scenarios/executes.go
+++ b/cmd/zinniabench/scenarios/executes.go
@@ -47,11 +47,11 @@
 	inFlight map[string]int // attempts by address
 }
 
-func (e *Env) executions(c *cluster.Cluster, timeout time.Duration, prefix string) *executions {
+func (e *Env) executions(c *cluster.Cluster, prefix string) *executions {
 	return &executions{
 		cluster: c, prefix: prefix, attempts: executeAttempts, random: rand.New(rand.NewPCG(e.Seed, 7)), inFlight: make(map[string]int),
 		caller: c.Caller(loader.Config{
-			Service: service, Tenant: "counter", Class: "interactive", Timeout: timeout, Seed: e.Seed + 100,
+			Service: service, Tenant: "counter", Class: "interactive", Timeout: executeTimeout, Seed: e.Seed + 100,
 		}),
 	}
 }
--- a/cmd/zinniabench/scenarios/silent.go
+++ b/cmd/zinniabench/scenarios/silent.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	defer c.Close()
-	l, x, r := e.callers(c, time.Second, "counter"), e.executions(c, time.Second, "silent"), recorder.New()
+	l, x, r := e.callers(c, time.Second, "counter"), e.executions(c, "silent"), recorder.New()
 	l.load(recorder.New(), silentSearches, 2*time.Second, "warm-up")
 	executed, failed := make(chan struct{}), make(chan error, 1)
 	start := time.Now()
