--- a/cmd/zinniabench/scenarios/executes.go
+++ b/cmd/zinniabench/scenarios/executes.go
@@ -29,7 +29,6 @@
 	id       zinniatide.RequestID
 	done     bool
 	unknown  bool // an attempt ended without a statement, or with unknown
-	notRun   bool // an attempt was refused with not-run
 	attempts int
 }
 
@@ -87,7 +86,6 @@
 	r.attempts++
 	r.done = r.done || outcome == zinniatide.OutcomeDone
 	r.unknown = r.unknown || outcome == zinniatide.OutcomeUnknown
-	r.notRun = r.notRun || stated(err) && outcome == zinniatide.OutcomeNotRun
 	return outcome, err
 }
 
@@ -169,30 +167,31 @@
 	requests, attempts, ran int
 	doubled, falseNotRun    int
 	unknown                 int // requests without any known outcome
-	notRun                  int // requests with a stated not-run
 }
 
-// judge compares the answers with the runs. An answer done without a run is an
-// error, because then the counts cannot be trusted or an answer was made up.
+// judge compares the answers with the runs that the stand-ins have counted.
 func (x *executions) judge() (verdict, error) {
 	time.Sleep(settleTime)
-	runs := x.cluster.StandIns.Totals().Executed
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	v := verdict{requests: len(x.requests)}
-	for _, r := range x.requests {
+	return compare(x.requests, x.cluster.StandIns.Totals().Executed)
+}
+
+// compare counts the differences between answers and runs. An answer done
+// without a run is an error, because then the counts cannot be trusted or an
+// answer was made up.
+func compare(requests []*execution, runs map[string]int) (verdict, error) {
+	v := verdict{requests: len(requests)}
+	for _, r := range requests {
 		n := runs[string(r.id)]
+		if r.done && n == 0 {
+			return v, fmt.Errorf("request %s was answered with done, but no server has run it", r.id)
+		}
 		v.attempts += r.attempts
 		v.ran += min(n, 1)
-		switch {
-		case r.done && n == 0:
-			return v, fmt.Errorf("request %s was answered with done, but no server has run it", r.id)
-		case n > 1:
+		if n > 1 {
 			v.doubled++
 		}
-		if r.notRun {
-			v.notRun++
-		}
 		if n > 0 && !r.done && !r.unknown {
 			v.falseNotRun++
 		}
--- /dev/null
+++ b/cmd/zinniabench/scenarios/executes_test.go
@@ -0,0 +1,93 @@
+package scenarios
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/loader"
+	"zinniatide.example/zinniatide/recorder"
+)
+
+// Guards against a comparison that overlooks doubled runs, a false not-run or
+// an answer without a run.
+func TestCompare(t *testing.T) {
+	tests := []struct {
+		name    string
+		request execution
+		runs    int
+		want    verdict
+		fails   bool
+	}{
+		{"done once", execution{done: true}, 1, verdict{requests: 1, ran: 1}, false},
+		{"done after unknown", execution{done: true, unknown: true}, 1, verdict{requests: 1, ran: 1}, false},
+		{"done twice", execution{done: true}, 2, verdict{requests: 1, ran: 1, doubled: 1}, false},
+		{"unknown and doubled", execution{unknown: true}, 2, verdict{requests: 1, ran: 1, doubled: 1, unknown: 1}, false},
+		{"true not-run", execution{}, 0, verdict{requests: 1}, false},
+		{"false not-run", execution{}, 1, verdict{requests: 1, ran: 1, falseNotRun: 1}, false},
+		{"unknown and not run", execution{unknown: true}, 0, verdict{requests: 1, unknown: 1}, false},
+		{"done without a run", execution{done: true}, 0, verdict{}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.request.id = "id"
+			got, err := compare([]*execution{&test.request}, map[string]int{"id": test.runs})
+			if test.fails != (err != nil) {
+				t.Fatalf("got error %v, want one: %v", err, test.fails)
+			}
+			if err == nil && got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against counting a lost connection as not-run: the request may have
+// run.
+func TestOutcomeOf(t *testing.T) {
+	tests := []struct {
+		err  error
+		want zinniatide.Outcome
+	}{
+		{nil, zinniatide.OutcomeDone},
+		{fmt.Errorf("dial: %w", syscall.ECONNREFUSED), zinniatide.OutcomeNotRun},
+		{fmt.Errorf("read: %w", syscall.ECONNRESET), zinniatide.OutcomeUnknown},
+		{errors.New("timeout"), zinniatide.OutcomeUnknown},
+		{&loader.Refusal{Outcome: zinniatide.OutcomeNotRun}, zinniatide.OutcomeNotRun},
+		{&loader.Refusal{Outcome: zinniatide.OutcomeUnknown}, zinniatide.OutcomeUnknown},
+		{&loader.Refusal{}, zinniatide.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		if got := outcomeOf(test.err); got != test.want {
+			t.Errorf("outcome of %v: got %s, want %s", test.err, got, test.want)
+		}
+	}
+}
+
+// Guards against a disturbance that goes unseen because it shows only in the
+// coverage or in the latency.
+func TestDisturbed(t *testing.T) {
+	event := time.Unix(1000, 0)
+	at := func(offset, latency time.Duration, coverage float64) recorder.Sample {
+		return recorder.Sample{Start: event.Add(offset), Latency: latency, Coverage: coverage}
+	}
+	tests := []struct {
+		name   string
+		sample recorder.Sample
+		want   float64
+	}{
+		{"normal", at(time.Second, 10*time.Millisecond, 1), 0},
+		{"slow", at(time.Second, 200*time.Millisecond, 1), 1200},
+		{"partial", at(time.Second, 10*time.Millisecond, 0.9), 1010},
+	}
+	for _, test := range tests {
+		r := recorder.New()
+		r.Add(test.sample)
+		if got := disturbed(r, event, 100); got != test.want {
+			t.Errorf("%s: got %g ms, want %g", test.name, got, test.want)
+		}
+	}
+}
