--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -80,6 +80,9 @@
 func All() []Scenario {
 	return []Scenario{
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
+		entryLoss, resend, queryOfDeath, controlPartition,
+		leaderLoss, catchUp, overload, versionChange, repartition,
+		silentConnection, combined,
 	}
 }
 
