--- /dev/null
+++ b/model/log.pml
@@ -0,0 +1,318 @@
+/* The replicated log: elections, replication, commitment by quorum, a replaced
+ * disk, and tickets decided when they are applied. docs/model.md names the
+ * code that implements each step.
+ *
+ * Identities 0, 1 and 2 are the voters. Identity 3 is the VM of identity 2
+ * after its disk was replaced. A receiver reads the sender's state directly;
+ * delay and loss of a message are the freedom to take that step later or
+ * never. A receiver's change and its sync are one step: until the sync, nobody
+ * can tell the change from a message that has not arrived. Only a leader's own
+ * entries are visible to others before they are synced.
+ *
+ * The run begins with identity 0 leading term 1, elected by 0 and 1, with an
+ * empty log.
+ */
+#ifndef TERMS
+#define TERMS 3
+#endif
+#ifndef ENTRIES
+#define ENTRIES 3
+#endif
+#ifndef CRASHES
+#define CRASHES 1
+#endif
+#define N 4
+#define NOBODY 7
+
+#define FOLLOWER 0
+#define CANDIDATE 1
+#define LEADER 2
+
+/* An entry is its term times 8 plus one of these. Tickets A and B have the
+ * same number and different content. */
+#define NOOP 0
+#define TICKET_A 1
+#define TICKET_B 2
+#define ADD_3 4
+#define REMOVE_2 5
+#define VALUE(e) ((e) & 7)
+#define TERM(e) ((e) >> 3)
+
+typedef Node {
+	byte term; byte vote; byte size; byte log[5];
+	byte dterm; byte dvote; byte dsize; /* what a crash leaves */
+	byte role; byte granted;           /* bit set of voters */
+	byte match[N]; byte commit; byte first;
+	bool alive
+};
+Node n[N];
+byte crashes;
+bool replaced;
+
+/* Observers. */
+byte committed[5];
+byte committedIn[5]; /* term of the leader that committed it */
+byte ncommitted;
+byte leaderOf[TERMS + 1];
+byte winner; /* content that won the number of A and B */
+bool higher; /* the number of A and B is taken */
+
+#define BIT(x) (1 << (x))
+#define HAS(set, x) (((set) >> (x)) & 1)
+#define ONES(s) (HAS(s, 0) + HAS(s, 1) + HAS(s, 2) + HAS(s, 3))
+#define LASTTERM(i) (n[i].size == 0 -> 0 : TERM(n[i].log[n[i].size]))
+/* The voters are those of the newest membership entry in the log. */
+#define HASV(i, v) ((n[i].size >= 4 && VALUE(n[i].log[4]) == v) || (n[i].size >= 1 && VALUE(n[i].log[1]) == v) || (n[i].size >= 2 && VALUE(n[i].log[2]) == v) || (n[i].size >= 3 && VALUE(n[i].log[3]) == v))
+#define VOTERS(i) (HASV(i, REMOVE_2) -> 11 : (HASV(i, ADD_3) -> 15 : 7))
+#define QUORUM(set, voters) (ONES((set) & (voters)) * 2 > ONES(voters))
+
+inline becomeFollower(me, to) {
+	if
+	:: n[me].term < to -> n[me].term = to; n[me].vote = NOBODY
+	:: else
+	fi;
+	resetLeader(me)
+}
+
+inline resetLeader(me2) {
+	n[me2].role = FOLLOWER; n[me2].granted = 0; n[me2].commit = 0; n[me2].first = 0;
+	n[me2].match[0] = 0; n[me2].match[1] = 0; n[me2].match[2] = 0; n[me2].match[3] = 0
+}
+
+/* The vote and the acknowledgement that node j owes leave it. */
+inline answer(who) {
+	if
+	:: n[who].vote != NOBODY && n[n[who].vote].role == CANDIDATE && n[n[who].vote].term == n[who].term && n[n[who].vote].alive ->
+		n[n[who].vote].granted = n[n[who].vote].granted | BIT(who)
+	:: else
+	fi;
+	k = 0;
+	do
+	:: k < N ->
+		if
+		:: k != who && n[k].alive && n[k].role == LEADER && n[k].term == n[who].term && agreed[who] > n[k].match[who] ->
+			n[k].match[who] = agreed[who]
+		:: else
+		fi;
+		k++
+	:: else -> break
+	od;
+	k = 0
+}
+/* Length of the log that j took from the leader of its term. */
+byte agreed[N];
+
+#ifdef FORGET_VOTE
+#define STOREDVOTE(i) NOBODY
+#else
+#define STOREDVOTE(i) n[i].vote
+#endif
+
+inline sync(node) {
+	n[node].dterm = n[node].term; n[node].dvote = STOREDVOTE(node); n[node].dsize = n[node].size;
+	answer(node)
+}
+
+#define SYNCED(i) (n[i].dterm == n[i].term && n[i].dvote == STOREDVOTE(i) && n[i].dsize == n[i].size)
+
+inline append(ldr, val) {
+	n[ldr].size++;
+	n[ldr].log[n[ldr].size] = n[ldr].term * 8 + val
+}
+
+/* A node takes the next entry that it lacks from a leader, after dropping
+ * what conflicts. */
+inline receive(src, dst) {
+	if
+	:: n[dst].term < n[src].term || n[dst].role != FOLLOWER -> becomeFollower(dst, n[src].term); agreed[dst] = 0
+	:: else
+	fi;
+	k = 0; /* length of the equal prefix */
+	do
+	:: k < n[src].size && k < n[dst].size && n[src].log[k + 1] == n[dst].log[k + 1] -> k++
+	:: else -> break
+	od;
+	if
+	:: k < n[src].size && k < n[dst].size ->
+		do
+		:: n[dst].size > k -> n[dst].log[n[dst].size] = 0; n[dst].size--
+		:: else -> break
+		od;
+		n[dst].dsize = k;
+		n[dst].size++; n[dst].log[n[dst].size] = n[src].log[n[dst].size];
+		agreed[dst] = n[dst].size; k = 0
+	:: k < n[src].size && k == n[dst].size ->
+		n[dst].size++; n[dst].log[n[dst].size] = n[src].log[n[dst].size];
+		agreed[dst] = n[dst].size; k = 0
+	:: k == n[src].size -> agreed[dst] = k; k = 0
+	fi;
+#ifdef ACK_UNSYNCED
+	answer(dst)
+#else
+	sync(dst)
+#endif
+}
+
+/* Tickets are judged in the order of the log. */
+inline apply(e) {
+	if
+	:: VALUE(e) == TICKET_A || VALUE(e) == TICKET_B ->
+#ifdef TICKET_AT_PROPOSAL
+		assert(winner == 0 || winner == VALUE(e));
+		winner = VALUE(e)
+#else
+		if
+		:: !higher -> higher = true; assert(winner == 0); winner = VALUE(e)
+		:: else /* the first result again, or a conflict */
+		fi
+#endif
+	:: else
+	fi
+}
+
+inline commitUpTo(ldr2, upto) {
+	n[ldr2].commit = upto;
+	k = 1;
+	do
+	:: k <= upto ->
+		if
+		:: k > ncommitted -> committed[k] = n[ldr2].log[k]; committedIn[k] = n[ldr2].term; ncommitted = k; apply(n[ldr2].log[k])
+		:: else -> assert(committed[k] == n[ldr2].log[k])
+		fi;
+		k++
+	:: else -> break
+	od;
+	k = 0
+}
+
+#ifdef COUNT_UNSYNCED
+#define OWN(i) n[i].size
+#else
+#define OWN(i) n[i].dsize
+#endif
+#define HOLDS(i, x, c) (x == i -> OWN(i) >= c : n[i].match[x] >= c)
+#define HOLDERS(i, c) (HOLDS(i, 0, c) + HOLDS(i, 1, c) * 2 + HOLDS(i, 2, c) * 4 + HOLDS(i, 3, c) * 8)
+#ifdef COMMIT_OLD_TERM
+#define OWNTERM(i, c) true
+#else
+#define OWNTERM(i, c) (TERM(n[i].log[c]) == n[i].term)
+#endif
+#define MAYCOMMIT(i, c) (c <= n[i].size && c > n[i].commit && OWNTERM(i, c) && QUORUM(HOLDERS(i, c), VOTERS(i)))
+
+#define UPTODATE(i, j) (LASTTERM(i) > LASTTERM(j) || (LASTTERM(i) == LASTTERM(j) && n[i].size >= n[j].size))
+#define MAYVOTE(i, j) (n[i].role == CANDIDATE && n[i].alive && HAS(VOTERS(i), j) && \
+	(n[j].term < n[i].term || (n[j].term == n[i].term && n[j].role == FOLLOWER && n[j].vote == NOBODY)) && UPTODATE(i, j))
+#define MAYRECEIVE(i, j) (n[i].role == LEADER && n[i].alive && n[j].term <= n[i].term && (n[j].term < n[i].term || n[j].role != LEADER))
+#define MAYPROPOSE(i) (n[i].role == LEADER && n[i].size < ENTRIES)
+
+inline grant(cand, voter) {
+	if
+	:: n[voter].term < n[cand].term -> becomeFollower(voter, n[cand].term); agreed[voter] = 0
+	:: else
+	fi;
+	n[voter].vote = cand;
+	sync(voter)
+}
+
+inline lead(win) {
+	n[win].role = LEADER; n[win].granted = 0;
+	assert(leaderOf[n[win].term] == NOBODY || leaderOf[n[win].term] == win);
+	leaderOf[n[win].term] = win;
+	k = 1;
+	do /* a leader holds all that was committed in earlier terms */
+	:: k <= ncommitted -> assert(committedIn[k] >= n[win].term || (k <= n[win].size && n[win].log[k] == committed[k])); k++
+	:: else -> break
+	od;
+	k = 0;
+	if
+	:: n[win].size < ENTRIES -> append(win, NOOP); n[win].first = n[win].size
+	:: else -> n[win].first = NOBODY /* no room in this bound: it can commit nothing */
+	fi
+}
+
+inline crash(victim) {
+	crashes++;
+	n[victim].term = n[victim].dterm; n[victim].vote = n[victim].dvote;
+	do
+	:: n[victim].size > n[victim].dsize -> n[victim].log[n[victim].size] = 0; n[victim].size--
+	:: else -> break
+	od;
+	agreed[victim] = 0;
+	resetLeader(victim)
+}
+
+inline loseDisk() {
+	replaced = true;
+#ifdef SAME_IDENTITY
+	/* The VM keeps its identity, though its disk is empty. */
+	n[2].dterm = 0; n[2].dvote = NOBODY; n[2].dsize = 0; crashes--;
+	crash(2)
+#else
+	n[2].alive = false; n[3].alive = true;
+	n[2].role = FOLLOWER
+#endif
+}
+
+#define OWNCOMMITTED(i) (n[i].commit >= n[i].first)
+#ifdef TWO_CHANGES
+#define ADDCOMMITTED(i) true
+#else
+#define IFADD(i, c) (VALUE(n[i].log[c]) != ADD_3 || n[i].commit >= c)
+#define ADDCOMMITTED(i) (IFADD(i, 1) && IFADD(i, 2) && IFADD(i, 3) && IFADD(i, 4))
+#endif
+
+proctype Run(byte i) {
+	byte k;
+	do
+	/* Election timeout: a voter campaigns. */
+	:: atomic { n[i].alive && n[i].role != LEADER && n[i].term < TERMS && HAS(VOTERS(i), i) ->
+		n[i].term++; resetLeader(i); n[i].role = CANDIDATE; n[i].vote = i; agreed[i] = 0; sync(i); n[i].granted = BIT(i) }
+	/* Sync of what is not synced yet, then what depends on it is sent. */
+	:: atomic { n[i].alive && !SYNCED(i) -> sync(i) }
+	/* Vote requests. */
+	:: atomic { n[i].alive && i != 0 && MAYVOTE(0, i) -> grant(0, i) }
+	:: atomic { n[i].alive && i != 1 && MAYVOTE(1, i) -> grant(1, i) }
+	:: atomic { n[i].alive && i != 2 && MAYVOTE(2, i) -> grant(2, i) }
+	:: atomic { n[i].alive && i != 3 && MAYVOTE(3, i) -> grant(3, i) }
+	:: atomic { n[i].alive && n[i].role == CANDIDATE && QUORUM(n[i].granted, VOTERS(i)) -> lead(i) }
+	/* Replication. */
+	:: atomic { n[i].alive && i != 0 && MAYRECEIVE(0, i) -> receive(0, i) }
+	:: atomic { n[i].alive && i != 1 && MAYRECEIVE(1, i) -> receive(1, i) }
+	:: atomic { n[i].alive && i != 2 && MAYRECEIVE(2, i) -> receive(2, i) }
+	:: atomic { n[i].alive && i != 3 && MAYRECEIVE(3, i) -> receive(3, i) }
+	/* Commitment by quorum. */
+	:: atomic { n[i].alive && n[i].role == LEADER && MAYCOMMIT(i, 1) -> commitUpTo(i, 1) }
+	:: atomic { n[i].alive && n[i].role == LEADER && MAYCOMMIT(i, 2) -> commitUpTo(i, 2) }
+	:: atomic { n[i].alive && n[i].role == LEADER && MAYCOMMIT(i, 3) -> commitUpTo(i, 3) }
+	:: atomic { n[i].alive && n[i].role == LEADER && MAYCOMMIT(i, 4) -> commitUpTo(i, 4) }
+	/* Two operators race: the leader of term 2 gets one ticket, others the other. */
+	:: atomic { n[i].alive && MAYPROPOSE(i) && n[i].term != 2 && !HASV(i, TICKET_A) -> append(i, TICKET_A) }
+	:: atomic { n[i].alive && MAYPROPOSE(i) && n[i].term == 2 && !HASV(i, TICKET_B) -> append(i, TICKET_B) }
+	/* The replaced disk is added once it has the log, and the old one removed. */
+	:: atomic { n[i].alive && MAYPROPOSE(i) && replaced && n[3].alive && OWNCOMMITTED(i) && !HASV(i, ADD_3) && n[i].match[3] >= n[i].commit && n[i].match[3] > 0 ->
+		append(i, ADD_3) }
+	:: atomic { n[i].alive && MAYPROPOSE(i) && HASV(i, ADD_3) && OWNCOMMITTED(i) && ADDCOMMITTED(i) && !HASV(i, REMOVE_2) -> append(i, REMOVE_2) }
+	:: atomic { n[i].alive && crashes < CRASHES -> crash(i) }
+	:: atomic { i == 2 && !replaced -> loseDisk() }
+	od
+}
+
+init {
+	byte k;
+	atomic {
+		do
+		:: k < N -> n[k].vote = NOBODY; n[k].dvote = NOBODY; n[k].alive = (k < 3); k++
+		:: else -> break
+		od;
+		k = 0;
+		do
+		:: k <= TERMS -> leaderOf[k] = NOBODY; k++
+		:: else -> break
+		od;
+		k = 0;
+		n[0].term = 1; n[0].vote = 0; n[0].dterm = 1; n[0].dvote = 0;
+		n[1].term = 1; n[1].vote = 0; n[1].dterm = 1; n[1].dvote = 0;
+		lead(0);
+		run Run(0); run Run(1); run Run(2); run Run(3)
+	}
+}
