Keep two logs apart that were initialised by mistake

Cause: after two runs of init, a third VM took entries of both leaders; equal index and term passed for equal entries. Change: init draws a log id; messages carry it, and a VM drops messages of another log and reports the first. A test covers it, and another one that proposals share syncs.

--- a/logkeeper/fault_test.go
+++ b/logkeeper/fault_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/journal/journaltest"
 )
 
 // faults are situations that three voters must survive without losing a
@@ -242,6 +243,53 @@
 	}
 }
 
+// A log initialised on two VMs by mistake must not be mixed: a third VM may
+// serve only one of them.
+func TestTwoLogsAreNotMixed(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newCluster(t, seed, 3)
+		c.nodes[1].crash()
+		c.nodes[1].disk = journaltest.NewDisk()
+		vms := []zinniatide.ControlVM{{VM: "c1", PeerAddress: "x"}, {VM: "c2", PeerAddress: "x"}, {VM: "c3", PeerAddress: "x"}}
+		if err := Init(c.nodes[1].disk, "data", "c2", vms); err != nil {
+			t.Fatal(err)
+		}
+		c.nodes[1].start()
+		ids := map[string]int{}
+		c.run(4000)
+		for _, n := range c.nodes {
+			ids[n.keeper.machine.LogID()]++
+			for _, v := range n.keeper.Status().Voters {
+				if other := c.node(v.VM); other.keeper.machine.LogID() != n.keeper.machine.LogID() {
+					t.Errorf("seed %d: %s counts %s of another log as a voter", seed, n.vm, v.VM)
+				}
+			}
+		}
+		if len(ids) != 2 {
+			t.Errorf("seed %d: logs %v, want two", seed, ids)
+		}
+	}
+}
+
+// One sync must cover the proposals that arrive while the disk is busy.
+func TestProposalsShareSyncs(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.waitVoters(c.nodes...)
+	l := c.leader()
+	before, committed := l.disk.Syncs, 0
+	for i := range uint64(40) {
+		c.propose(l, operation{1, i}, func(_ any, err error) {
+			if err == nil {
+				committed++
+			}
+		})
+	}
+	c.run(500)
+	if got := l.disk.Syncs - before; committed != 40 || got > 4 {
+		t.Errorf("%d of 40 proposals committed with %d syncs, want 40 with at most 4", committed, got)
+	}
+}
+
 // A refused proposal names the leader, so that the caller can forward it.
 func TestFollowerNamesTheLeader(t *testing.T) {
 	c := newCluster(t, 2, 3)
--- a/logkeeper/harness_test.go
+++ b/logkeeper/harness_test.go
@@ -31,9 +31,14 @@
 	maxDelay                      int // of a message, in ms
 	maxSync                       int // of a write, in ms
 
-	applied      map[uint64]string          // what was applied at each index, anywhere
-	leaders      map[uint64]zinniatide.VMID // of each term
-	acknowledged []uint64                   // values whose write was acknowledged
+	applied      map[uint64]string           // what was applied at each index, anywhere
+	leaders      map[logTerm]zinniatide.VMID // of each term of each log
+	acknowledged []uint64                    // values whose write was acknowledged
+}
+
+type logTerm struct {
+	log  string
+	term uint64
 }
 
 type event struct {
@@ -100,7 +105,7 @@
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(1000, 1_700_000_000_000),
 		cut: map[[2]zinniatide.VMID]bool{}, every: 50, maxDelay: 10, maxSync: 8,
-		applied: map[uint64]string{}, leaders: map[uint64]zinniatide.VMID{},
+		applied: map[uint64]string{}, leaders: map[logTerm]zinniatide.VMID{},
 	}
 	var wanted []zinniatide.ControlVM
 	for i := range vms {
@@ -371,10 +376,11 @@
 		if s.Role != replicator.Leader {
 			continue
 		}
-		if other, ok := c.leaders[s.Term]; ok && other != n.vm {
+		key := logTerm{n.keeper.machine.LogID(), s.Term}
+		if other, ok := c.leaders[key]; ok && other != n.vm {
 			c.t.Fatalf("term %d has the leaders %s and %s", s.Term, other, n.vm)
 		}
-		c.leaders[s.Term] = n.vm
+		c.leaders[key] = n.vm
 	}
 }
 
--- a/logkeeper/keeper.go
+++ b/logkeeper/keeper.go
@@ -73,6 +73,7 @@
 	held        []replicator.Message
 	onTick      []func(zinniatide.Millis)
 	onLeading   []func(bool)
+	foreign     map[zinniatide.VMID]bool // peers whose foreign log was reported
 }
 
 type proposal struct {
@@ -105,7 +106,7 @@
 	}
 	disk := newDiskID()
 	first := replicator.Entry{Index: 1, Term: 1, Kind: replicator.EntryMembership, Membership: &replicator.Membership{
-		Voters: []zinniatide.Voter{{VM: vm, Disk: disk}}, ControlVMs: controlVMs,
+		Voters: []zinniatide.Voter{{VM: vm, Disk: disk}}, ControlVMs: controlVMs, LogID: rand.Text(),
 	}}
 	state := replicator.State{HardState: replicator.HardState{Term: 1}, Entries: []replicator.Entry{first}}
 	return journal.Create(files, folder, vm, disk, state)
@@ -133,7 +134,7 @@
 		cfg: cfg, journal: j, metrics: newMetrics(cfg.Registerer),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
 		self:      zinniatide.Voter{VM: cfg.VM, Disk: c.Disk},
-		proposals: map[uint64]proposal{}, barriers: map[uint64]func(error){},
+		proposals: map[uint64]proposal{}, barriers: map[uint64]func(error){}, foreign: map[zinniatide.VMID]bool{},
 	}
 	if err := k.restore(c); err != nil {
 		return nil, errors.Join(err, j.Close())
@@ -256,11 +257,24 @@
 	}
 	k.Post(func() {
 		if k.failure == nil {
+			k.reportForeign(m)
 			k.machine.Receive(k.cfg.Clock.Now(), m)
 		}
 	})
 }
 
+// reportForeign logs the first message of each peer that belongs to another
+// log, as after two runs of Init. The step machine drops them all.
+func (k *Keeper) reportForeign(m replicator.Message) {
+	own := k.machine.LogID()
+	if own == "" || m.LogID == "" || m.LogID == own || k.foreign[m.From.VM] {
+		return
+	}
+	k.foreign[m.From.VM] = true
+	klog.ErrorS(nil, "messages of another replicated log are dropped; the log was initialised more than once",
+		"vm", k.cfg.VM, "step", "receive log message", "peer", m.From.VM, "log", own, "other-log", m.LogID)
+}
+
 // SetControlVMs implements zinniatide.ReplicatedLog.
 func (k *Keeper) SetControlVMs(vms []zinniatide.ControlVM) {
 	ids := make([]zinniatide.VMID, len(vms))
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -16,6 +16,9 @@
 	if m.To.Disk != r.self.Disk && (m.Kind != MessageAnnounce || m.To.Disk != "") {
 		return
 	}
+	if r.logID != "" && m.LogID != "" && m.LogID != r.logID {
+		return
+	}
 	switch m.Kind {
 	case MessageAnnounce:
 		r.handleAnnounce(m)
@@ -43,6 +46,9 @@
 		r.fail("two leaders in term %d: this VM and %s", r.term, m.From.VM)
 		return
 	}
+	if r.logID == "" {
+		r.logID = m.LogID
+	}
 	r.becomeFollower(m.Term, m.From)
 	r.leaderContact = r.now
 	r.resetElection()
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -50,7 +50,9 @@
 type Replicator struct {
 	cfg  Config
 	self zinniatide.Voter
-	now  zinniatide.Millis
+	// logID is empty until this VM has heard from a leader.
+	logID string
+	now   zinniatide.Millis
 
 	term   uint64
 	vote   zinniatide.Voter
@@ -132,6 +134,7 @@
 		return nil, fmt.Errorf("stored term %d is below the term %d of the last entry", r.term, l.lastTerm())
 	}
 	r.cfg.State = State{}
+	r.logID = r.Membership().LogID
 	r.resetElection()
 	if voters := r.Membership().Voters; len(voters) == 1 && voters[0] == r.self {
 		r.electionDeadline = r.now
@@ -234,6 +237,10 @@
 // guarantees. The caller must then stop.
 func (r *Replicator) Failure() error { return r.failure }
 
+// LogID identifies the log that this VM belongs to. It is empty until the VM
+// has heard from a leader.
+func (r *Replicator) LogID() string { return r.logID }
+
 // Status describes the machine.
 func (r *Replicator) Status() Status {
 	return Status{
@@ -261,7 +268,7 @@
 
 // send queues a message that depends on no write.
 func (r *Replicator) send(m Message) {
-	m.From = r.self
+	m.From, m.LogID = r.self, r.logID
 	r.messages = append(r.messages, m)
 }
 
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -33,6 +33,8 @@
 	// ControlVMs is the wanted set given when the log was initialised. It
 	// holds until the state machine provides another.
 	ControlVMs []zinniatide.ControlVM `cbor:"2,keyasint,omitempty"`
+	// LogID is drawn when the log is initialised, and never changes.
+	LogID string `cbor:"3,keyasint,omitempty"`
 }
 
 // HardState must be durable before any message that depends on it is sent.
@@ -103,6 +105,9 @@
 	Total      uint64      `cbor:"15,keyasint,omitempty"`
 	Chunk      []byte      `cbor:"16,keyasint,omitempty"`
 	Membership *Membership `cbor:"17,keyasint,omitempty"`
+	// LogID keeps apart two logs that were initialised by mistake. It is
+	// empty from a VM that does not know its log yet.
+	LogID string `cbor:"18,keyasint,omitempty"`
 
 	// After is the sequence of the write that must be durable before the
 	// message may be sent; zero when it depends on none.
