Speed up the cluster tests

Change: events are kept by time, and checks of finished operations end. Histories also require that every operation is answered.

--- a/logkeeper/harness_test.go
+++ b/logkeeper/harness_test.go
@@ -23,9 +23,9 @@
 	random *rand.Rand
 	clock  *clock.Clock
 	nodes  []*node
-	events []event
-	cut    map[[2]zinniatide.VMID]bool // from, to
-	every  uint64                      // entries between snapshots
+	events map[zinniatide.Millis][]func() // by time
+	cut    map[[2]zinniatide.VMID]bool    // from, to
+	every  uint64                         // entries between snapshots
 
 	dropPercent, duplicatePercent int
 	maxDelay                      int // of a message, in ms
@@ -41,11 +41,6 @@
 	term uint64
 }
 
-type event struct {
-	at  zinniatide.Millis
-	run func()
-}
-
 type node struct {
 	c       *cluster
 	vm      zinniatide.VMID
@@ -104,7 +99,7 @@
 func newCluster(t *testing.T, seed uint64, vms int) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(1000, 1_700_000_000_000),
-		cut: map[[2]zinniatide.VMID]bool{}, every: 50, maxDelay: 10, maxSync: 8,
+		cut: map[[2]zinniatide.VMID]bool{}, events: map[zinniatide.Millis][]func(){}, every: 50, maxDelay: 10, maxSync: 8,
 		applied: map[uint64]string{}, leaders: map[logTerm]zinniatide.VMID{},
 	}
 	var wanted []zinniatide.ControlVM
@@ -163,12 +158,12 @@
 // after runs f on n's control thread unless n was stopped in the meantime.
 func (n *node) after(delay int, f func()) {
 	life := n.life
-	n.c.events = append(n.c.events, event{n.c.clock.Now() + zinniatide.Millis(delay), func() {
+	n.c.at(delay, func() {
 		if n.life == life && n.keeper != nil {
 			f()
 			n.settle()
 		}
-	}})
+	})
 }
 
 func (n *node) settle() {
@@ -234,13 +229,12 @@
 			continue
 		}
 		to := n.c.node(peer)
-		at := n.c.clock.Now() + zinniatide.Millis(n.c.random.IntN(n.c.maxDelay+1))
-		n.c.events = append(n.c.events, event{at, func() {
+		n.c.at(n.c.random.IntN(n.c.maxDelay+1), func() {
 			if to.keeper != nil {
 				to.handler(n.vm, data, nil)
 				to.settle()
 			}
-		}})
+		})
 	}
 	return nil
 }
@@ -258,27 +252,23 @@
 // run passes d of time, event by event.
 func (c *cluster) run(d zinniatide.Millis) {
 	for end := c.clock.Now() + d; c.clock.Now() < end; c.clock.Advance(1) {
-		for c.step() {
+		now := c.clock.Now()
+		for len(c.events[now]) > 0 {
+			due := c.events[now]
+			i, last := c.random.IntN(len(due)), len(due)-1
+			f := due[i]
+			due[i] = due[last]
+			c.events[now] = due[:last]
+			f()
 		}
+		delete(c.events, now)
 	}
 }
 
-// step runs one event that is due, in random order among them.
-func (c *cluster) step() bool {
-	var due []int
-	for i, e := range c.events {
-		if e.at <= c.clock.Now() {
-			due = append(due, i)
-		}
-	}
-	if len(due) == 0 {
-		return false
-	}
-	i := due[c.random.IntN(len(due))]
-	e := c.events[i]
-	c.events = slices.Delete(c.events, i, i+1)
-	e.run()
-	return true
+// at runs f after delay, in random order among the events of that time.
+func (c *cluster) at(delay int, f func()) {
+	at := c.clock.Now() + zinniatide.Millis(delay)
+	c.events[at] = append(c.events[at], f)
 }
 
 // until runs until cond holds, or fails after limit.
--- a/logkeeper/history_test.go
+++ b/logkeeper/history_test.go
@@ -75,7 +75,6 @@
 	}
 	op := porcupine.Operation{ClientId: i, Call: cs.stamp(), Return: math.MaxInt64}
 	key := uint8(cs.c.random.IntN(2))
-	life := n.life
 	switch kind := cs.c.random.IntN(4); kind {
 	case 0, 1:
 		cs.write(i, n, op, key)
@@ -89,11 +88,7 @@
 			}
 		})
 		n.settle()
-		cs.giveUp(n, life, func() {
-			if !finished {
-				cs.busy[i] = false
-			}
-		})
+		cs.giveUp(n, &finished, func() { cs.busy[i] = false })
 	case 3:
 		if n.keeper.Status().Leading {
 			cs.record(op, input{key: key, read: true}, output{value: n.machine.Values[key]}, 2)
@@ -113,13 +108,10 @@
 	cs.busy[i] = true
 	finished := false
 	lost := func() {
-		if !finished {
-			finished, cs.busy[i] = true, false
-			op.Input, op.Output = in, output{unknown: true}
-			cs.history = append(cs.history, op)
-		}
+		finished, cs.busy[i] = true, false
+		op.Input, op.Output = in, output{unknown: true}
+		cs.history = append(cs.history, op)
 	}
-	life := n.life
 	cs.c.propose(n, operation{key, in.value}, func(result any, err error) {
 		var refusal *zinniatide.Refusal
 		refused := errors.As(err, &refusal)
@@ -137,18 +129,21 @@
 			lost()
 		}
 	})
-	cs.giveUp(n, life, lost)
+	cs.giveUp(n, &finished, lost)
 }
 
-// giveUp ends an operation whose VM crashed.
-func (cs *clients) giveUp(n *node, life int, f func()) {
+// giveUp ends an operation whose VM crashed before it was finished.
+func (cs *clients) giveUp(n *node, finished *bool, f func()) {
+	life := n.life
 	var check func()
 	check = func() {
-		if n.life != life {
+		switch {
+		case *finished:
+		case n.life != life:
 			f()
-			return
+		default:
+			cs.c.at(100, check)
 		}
-		cs.c.events = append(cs.c.events, event{cs.c.clock.Now() + 100, check})
 	}
 	check()
 }
@@ -226,6 +221,10 @@
 		c.repair()
 		c.write(math.MaxUint32)
 		c.checkEqual()
+		c.run(2000)
+		if slices.Contains(cs.busy, true) {
+			t.Errorf("seed %d: an operation was never answered", seed)
+		}
 		c.checkContains(append(cs.acked, c.acknowledged...))
 		if result := porcupine.CheckOperationsTimeout(registerModel, cs.history, 20*time.Second); result != porcupine.Ok {
 			t.Fatalf("seed %d: history of %d operations: %s", seed, len(cs.history), result)
