--- a/logkeeper/history_test.go
+++ b/logkeeper/history_test.go
@@ -200,7 +200,7 @@
 // cuts, transfers and replaced disks.
 func TestHistoriesAreLinearizable(t *testing.T) {
 	var counts [3]int
-	seeds := uint64(24)
+	seeds := uint64(40)
 	if testing.Short() {
 		seeds = 5
 	}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -245,6 +245,28 @@
 		r.expect("role", r.role, Follower)
 		r.expect("failed reads", len(r.read) == 1 && !r.read[0].OK, true)
 	}},
+	{"a lease counts from the sending of the answered message", func(t *testing.T) {
+		r := newRig(t, 1, 1)
+		r.lead()
+		r.ack(b, 2)
+		sent, round := r.now, r.round
+		r.now += 500
+		r.receive(Message{Kind: MessageAppendReply, From: b, Term: r.term, Match: 2, Round: round, SentAt: sent})
+		r.expect("quorate within the timeout", r.quorate(), true)
+		r.now += 100
+		r.expect("quorate after the timeout", r.quorate(), false)
+	}},
+	{"a candidate's own vote counts after its sync", func(t *testing.T) {
+		r := newRig(t, 1, 1)
+		for r.role != PreCandidate {
+			r.pass(20)
+		}
+		r.receive(Message{Kind: MessagePreVoteReply, From: b, Term: 2})
+		r.receive(Message{Kind: MessageVoteReply, From: b, Term: 2})
+		r.expect("role before the sync", r.role, Candidate)
+		r.sync()
+		r.expect("role after the sync", r.role, Leader)
+	}},
 	{"a transfer ends the lease, and the leadership if it fails", func(t *testing.T) {
 		r := newRig(t, 1, 1)
 		r.lead()
