Measure the control work by size

Cause: the cost of the control work at the scale in two years was unknown. Change: zinniabench has capacity scenarios that print points and a least-squares line; a second process hosts followers and members, so that the processor time of the leader can be told apart.

--- a/cmd/zinniabench/commands/commands.go
+++ b/cmd/zinniabench/commands/commands.go
@@ -24,7 +24,7 @@
 	root := &cobra.Command{
 		Use: "zinniabench", Short: "Measurements of the query tier", SilenceErrors: true, SilenceUsage: true,
 	}
-	root.AddCommand(newRun().command, newList().command)
+	root.AddCommand(newRun().command, newList().command, newMembers())
 	root.SetArgs(args)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "zinniabench:", err)
@@ -56,6 +56,7 @@
 	flags.IntSliceVar(&r.env.Pids, "pids", nil, "process ids of the measured entry VMs")
 	flags.StringSliceVar(&r.env.Seeds, "seeds", nil, "HTTP addresses of the measured entry VMs")
 	flags.StringVar(&r.env.Counts, "counts", "", "address of the stand-ins' counts")
+	flags.StringVar(&r.env.Members, "members", "", "address of a running zinniabench members")
 	return r
 }
 
@@ -68,8 +69,11 @@
 		Run: func(*cobra.Command, []string) {
 			for _, s := range scenarios.All() {
 				kind := "in-process"
-				if s.Processes {
+				switch {
+				case s.Processes:
 					kind = "processes"
+				case s.Members:
+					kind = "members"
 				}
 				fmt.Println(s.Name, kind)
 			}
--- /dev/null
+++ b/cmd/zinniabench/members/member.go
@@ -0,0 +1,123 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/linker"
+	"zinniatide.example/zinniatide/subscriber"
+)
+
+// controlLinks keeps links to the control VMs only. With links between all
+// pairs, a few hundred VMs in one process would need tens of thousands of
+// connections, which capacity-links measures on its own.
+type controlLinks struct {
+	*linker.Linker
+	control []zinniatide.ControlVM
+}
+
+// SetPeers implements zinniatide.Linker.
+func (l *controlLinks) SetPeers(map[zinniatide.VMID]string) {
+	peers := map[zinniatide.VMID]string{}
+	for _, vm := range l.control {
+		peers[vm.VM] = vm.PeerAddress
+	}
+	l.Linker.SetPeers(peers)
+}
+
+// member is a VM that keeps a session and releases its buckets at once.
+type member struct {
+	id         zinniatide.VMID
+	links      *linker.Linker
+	subscriber *subscriber.Subscriber
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+}
+
+// newMember starts VM number n. Its id is below those of the control VMs, so
+// that it sets up the links to them.
+func newMember(n int, control []zinniatide.ControlVM, registry prometheus.Registerer) (*member, error) {
+	m := &member{id: zinniatide.VMID(fmt.Sprintf("a%05d", n))}
+	registry = prometheus.WrapRegistererWith(prometheus.Labels{"vm": string(m.id)}, registry)
+	now := clock.New()
+	address, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	if m.links, err = newLinks(m.id, address, now, registry); err != nil {
+		return nil, err
+	}
+	m.subscriber = subscriber.New(subscriber.Config{
+		Member: zinniatide.Member{
+			VM: m.id, Incarnation: zinniatide.Incarnation(now.Unix()), Zone: zinniatide.ZoneID(fmt.Sprintf("zone-%d", n%7+1)),
+			Entry: true, HTTPAddress: address, PeerAddress: address, State: zinniatide.StateIn,
+		},
+		ControlVMs: control,
+	}, &controlLinks{m.links, control}, now, newRandom(), registry)
+	m.subscriber.OnConfiguration(m.release)
+	if err := m.links.Start(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.running.Add(1)
+	go func() {
+		defer m.running.Done()
+		m.subscriber.Run(ctx)
+	}()
+	return m, nil
+}
+
+func (m *member) release(c *zinniatide.Configuration) {
+	for zone, table := range c.Buckets {
+		for i := range table {
+			if table[i].Owner == m.id && table[i].Next != "" {
+				m.subscriber.ReleaseBucket(zone, i)
+			}
+		}
+	}
+}
+
+func (m *member) close() {
+	m.cancel()
+	m.links.Close()
+	m.running.Wait()
+}
+
+// ClaimCounts tells what became of the claims of one run.
+type ClaimCounts struct {
+	Granted int64 `json:"granted"`
+	Refused int64 `json:"refused"`
+}
+
+// claimLifetime is how far ahead the claims of a measurement expire.
+const claimLifetime zinniatide.Millis = 5000
+
+var lastToken atomic.Uint64
+
+// claim runs one chain of claims, each followed by its result, until end.
+func (m *member) claim(end time.Time, counts *ClaimCounts) {
+	body := make([]byte, 64)
+	answered := make(chan bool, 1)
+	now := clock.New()
+	for time.Now().Before(end) {
+		token := lastToken.Add(1)
+		expires := now.Unix() + claimLifetime
+		id := zinniatide.RequestID(fmt.Sprintf("%d-%s-%08d", expires, m.id, token))
+		m.subscriber.Claim(zinniatide.Claim{RequestID: id, Expires: expires, Digest: 1, VM: m.id, Token: token},
+			func(reply zinniatide.ClaimReply, err error) { answered <- err == nil && reply.Granted })
+		if !<-answered {
+			atomic.AddInt64(&counts.Refused, 1)
+			continue
+		}
+		atomic.AddInt64(&counts.Granted, 1)
+		m.subscriber.Finish(zinniatide.ClaimResult{RequestID: id, Token: token, Outcome: zinniatide.OutcomeDone, Body: body})
+	}
+}
--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -23,6 +23,8 @@
 	Pids   []int
 	Seeds  []string
 	Counts string
+	// Members is the address of the process that hosts followers and members.
+	Members string
 }
 
 // Scenario is one measurement.
@@ -30,7 +32,9 @@
 	Name string
 	// Processes is set when a script starts the measured processes.
 	Processes bool
-	Run       func(*Env) error
+	// Members is set when a script starts a host of followers and members.
+	Members bool
+	Run     func(*Env) error
 }
 
 // line is the output of one metric.
@@ -80,6 +84,7 @@
 func All() []Scenario {
 	return []Scenario{
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
+		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks,
 	}
 }
 
