Tick when something is due, not at fixed intervals

Cause: forwarder (5 ms), linker, cataloger and subscriber (20 ms) woke up 350 times a second in an idle process and mostly found nothing to do. Change: package ticker runs timed work at the time that the work itself names; events ask for an earlier tick. Call deadlines, pings, silence, digests, expiries, heartbeats and sub-request deadlines keep their times.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -7,16 +7,17 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/ticker"
 )
 
 const (
-	// TickInterval is how often changes are published.
-	TickInterval zinniatide.Millis = 20
+	// orphanInterval is how often servers without an owner are looked at. Other
+	// changes are published at once.
+	orphanInterval zinniatide.Millis = 20
 	// digestInterval is how often an unchanged digest is repeated, in case one
 	// was lost.
 	digestInterval zinniatide.Millis = 500
@@ -33,6 +34,9 @@
 	// Observe is called, when set, with every announcement that this VM takes
 	// into its table. It must not block.
 	Observe func(zinniatide.Announcement)
+	// Changed is called, when set, after the catalogue has been replaced. It
+	// must not block, and must not call the Cataloger.
+	Changed func()
 }
 
 // Cataloger implements zinniatide.Announcer and zinniatide.CatalogProvider.
@@ -52,6 +56,7 @@
 	merged *zinniatide.Configuration
 	dirty  bool
 
+	ticker  *ticker.Ticker
 	stop    chan struct{}
 	stopped sync.WaitGroup
 }
@@ -69,30 +74,25 @@
 		pulling: map[zinniatide.VMID]digest{}, stop: make(chan struct{}),
 	}
 	c.catalog.Store(&zinniatide.Catalog{})
+	c.ticker = ticker.New(o.Clock, c.Tick)
 	o.Linker.Handle(zinniatide.KindAnnounce, c.receiveAnnounce)
 	o.Linker.Handle(zinniatide.KindCatalogDigest, c.receiveDigest)
 	o.Linker.Handle(zinniatide.KindCatalogPull, c.receivePull)
 	return c
 }
 
-// Start runs Tick every TickInterval until Close.
+// Start runs Tick when it is due until Close.
 func (c *Cataloger) Start() {
 	c.stopped.Add(1)
 	go func() {
 		defer c.stopped.Done()
-		ticker := time.NewTicker(TickInterval.Duration())
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				c.Tick()
-			case <-c.stop:
-				return
-			}
-		}
+		c.ticker.Run(c.stop)
 	}()
 }
 
+// Wake runs Tick soon. It is called after each change of the configuration.
+func (c *Cataloger) Wake() { c.ticker.Wake() }
+
 // Close stops the ticks. A Cataloger is closed once.
 func (c *Cataloger) Close() {
 	close(c.stop)
@@ -162,7 +162,8 @@
 }
 
 // Tick expires silent servers, publishes changes and assembles the catalogue.
-func (c *Cataloger) Tick() {
+// It returns when it is due again.
+func (c *Cataloger) Tick() zinniatide.Millis {
 	now := c.o.Clock.Now()
 	configuration := c.o.Configuration.Configuration()
 	c.mu.Lock()
@@ -176,10 +177,24 @@
 		c.assemble(configuration, now)
 	}
 	due := c.digestDue(own, now)
+	next := c.nextTick(now)
 	c.mu.Unlock()
 	if due {
 		c.sendDigest(configuration, own)
 	}
+	return next
+}
+
+// nextTick returns when something is due without a further event.
+func (c *Cataloger) nextTick(now zinniatide.Millis) zinniatide.Millis {
+	next := c.table.nextExpiry(now + digestInterval)
+	if c.table.sequence != 0 {
+		next = min(next, c.digestAt)
+	}
+	if len(c.assembly.orphans) > 0 {
+		next = min(next, now+orphanInterval)
+	}
+	return next
 }
 
 // digestDue is true at once after a change and then every digestInterval. A VM
@@ -212,6 +227,9 @@
 	})
 	if !same {
 		c.catalog.Store(&zinniatide.Catalog{Sequence: old.Sequence + 1, Servers: servers})
+		if c.o.Changed != nil {
+			c.o.Changed()
+		}
 	}
 }
 
--- a/cataloger/table.go
+++ b/cataloger/table.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// nextExpiry returns when the next silent server expires, at most limit.
+func (t *table) nextExpiry(limit zinniatide.Millis) zinniatide.Millis {
+	for _, e := range t.entries {
+		if e.listed {
+			limit = min(limit, e.heard+zinniatide.AnnouncementExpiry)
+		}
+	}
+	return limit
+}
+
 // list returns the listed servers, sorted by id. Those of buckets that this VM
 // has given up are included until they expire, so that a hand-over leaves no gap.
 func (t *table) list() []zinniatide.Announcement {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,18 +4,20 @@
 
 import (
 	"errors"
+	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/ticker"
 )
 
 const (
-	// TickInterval is how often deadlines are checked. A sub-request without
-	// result is ended by the last tick before its deadline.
+	// TickInterval is how long before its deadline a sub-request without result
+	// is ended, so that its caller still gets the answer in time.
 	TickInterval zinniatide.Millis = 5
 	// callGrace lets the owner's own report of a passed deadline arrive.
 	callGrace zinniatide.Millis = 200
@@ -42,9 +44,10 @@
 	last   atomic.Uint64 // number of the newest batch
 
 	mu      sync.Mutex
-	batches map[uint64]*batch // sent and not finished
-	calls   []*call           // with results outstanding, swept by Tick
+	batches map[uint64]*batch  // sent and not finished
+	calls   map[*call]struct{} // with results outstanding
 
+	ticker  *ticker.Ticker
 	stop    chan struct{}
 	stopped sync.WaitGroup
 }
@@ -58,6 +61,7 @@
 	done     func(i int, result zinniatide.SubResult)
 	slots    []slot
 	open     atomic.Int64 // slots without result
+	// earliest deadline of the slots without result, renewed by Tick.
 	earliest zinniatide.Millis
 }
 
@@ -80,7 +84,8 @@
 // New returns a forwarder that serves nothing until Start, and registers its
 // link handlers.
 func New(o Options) *Forwarder {
-	f := &Forwarder{o: o, batches: map[uint64]*batch{}, stop: make(chan struct{})}
+	f := &Forwarder{o: o, batches: map[uint64]*batch{}, calls: map[*call]struct{}{}, stop: make(chan struct{})}
+	f.ticker = ticker.New(o.Clock, f.Tick)
 	f.last.Store(o.FirstBatch)
 	f.server = newServer(o)
 	o.Linker.Handle(zinniatide.KindSubRequest, f.server.receiveBatch)
@@ -89,21 +94,12 @@
 	return f
 }
 
-// Start runs Tick every TickInterval, and sends results, until Close.
+// Start runs Tick when a deadline is near, and sends results, until Close.
 func (f *Forwarder) Start() {
 	f.stopped.Add(2)
 	go func() {
 		defer f.stopped.Done()
-		ticker := time.NewTicker(TickInterval.Duration())
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				f.Tick()
-			case <-f.stop:
-				return
-			}
-		}
+		f.ticker.Run(f.stop)
 	}()
 	go func() {
 		defer f.stopped.Done()
@@ -116,11 +112,7 @@
 func (f *Forwarder) Close() {
 	close(f.stop)
 	f.stopped.Wait()
-	f.mu.Lock()
-	calls := f.calls
-	f.calls = nil
-	f.mu.Unlock()
-	for _, c := range calls {
+	for _, c := range f.openCalls() {
 		for i := range c.slots {
 			c.finish(i, unknown(zinniatide.CodeNotServing))
 		}
@@ -138,9 +130,11 @@
 	for i := range rs {
 		c.earliest = min(c.earliest, rs[i].Deadline)
 	}
+	due := c.earliest - TickInterval
 	f.mu.Lock()
-	f.calls = append(f.calls, c)
+	f.calls[c] = struct{}{}
 	f.mu.Unlock()
+	f.ticker.At(due)
 	local, batches := c.group(f.o.Catalog.Catalog())
 	now := f.o.Clock.Now()
 	for _, b := range batches {
@@ -290,8 +284,13 @@
 // finish reports the first result of a sub-request and drops later ones.
 func (c *call) finish(i int, r zinniatide.SubResult) {
 	if c.slots[i].ended.CompareAndSwap(false, true) {
-		c.open.Add(-1)
+		last := c.open.Add(-1) == 0
 		c.done(i, r)
+		if last {
+			c.f.mu.Lock()
+			delete(c.f.calls, c)
+			c.f.mu.Unlock()
+		}
 	}
 }
 
@@ -311,25 +310,39 @@
 	}
 }
 
-// Tick ends sub-requests whose deadline comes before the next tick.
-func (f *Forwarder) Tick() {
-	due := f.o.Clock.Now() + TickInterval
+// openCalls returns the calls with results outstanding.
+func (f *Forwarder) openCalls() []*call {
 	f.mu.Lock()
-	calls := slices.Clone(f.calls)
-	f.mu.Unlock()
-	for _, c := range calls {
-		for i := range c.slots {
-			if c.earliest > due {
-				break
-			}
-			if !c.slots[i].ended.Load() && c.requests[i].Deadline <= due {
-				c.finish(i, unknown(zinniatide.CodeDeadlinePassed))
-			}
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Keys(f.calls))
+}
+
+// Tick ends sub-requests whose deadline is TickInterval away. It returns when
+// the next ones are due.
+func (f *Forwarder) Tick() zinniatide.Millis {
+	now := f.o.Clock.Now()
+	next := now + ticker.Longest
+	for _, c := range f.openCalls() {
+		if c.earliest <= now+TickInterval {
+			c.expire(now + TickInterval)
+		}
+		next = min(next, c.earliest-TickInterval)
+	}
+	return next
+}
+
+// expire ends the sub-requests that are due and finds the next deadline.
+func (c *call) expire(due zinniatide.Millis) {
+	c.earliest = math.MaxInt64
+	for i := range c.slots {
+		switch {
+		case c.slots[i].ended.Load():
+		case c.requests[i].Deadline <= due:
+			c.finish(i, unknown(zinniatide.CodeDeadlinePassed))
+		default:
+			c.earliest = min(c.earliest, c.requests[i].Deadline)
 		}
 	}
-	f.mu.Lock()
-	f.calls = slices.DeleteFunc(f.calls, func(c *call) bool { return c.open.Load() == 0 })
-	f.mu.Unlock()
 }
 
 func notRun(code zinniatide.Code) zinniatide.SubResult {
--- a/linker/link.go
+++ b/linker/link.go
@@ -189,6 +189,9 @@
 		}
 	}
 	backlog := k.transport.backlog()
+	if backlog > 0 {
+		k.owner.ticker.At(k.owner.clock.Now() + zinniatide.TickInterval) // stalled asks for the next pump
+	}
 	k.mu.Lock()
 	k.pending = backlog
 	if backlog == 0 {
@@ -216,22 +219,32 @@
 	}
 }
 
-// expire ends the calls whose time is up.
-func (k *link) expire(now zinniatide.Millis) {
+// expire ends the calls whose time is up and returns when the next one is due.
+func (k *link) expire(now zinniatide.Millis) zinniatide.Millis {
 	var expired []pendingCall
+	next := now + zinniatide.LinkPingInterval
 	k.mu.Lock()
-	for len(k.deadlines) > 0 && k.deadlines[0].at <= now {
-		id := heap.Pop(&k.deadlines).(deadline).call
-		if call, ok := k.calls[id]; ok {
+	for len(k.deadlines) > 0 {
+		first := k.deadlines[0]
+		call, open := k.calls[first.call]
+		if open && first.at > now {
+			break
+		}
+		heap.Pop(&k.deadlines)
+		if open {
 			expired = append(expired, call)
-			delete(k.calls, id)
+			delete(k.calls, first.call)
 		}
 	}
+	if len(k.deadlines) > 0 {
+		next = min(next, k.deadlines[0].at)
+	}
 	k.mu.Unlock()
 	for _, call := range expired {
 		k.owner.metrics.timeouts.Inc()
 		call.done(nil, zinniatide.ErrTimeout)
 	}
+	return next
 }
 
 // fail closes the link and ends its calls. A call whose frame was handed to
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/ticker"
 )
 
 // Config holds the settings of a Linker. Zero values of the optional fields
@@ -80,6 +81,7 @@
 	handlers map[zinniatide.MessageKind]zinniatide.LinkHandler
 	server   *server
 	local    *link
+	ticker   *ticker.Ticker
 	lastCall atomic.Uint64
 	started  atomic.Bool
 	ctx      context.Context
@@ -116,6 +118,7 @@
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.server = newServer(l)
 	l.local = newLocalLink(l)
+	l.ticker = ticker.New(clock, l.tick)
 	return l, nil
 }
 
@@ -138,7 +141,10 @@
 	}
 	l.running.Add(2)
 	go l.local.transport.(*loopback).run()
-	go l.runTicks()
+	go func() {
+		defer l.running.Done()
+		l.ticker.Run(l.ctx.Done())
+	}()
 	return nil
 }
 
@@ -190,6 +196,9 @@
 	}
 	err = k.enqueue(message, h.Call, until, done)
 	s.release()
+	if done != nil {
+		l.ticker.At(until)
+	}
 	if err == nil {
 		l.metrics.sent.Inc()
 	}
--- a/linker/peers.go
+++ b/linker/peers.go
@@ -1,8 +1,6 @@
 package linker
 
 import (
-	"time"
-
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
@@ -46,6 +44,7 @@
 // SetPeers implements zinniatide.Linker. Links that are up stay up, also to
 // peers that are no longer in the table; they are not dialled again.
 func (l *Linker) SetPeers(peers map[zinniatide.VMID]string) {
+	defer l.ticker.Wake()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, address := range peers {
@@ -90,6 +89,7 @@
 		p.address = address
 	}
 	p.nextDial, p.delay, p.failures = 0, 0, 0
+	l.ticker.Wake()
 }
 
 // install makes k the link to its peer. It refuses the link of an older
@@ -113,6 +113,7 @@
 	p.link, p.incarnation = k, k.incarnation
 	p.failures, p.lastError = 0, ""
 	l.mu.Unlock()
+	l.ticker.Wake()
 	l.metrics.links.Inc()
 	if old != nil {
 		l.drop(old, "replaced by a newer connection", nil)
@@ -135,6 +136,7 @@
 		}
 	}
 	l.mu.Unlock()
+	l.ticker.Wake()
 	if !k.fail() {
 		return
 	}
@@ -173,54 +175,61 @@
 	return links
 }
 
-// runTicks does the timed work until Close.
-func (l *Linker) runTicks() {
-	defer l.running.Done()
-	ticker := time.NewTicker(zinniatide.TickInterval.Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			l.tick(l.clock.Now())
-		case <-l.ctx.Done():
-			return
-		}
+// tick does the timed work and returns when it is due again.
+func (l *Linker) tick() zinniatide.Millis {
+	now := l.clock.Now()
+	next := now + zinniatide.LinkPingInterval
+	for _, k := range l.links() {
+		next = min(next, l.tickLink(k, now))
+	}
+	next = min(next, l.local.expire(now))
+	if l.server.expire(now) {
+		next = min(next, now+zinniatide.TickInterval)
 	}
+	return min(next, l.dialDue(now))
 }
 
-func (l *Linker) tick(now zinniatide.Millis) {
-	for _, k := range l.links() {
-		silence := now - zinniatide.Millis(k.received.Load())
-		switch {
-		case silence >= zinniatide.LinkSilenceTimeout:
-			l.drop(k, "no byte received in time", nil)
-			continue
-		case now-k.pinged >= zinniatide.LinkPingInterval:
-			k.pinged = now
-			k.ping()
-		}
-		k.expire(now)
-		if k.stalled() {
-			k.transport.wake()
-		}
+// tickLink does the timed work of one link.
+func (l *Linker) tickLink(k *link, now zinniatide.Millis) zinniatide.Millis {
+	silent := zinniatide.Millis(k.received.Load()) + zinniatide.LinkSilenceTimeout
+	switch {
+	case now >= silent:
+		l.drop(k, "no byte received in time", nil)
+		return now
+	case now >= k.pinged+zinniatide.LinkPingInterval-pingSlack:
+		k.pinged = now
+		k.ping()
+	}
+	next := min(silent, k.pinged+zinniatide.LinkPingInterval, k.expire(now))
+	if k.stalled() {
+		k.transport.wake()
+		next = min(next, now+zinniatide.TickInterval)
 	}
-	l.local.expire(now)
-	l.server.expire(now)
-	l.dialDue(now)
+	return next
 }
 
-// dialDue starts the dials whose time has come.
-func (l *Linker) dialDue(now zinniatide.Millis) {
+// pingSlack is how early a ping may be sent, so that the pings of several
+// links share one tick.
+const pingSlack = zinniatide.LinkPingInterval / 4
+
+// dialDue starts the dials whose time has come and returns when the next ones
+// are due.
+func (l *Linker) dialDue(now zinniatide.Millis) zinniatide.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	next := now + zinniatide.LinkPingInterval
 	if l.closing {
-		return
+		return next
 	}
 	for id, p := range l.peers {
 		if l.dials >= maxDials {
-			return
+			return next // dialEnded wakes the tick
+		}
+		if p.link != nil || p.dialling || p.address == "" {
+			continue
 		}
-		if p.link != nil || p.dialling || p.address == "" || now < p.nextDial {
+		if now < p.nextDial {
+			next = min(next, p.nextDial)
 			continue
 		}
 		p.dialling = true
@@ -228,11 +237,13 @@
 		l.running.Add(1)
 		go l.dial(id, p.address)
 	}
+	return next
 }
 
 // dialEnded notes how a dial ended. A nil error means that the link is up or
 // that the peer will dial.
 func (l *Linker) dialEnded(id zinniatide.VMID, err error) {
+	defer l.ticker.Wake()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.dials--
--- a/linker/server.go
+++ b/linker/server.go
@@ -236,8 +236,9 @@
 	s.mu.Unlock()
 }
 
-// expire closes connections whose hello is overdue.
-func (s *server) expire(now zinniatide.Millis) {
+// expire closes connections whose hello is overdue and reports whether others
+// wait for theirs.
+func (s *server) expire(now zinniatide.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, v := range s.visitors {
@@ -245,6 +246,7 @@
 			_ = c.Close()
 		}
 	}
+	return len(s.visitors) > 0
 }
 
 // OnTraffic implements gnet.EventHandler. It is also called after a wake-up.
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,7 @@
 		Control: cfg.Control, ControlVMs: cfg.ControlVMs,
 	}, n.linker, clock, newRandom(), registerer)
 	n.assembleOwner()
+	n.subscriber.OnConfiguration(func(*zinniatide.Configuration) { n.cataloger.Wake() })
 	return n, n.assembleCoordinator()
 }
 
--- a/subscriber/claims.go
+++ b/subscriber/claims.go
@@ -95,6 +95,16 @@
 	q.items = open
 }
 
+// next returns when the next item is due, at most limit.
+func (q *claimQueue) next(limit zinniatide.Millis) zinniatide.Millis {
+	for _, item := range q.items {
+		if !item.waiting {
+			limit = min(limit, item.nextAt, item.giveUpAt)
+		}
+	}
+	return limit
+}
+
 func (s *Subscriber) sendItem(item *claimItem) {
 	leader := s.leader()
 	if leader == "" {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -132,21 +132,37 @@
 	return settings
 }
 
-// Run calls Step until ctx ends.
+// Run calls Step when something arrives or is due, until ctx ends.
 func (s *Subscriber) Run(ctx context.Context) {
-	ticker := time.NewTicker(zinniatide.TickInterval.Duration())
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		s.Step()
+		now := s.clock.Now()
+		timer.Reset((s.nextStep(now) - now).Duration())
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// nextStep returns when something is due that no message announces. What is
+// overdue waits for a tick, because Step has just had it.
+func (s *Subscriber) nextStep(now zinniatide.Millis) zinniatide.Millis {
+	next := now + zinniatide.HeartbeatInterval
+	if !s.lease.waiting {
+		next = min(next, s.lease.nextAt)
+	}
+	if len(s.releases) > 0 && !s.releasing {
+		next = min(next, s.nextRelease)
+	}
+	next = min(next, s.claims.next(next))
+	return max(next, now+zinniatide.TickInterval)
+}
+
 // Step runs what has arrived and what is due. Run calls it; tests call it
 // instead of Run.
 func (s *Subscriber) Step() {
