--- a/cmd/zinniabench/network/network_test.go
+++ b/cmd/zinniabench/network/network_test.go
@@ -1,6 +1,7 @@
 package network
 
 import (
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -40,7 +41,8 @@
 		}
 		_ = far.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
 		n, err := far.Read(make([]byte, 1))
-		if err != nil && !err.(net.Error).Timeout() {
+		var failure net.Error
+		if err != nil && (!errors.As(err, &failure) || !failure.Timeout()) {
 			t.Fatalf("the link was closed: %v", err)
 		}
 		return n == 1
