--- a/logkeeper/engine.go
+++ b/logkeeper/engine.go
@@ -133,6 +133,8 @@
 		var result any
 		if e.Kind == replicator.EntryCommand {
 			result = k.cfg.Machine.Apply(e.Index, e.Data)
+		} else if e.Membership != nil {
+			klog.InfoS("voters changed", "vm", k.cfg.VM, "step", "membership", "voters", e.Membership.Voters)
 		}
 		k.applied, k.appliedTerm = e.Index, e.Term
 		if p, ok := k.proposals[e.Index]; ok && p.term == e.Term {
