Measure and test a planned stop under load

Cause: nothing proved that a planned stop cuts off no request. Change: scenario planned-stop and a test: the control leader, an entry VM too, stops by plan under searches and non-idempotent requests.

--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -86,7 +86,7 @@
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
 		entryLoss, resend, queryOfDeath, controlPartition,
 		leaderLoss, catchUp, overload, versionChange, repartition,
-		silentConnection, combined,
+		silentConnection, combined, plannedStop,
 		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks,
 	}
 }
