Judge a leader's lease at the present time

Status and Barrier judged the lease at the time of the last step, up to a tick or a pause of the process ago. Change: both take the present time. A test pauses a leader.

--- a/logkeeper/engine.go
+++ b/logkeeper/engine.go
@@ -187,7 +187,7 @@
 	}
 	k.leading = leading
 	k.metrics.setLeading(leading)
-	klog.InfoS("leadership changed", "vm", k.cfg.VM, "step", "election", "leading", leading, "term", k.machine.Status().Term)
+	klog.InfoS("leadership changed", "vm", k.cfg.VM, "step", "election", "leading", leading, "term", k.machine.Status(k.cfg.Clock.Now()).Term)
 	for _, f := range k.onLeading {
 		f(leading)
 	}
--- a/logkeeper/fault_test.go
+++ b/logkeeper/fault_test.go
@@ -8,6 +8,7 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/journal/journaltest"
+	"zinniatide.example/zinniatide/replicator"
 )
 
 // faults are situations that three voters must survive without losing a
@@ -271,6 +272,23 @@
 	}
 }
 
+// A leader that was paused must not answer from a lease that ended meanwhile:
+// the first thing it runs may be a read, not a tick.
+func TestPausedLeaderDoesNotLead(t *testing.T) {
+	c := newCluster(t, 6, 3)
+	c.waitVoters(c.nodes...)
+	l := c.leader()
+	c.clock.Advance(replicator.DefaultElectionTimeout)
+	if l.keeper.Status().Leading {
+		t.Error("a leader says that it leads after a pause of an election timeout")
+	}
+	l.keeper.Barrier(func(err error) {
+		if err == nil {
+			t.Error("a barrier passed after a pause of an election timeout")
+		}
+	})
+}
+
 // One sync must cover the proposals that arrive while the disk is busy.
 func TestProposalsShareSyncs(t *testing.T) {
 	c := newCluster(t, 4, 3)
--- a/logkeeper/harness_test.go
+++ b/logkeeper/harness_test.go
@@ -155,7 +155,7 @@
 			s += fmt.Sprintf("[%s down] ", n.vm)
 		} else {
 			st := n.keeper.Status()
-			s += fmt.Sprintf("[%s %+v role %d] ", n.vm, st, n.keeper.machine.Status().Role)
+			s += fmt.Sprintf("[%s %+v role %d] ", n.vm, st, n.keeper.machine.Status(c.clock.Now()).Role)
 		}
 	}
 	return s
@@ -229,7 +229,7 @@
 		if n.keeper == nil || n.keeper.failure != nil {
 			continue
 		}
-		s := n.keeper.machine.Status()
+		s := n.keeper.machine.Status(c.clock.Now())
 		if s.Role != replicator.Leader {
 			continue
 		}
--- a/logkeeper/requests.go
+++ b/logkeeper/requests.go
@@ -39,7 +39,7 @@
 
 // notLeading refuses a request and names the leader, if one is known.
 func (k *Keeper) notLeading() *zinniatide.Refusal {
-	s := k.machine.Status()
+	s := k.machine.Status(k.cfg.Clock.Now())
 	switch {
 	case s.Role == replicator.Leader:
 		return zinniatide.Refuse(zinniatide.CodeNoQuorum, "this VM leads without a confirmed quorum, or hands over leadership")
@@ -56,7 +56,7 @@
 // dropLostProposals answers the proposals whose leader's term is over. A
 // later leader may still commit them.
 func (k *Keeper) dropLostProposals() {
-	s := k.machine.Status()
+	s := k.machine.Status(k.cfg.Clock.Now())
 	k.dropProposals(func(p proposal) bool { return s.Role != replicator.Leader || p.term != s.Term },
 		"this VM lost leadership before the entry was committed")
 }
@@ -95,7 +95,7 @@
 		done(zinniatide.Refuse(zinniatide.CodeNoQuorum, "this VM stopped: %v", k.failure))
 		return
 	}
-	id, ok := k.machine.Barrier()
+	id, ok := k.machine.Barrier(k.cfg.Clock.Now())
 	if !ok {
 		done(k.notLeading())
 		return
@@ -134,7 +134,7 @@
 
 // Status implements zinniatide.ReplicatedLog.
 func (k *Keeper) Status() zinniatide.LogStatus {
-	s := k.machine.Status()
+	s := k.machine.Status(k.cfg.Clock.Now())
 	status := zinniatide.LogStatus{
 		Leader: s.Leader.VM, Term: s.Term, Commit: s.Commit, Applied: k.applied,
 		Voters: slices.Clone(s.Membership.Voters),
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -101,7 +101,8 @@
 
 // Barrier starts a linearizable read. Its Read appears in an output. It
 // reports false when this VM is not a leader with a quorum.
-func (r *Replicator) Barrier() (id uint64, ok bool) {
+func (r *Replicator) Barrier(now zinniatide.Millis) (id uint64, ok bool) {
+	r.now = max(r.now, now)
 	if !r.quorate() {
 		return 0, false
 	}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -241,8 +241,10 @@
 // has heard from a leader.
 func (r *Replicator) LogID() string { return r.logID }
 
-// Status describes the machine.
-func (r *Replicator) Status() Status {
+// Status describes the machine at time now. The time is passed in because a
+// lease may have ended since the last step, as after a pause of the process.
+func (r *Replicator) Status(now zinniatide.Millis) Status {
+	r.now = max(r.now, now)
 	return Status{
 		Role: r.role, Term: r.term, Leader: r.leader, Commit: r.commit,
 		Quorate: r.quorate(), Membership: r.Membership(),
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -224,7 +224,7 @@
 		r := newRig(t, 1, 1)
 		r.lead()
 		r.ack(b, 2)
-		r.Barrier()
+		r.Barrier(r.now)
 		round := r.round
 		r.collect()
 		r.receive(Message{Kind: MessageAppendReply, From: b, Term: r.term, Match: 2, Round: round, SentAt: r.now})
@@ -236,7 +236,7 @@
 		r := newRig(t, 1, 1)
 		r.lead()
 		r.ack(b, 2)
-		r.Barrier()
+		r.Barrier(r.now)
 		r.now += 599
 		r.expect("quorate within the timeout", r.quorate(), true)
 		r.now++
