Count the ended request in the load that a result reports

Cause: the owner freed the slot before it reported the load, so a server with all slots busy and an empty queue reported one slot less. With two slots the admission limit of the coordinators took the queue for longer than the busy slots, and kept slots idle under overload.

Change: the load is taken before the slot is freed. The observer leaves the ended request out, as before.

--- a/backend.go
+++ b/backend.go
@@ -66,7 +66,8 @@
 	// Crashed is set when the backend server lost the connection while it
 	// ran the request.
 	Crashed bool
-	// InFlight and Queued describe the server at the time of the result.
+	// InFlight and Queued describe the server at the time of the result. InFlight
+	// counts the request itself if it was running.
 	InFlight uint16
 	Queued   uint16
 }
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -162,6 +162,28 @@
 	eventually(t, "free slots", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.slots.Taken() == 0 })
 }
 
+// TestReportedLoad guards against a server with all slots busy that looks as if
+// it had a slot to spare, because the request that has just ended is left out.
+// Admission then kept its limit so low that slots stayed idle under overload.
+func TestReportedLoad(t *testing.T) {
+	h, b, _ := newWarmHost(t)
+	release := holding(t, b)
+	done := make(results, 3)
+	for i := range 3 {
+		h.dispatcher.Dispatch(h.request(fmt.Sprint("r", i), 1000), done.done)
+	}
+	eventually(t, "two starts", func() bool { return b.starts.Load() == 2 })
+	release()
+	first := done.want(t, zinniatide.OutcomeDone, "")
+	if first.InFlight != 2 || first.Queued != 1 {
+		t.Errorf("got load %d in flight and %d queued with the first result, want 2 and 1", first.InFlight, first.Queued)
+	}
+	done.want(t, zinniatide.OutcomeDone, "")
+	if last := done.want(t, zinniatide.OutcomeDone, ""); last.InFlight != 1 || last.Queued != 0 {
+		t.Errorf("got load %d in flight and %d queued with the last result, want 1 and 0", last.InFlight, last.Queued)
+	}
+}
+
 // TestExecuteLost guards against a second run of a non-idempotent request
 // whose connection broke, and against a crash that is not reported.
 func TestExecuteLost(t *testing.T) {
--- a/dispatcher/task.go
+++ b/dispatcher/task.go
@@ -142,14 +142,16 @@
 	var e endings
 	s.mu.Lock()
 	now := s.d.o.Clock.Now()
-	reported := t.state == taskReported
+	if t.state != taskReported {
+		// Before the slot is free: the load that is reported counts this request
+		// too, so that a server with all slots busy and nothing queued does not
+		// look as if it had a slot to spare.
+		s.end(&e, t, zinniatide.SubResult{Outcome: a.Outcome, Code: a.Code, Body: a.Body, Crashed: a.Crashed})
+	}
 	t.state = taskEnded
 	s.slots.Release()
 	s.running = slices.DeleteFunc(s.running, func(o *task) bool { return o == t })
 	s.learn(t, a, now)
-	if !reported {
-		s.end(&e, t, zinniatide.SubResult{Outcome: a.Outcome, Code: a.Code, Body: a.Body, Crashed: a.Crashed})
-	}
 	s.pump(now, &e)
 	s.mu.Unlock()
 	e.report(s.d.metrics)
--- a/observer/server.go
+++ b/observer/server.go
@@ -64,7 +64,7 @@
 	case r.Outcome == zinniatide.OutcomeDone:
 		s.Sample(now, latency)
 		service.Sample(now, latency)
-		s.Load(now, r.InFlight, r.Queued)
+		s.Load(now, max(r.InFlight, 1)-1, r.Queued) // without the request that has ended
 	case r.Code == zinniatide.CodeCancelled:
 		s.AtLeast(now, latency)
 		service.Sample(now, latency)
