--- a/cmd/zinniabench/scenarios/executes_test.go
+++ b/cmd/zinniabench/scenarios/executes_test.go
@@ -82,11 +82,13 @@
 		{"normal", at(time.Second, 10*time.Millisecond, 1), 0},
 		{"slow", at(time.Second, 200*time.Millisecond, 1), 1200},
 		{"partial", at(time.Second, 10*time.Millisecond, 0.9), 1010},
+		{"before the event", at(-time.Second, 200*time.Millisecond, 1), 0},
+		{"hit by the next event", at(4900*time.Millisecond, 200*time.Millisecond, 1), 0},
 	}
 	for _, test := range tests {
 		r := recorder.New()
 		r.Add(test.sample)
-		if got := disturbed(r, event, 100); got != test.want {
+		if got := disturbed(r, event, event.Add(5*time.Second), 100); got != test.want {
 			t.Errorf("%s: got %g ms, want %g", test.name, got, test.want)
 		}
 	}
--- a/cmd/zinniabench/scenarios/silent.go
+++ b/cmd/zinniabench/scenarios/silent.go
@@ -55,8 +55,8 @@
 		return err
 	}
 	limit := abnormalFactor * between(r, start, start.Add(silentServers)).Quantile(0.99)
-	servers := disturbed(between(r, start.Add(silentServers), start.Add(silentLinks)), start.Add(silentServers), limit)
-	links := disturbed(between(r, start.Add(silentLinks), start.Add(silentTime)), start.Add(silentLinks), limit)
+	servers := disturbed(r, start.Add(silentServers), start.Add(silentLinks), limit)
+	links := disturbed(r, start.Add(silentLinks), start.Add(2*silentTime), limit)
 	return e.reportAll("silent-connection", []metric{
 		{"detect", "ms", none, max(servers, links)},
 		{"doubled", "count", none, float64(v.doubled)},
@@ -92,13 +92,15 @@
 	return part
 }
 
-// disturbed returns the time from the event to the end of the last request
-// that failed, got less than everything or took longer than limit, in ms.
-func disturbed(r *recorder.Recorder, event time.Time, limit float64) float64 {
+// disturbed returns the time from an event to the end of the last request that
+// failed, got less than everything or took longer than limit, in ms. A request
+// that ends after the next event counts for that one.
+func disturbed(r *recorder.Recorder, event, next time.Time, limit float64) float64 {
 	last := 0.0
 	for _, s := range r.Samples() {
-		if s.Err != nil || s.Coverage < 1 || ms(s.Latency) > limit {
-			last = max(last, ms(s.Start.Add(s.Latency).Sub(event)))
+		end := s.Start.Add(s.Latency)
+		if end.After(event) && end.Before(next) && (s.Err != nil || s.Coverage < 1 || ms(s.Latency) > limit) {
+			last = max(last, ms(end.Sub(event)))
 		}
 	}
 	return last
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -4,11 +4,13 @@
 package emulator
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -83,9 +85,9 @@
 	if e.address != "" {
 		address = e.address // a restart keeps the port
 	}
-	inner, err := net.Listen("tcp", address)
+	inner, err := listen(address)
 	if err != nil {
-		return zinniatide.WrapStep(err, "listen", address)
+		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -105,6 +107,23 @@
 	return nil
 }
 
+const (
+	listenTimeout = 3 * time.Second
+	listenPause   = 20 * time.Millisecond
+)
+
+// listen listens on address. The port of a server that is down is one of those
+// that the system gives to outgoing connections, so that a restart can find it
+// taken for a while.
+func listen(address string) (net.Listener, error) {
+	for end := time.Now().Add(listenTimeout); ; time.Sleep(listenPause) {
+		l, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, zinniatide.WrapStep(err, "listen", address)
+		}
+	}
+}
+
 // quiet takes the log lines of the HTTP server. A crash on purpose breaks
 // connections, and would otherwise fill the output of a measurement.
 type quiet struct{}
