--- a/cmd/zinniabench/network/network_test.go
+++ b/cmd/zinniabench/network/network_test.go
@@ -1,7 +1,9 @@
 package network
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 )
@@ -40,7 +42,7 @@
 		}
 		_ = far.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
 		n, err := far.Read(make([]byte, 1))
-		if err != nil && !err.(net.Error).Timeout() {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Fatalf("the link was closed: %v", err)
 		}
 		return n == 1
--- a/cmd/zinniabench/scenarios/death.go
+++ b/cmd/zinniabench/scenarios/death.go
@@ -168,12 +168,6 @@
 	}
 }
 
-func (d *deadly) sentCount() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.sent
-}
-
 func (d *deadly) record(answer *loader.SearchAnswer, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/cmd/zinniabench/scenarios/operators.go
+++ b/cmd/zinniabench/scenarios/operators.go
@@ -9,6 +9,7 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/cmd/zinniabench/cluster"
+	"zinniatide.example/zinniatide/node"
 )
 
 const (
@@ -139,27 +140,24 @@
 	stop     chan struct{}
 	ended    chan struct{}
 	reverted int
-	samples  int
 }
 
 func watchEpochs(c *cluster.Cluster) *epochs {
 	w := &epochs{stop: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
 		defer close(w.ended)
-		last := make([]zinniatide.Epoch, c.Options.Entries)
+		last := make(map[*node.Node]zinniatide.Epoch) // a restarted VM is another process
 		for {
-			for i := range last {
+			for i := range c.Options.Entries {
 				n := c.Node(i)
 				if n == nil {
-					last[i] = 0 // a new process starts without a configuration
 					continue
 				}
 				epoch := n.Configuration().Epoch
-				if epoch < last[i] {
+				if epoch < last[n] {
 					w.reverted++
 				}
-				last[i] = epoch
-				w.samples++
+				last[n] = epoch
 			}
 			select {
 			case <-w.stop:
--- a/cmd/zinniabench/scenarios/pairs.go
+++ b/cmd/zinniabench/scenarios/pairs.go
@@ -31,7 +31,6 @@
 )
 
 func zoneOutDuringVersionChange(r *pairRun) error {
-	changed := make(chan error, 1)
 	work := func() int64 { return r.cluster.StandIns.Totals().WorkByZone[zones[2]] }
 	if work() == 0 {
 		return errors.New("the zone had no work")
@@ -39,8 +38,7 @@
 	if _, err := r.cluster.File(&zinniatide.Ticket{AvailabilityZones: states(zones[2], zinniatide.StateOut)}); err != nil {
 		return err
 	}
-	go func() { changed <- replaceVersion(r.cluster, r.plan, 1, pairStep) }()
-	if err := <-changed; err != nil {
+	if err := replaceVersion(r.cluster, r.plan, 1, pairStep); err != nil {
 		return err
 	}
 	return checkReplaced(r.searches)
@@ -61,7 +59,6 @@
 	if err := r.restartZone(zones[0]); err != nil {
 		return err
 	}
-	time.Sleep(pairStep)
 	if owned, _ := r.buckets(owner, 1); owned == 0 {
 		return errors.New("the VM owned no buckets")
 	}
@@ -166,11 +163,9 @@
 		defer close(sent)
 		d.send(stop)
 	}()
-	time.Sleep(pairStep / 10)
-	lost := 0
+	var killErr error
 	for _, vm := range []int{r.lastEntry(zones[0]), r.lastEntry(zones[1])} {
-		lost += r.executes.running(r.cluster.Entries()[vm]) + d.sentCount()
-		r.cluster.Kill(vm)
+		killErr = errors.Join(killErr, r.killAtWork(vm))
 		time.Sleep(pairStep)
 	}
 	for _, vm := range []int{r.lastEntry(zones[0]), r.lastEntry(zones[1])} {
@@ -185,10 +180,19 @@
 	if err != nil {
 		return err
 	}
-	if lost == 0 {
-		return errors.New("no request had been sent when the entry VMs were killed")
+	return errors.Join(killErr, d.check(crashes, false))
+}
+
+// killAtWork kills an entry VM while it runs a non-idempotent request.
+func (r *pairRun) killAtWork(vm int) error {
+	address := r.cluster.Entries()[vm]
+	for end := time.Now().Add(2 * pairStep); r.executes.running(address) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s had no request when it was killed", r.cluster.VM(vm))
+		}
 	}
-	return d.check(crashes, false)
+	r.cluster.Kill(vm)
+	return nil
 }
 
 func versionChangeDuringDrain(r *pairRun) error {
