--- a/cmd/zinniabench/scenarios/capacitylinks.go
+++ b/cmd/zinniabench/scenarios/capacitylinks.go
@@ -12,7 +12,7 @@
 	"zinniatide.example/zinniatide/linker"
 )
 
-var meshSizes = []int{10, 20, 30, 40, 60}
+var meshSizes = []int{10, 20, 40, 60, 80}
 
 const meshWindow = 4 * time.Second
 
@@ -21,7 +21,7 @@
 var capacityLinks = Scenario{Name: "capacity-links", Run: func(e *Env) error {
 	cpu := &series{name: "cpu-per-VM", unit: "ms/s", per: "links of a VM"}
 	sent := &series{name: "sent-per-VM", unit: "B/s", per: "links of a VM"}
-	memory := &series{name: "memory-per-VM", unit: "B", per: "links of a VM"}
+	memory := &series{name: "links-memory", unit: "B", per: "ends of links"}
 	for _, n := range meshSizes {
 		if err := measureMesh(n, cpu, sent, memory); err != nil {
 			return err
@@ -31,8 +31,8 @@
 }}
 
 func measureMesh(n int, cpu, sent, memory *series) error {
-	before, registry := members.LiveMemory(), prometheus.NewRegistry()
-	mesh, err := newMesh(n, registry)
+	registry := prometheus.NewRegistry()
+	mesh, peers, err := newMesh(n, registry)
 	defer func() {
 		for _, l := range mesh {
 			l.Close()
@@ -41,6 +41,11 @@
 	if err != nil {
 		return err
 	}
+	// The memory of a VM without links depends on pools and event loops.
+	before := members.LiveMemory()
+	for _, l := range mesh {
+		l.SetPeers(peers)
+	}
 	for end := time.Now().Add(10 * time.Second); !connected(mesh); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
 			return fmt.Errorf("links between %d VMs did not come up", n)
@@ -68,11 +73,11 @@
 	links, vms := float64(n-1), float64(n)
 	cpu.add(links, ms(end-start)/meshWindow.Seconds()/vms)
 	sent.add(links, (counts[name]-startCounts[name])/meshWindow.Seconds()/vms)
-	memory.add(links, (float64(members.LiveMemory())-float64(before))/vms)
+	memory.add(links*vms, float64(members.LiveMemory())-float64(before))
 	return nil
 }
 
-func newMesh(n int, registry prometheus.Registerer) ([]*linker.Linker, error) {
+func newMesh(n int, registry prometheus.Registerer) ([]*linker.Linker, map[zinniatide.VMID]string, error) {
 	var mesh []*linker.Linker
 	peers := map[zinniatide.VMID]string{}
 	for i := range n {
@@ -80,18 +85,15 @@
 		l, err := linker.New(linker.Config{Self: id, Incarnation: 1, ListenAddress: "127.0.0.1:0", EventLoops: 1},
 			clock.New(), prometheus.WrapRegistererWith(prometheus.Labels{"vm": string(id)}, registry))
 		if err != nil {
-			return mesh, err
+			return mesh, nil, err
 		}
 		mesh = append(mesh, l)
 		if err := l.Start(); err != nil {
-			return mesh, err
+			return mesh, nil, err
 		}
 		peers[id] = l.Address()
 	}
-	for _, l := range mesh {
-		l.SetPeers(peers)
-	}
-	return mesh, nil
+	return mesh, peers, nil
 }
 
 func connected(mesh []*linker.Linker) bool {
--- a/cmd/zinniabench/scenarios/fit.go
+++ b/cmd/zinniabench/scenarios/fit.go
@@ -48,7 +48,7 @@
 	for _, s := range list {
 		var metrics []metric
 		for _, p := range s.points {
-			metrics = append(metrics, metric{fmt.Sprintf("%s at %g %s", s.name, p.x, s.per), s.unit, none, p.y})
+			metrics = append(metrics, metric{fmt.Sprintf("%s at %.6g %s", s.name, p.x, s.per), s.unit, none, p.y})
 		}
 		slope, intercept, r2, err := leastSquares(s.points)
 		if err != nil {
