Measure small messages and idle entry VMs

Cause: the cost of digests was inferred from pings, and the idle cost of an entry VM from an intercept. Change: capacity-messages, an idle window in capacity-queries, and clear errors of the members host, with a test.

--- a/cmd/zinniabench/members/host.go
+++ b/cmd/zinniabench/members/host.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -88,7 +89,7 @@
 		}
 	case "/claims":
 		if workers, run := number("workers"), number("ms"); err == nil {
-			value = h.claims(workers, time.Duration(run)*time.Millisecond)
+			value, err = h.claims(workers, time.Duration(run)*time.Millisecond)
 		}
 	case "/usage":
 		value, err = h.usage(ctx.QueryArgs().Has("collect"))
@@ -117,8 +118,8 @@
 }
 
 func (h *Host) start(leader zinniatide.ControlVM) error {
-	if len(h.voters) > 0 || len(h.followers) == 0 {
-		return errors.New("started twice, or before reserve")
+	if len(h.voters) > 0 || len(h.followers) == 0 || leader.PeerAddress == "" {
+		return errors.New("started twice, before reserve, or without the address of a leader")
 	}
 	h.control = append([]zinniatide.ControlVM{leader}, h.followers...)
 	for _, vm := range h.followers {
@@ -136,6 +137,9 @@
 }
 
 func (h *Host) resize(n int) error {
+	if len(h.voters) == 0 || n < len(h.members) {
+		return fmt.Errorf("cannot go from %d to %d members with %d followers", len(h.members), n, len(h.voters))
+	}
 	for len(h.members) < n {
 		m, err := newMember(len(h.members), h.control, h.registry)
 		if err != nil {
@@ -147,7 +151,10 @@
 }
 
 // claims runs chains of claims, spread over the members.
-func (h *Host) claims(workers int, run time.Duration) *ClaimCounts {
+func (h *Host) claims(workers int, run time.Duration) (*ClaimCounts, error) {
+	if len(h.members) == 0 || workers <= 0 {
+		return nil, fmt.Errorf("%d members cannot run %d chains of claims", len(h.members), workers)
+	}
 	counts, end := &ClaimCounts{}, time.Now().Add(run)
 	var running sync.WaitGroup
 	for i := range workers {
@@ -158,7 +165,7 @@
 		}()
 	}
 	running.Wait()
-	return counts
+	return counts, nil
 }
 
 func (h *Host) usage(collect bool) (*Usage, error) {
--- /dev/null
+++ b/cmd/zinniabench/members/host_test.go
@@ -0,0 +1,74 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/journal"
+	"zinniatide.example/zinniatide/logkeeper"
+)
+
+// TestHost guards against figures of members that have no session or whose
+// claims do not pass the log, and against a host that fails on wrong calls.
+func TestHost(t *testing.T) {
+	h, err := NewHost()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	if _, err := h.claims(1, time.Millisecond); err == nil {
+		t.Error("got no error for claims without members")
+	}
+	if h.resize(1) == nil || h.start(zinniatide.ControlVM{VM: "c1", PeerAddress: "127.0.0.1:1"}) == nil {
+		t.Error("got no error for members before a start, or a start before reserve")
+	}
+	followers, err := h.reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, err := FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	control := append([]zinniatide.ControlVM{{VM: "c1", PeerAddress: address}}, followers...)
+	folder := t.TempDir()
+	if err := logkeeper.Init(journal.Disk{}, folder, "c1", control); err != nil {
+		t.Fatal(err)
+	}
+	leader, err := NewControl("c1", folder, control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer leader.Close()
+	if err := h.start(control[0]); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.resize(3); err != nil {
+		t.Fatal(err)
+	}
+	if h.resize(2) == nil {
+		t.Error("got no error for fewer members")
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		u, err := h.usage(false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if u.Leased == 3 && u.Counters["zinniatide_link_sent_bytes_total"] > 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("got %+v, want 3 leases", u)
+		}
+	}
+	counts, err := h.claims(4, 300*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := 0
+	leader.OnThread(func() { kept, _ = leader.Machine.ClaimLoad() })
+	if counts.Granted == 0 || int64(kept) != counts.Granted {
+		t.Errorf("%d claims granted, %d kept by the leader", counts.Granted, kept)
+	}
+}
--- a/cmd/zinniabench/scenarios/capacitylinks.go
+++ b/cmd/zinniabench/scenarios/capacitylinks.go
@@ -31,78 +31,160 @@
 }}
 
 func measureMesh(n int, cpu, sent, memory *series) error {
-	registry := prometheus.NewRegistry()
-	mesh, peers, err := newMesh(n, registry)
-	defer func() {
-		for _, l := range mesh {
-			l.Close()
-		}
-	}()
+	m, err := startMesh(n)
+	defer m.close()
 	if err != nil {
 		return err
 	}
-	// The memory of a VM without links depends on pools and event loops.
-	before := members.LiveMemory()
-	for _, l := range mesh {
-		l.SetPeers(peers)
-	}
-	for end := time.Now().Add(10 * time.Second); !connected(mesh); time.Sleep(20 * time.Millisecond) {
-		if time.Now().After(end) {
-			return fmt.Errorf("links between %d VMs did not come up", n)
-		}
-	}
-	time.Sleep(500 * time.Millisecond)
-	start, err := members.ProcessorTime()
+	usedCPU, usedBytes, err := m.use(func() error { time.Sleep(meshWindow); return nil })
 	if err != nil {
 		return err
 	}
-	startCounts, err := members.Counters(registry)
+	links, vms := float64(n-1), float64(n)
+	cpu.add(links, usedCPU/vms)
+	sent.add(links, usedBytes/vms)
+	memory.add(links*vms, float64(members.LiveMemory())-float64(m.before))
+	return nil
+}
+
+const (
+	messageMesh   = 40
+	messageWindow = 4 * time.Second
+)
+
+// messageRates are in messages per second on each link, each way.
+var messageRates = []float64{0, 1, 2, 4, 8}
+
+// capacityMessages measures small one-way messages that every VM sends to
+// every other one, as the digests of the catalogue are.
+var capacityMessages = Scenario{Name: "capacity-messages", Run: func(e *Env) error {
+	m, err := startMesh(messageMesh)
+	defer m.close()
 	if err != nil {
 		return err
 	}
-	time.Sleep(meshWindow)
-	end, err := members.ProcessorTime()
-	if err != nil {
-		return err
+	cpu := &series{name: "cpu-per-VM", unit: "ms/s", per: "messages/s"}
+	sent := &series{name: "sent-per-VM", unit: "B/s", per: "messages/s"}
+	for _, rate := range messageRates {
+		usedCPU, usedBytes, err := m.use(func() error { return m.sendAll(rate) })
+		if err != nil {
+			return err
+		}
+		x := rate * (messageMesh - 1)
+		cpu.add(x, usedCPU/messageMesh)
+		sent.add(x, usedBytes/messageMesh)
 	}
-	counts, err := members.Counters(registry)
-	if err != nil {
-		return err
+	return e.reportSeries("capacity-messages", cpu, sent)
+}}
+
+// digestBody has the fields of the digest of package cataloger.
+type digestBody struct {
+	Incarnation zinniatide.Incarnation `json:"incarnation"`
+	Sequence    uint64                 `json:"sequence"`
+}
+
+// sendAll has each VM send to all others, one VM after the other, so that the
+// messages of one round do not share writes.
+func (m *mesh) sendAll(rate float64) error {
+	end := time.Now().Add(messageWindow)
+	if rate == 0 {
+		time.Sleep(messageWindow)
+		return nil
+	}
+	for round := 0; time.Now().Before(end); round++ {
+		next := time.Now().Add(time.Duration(float64(time.Second) / rate))
+		for i, l := range m.vms {
+			for j, id := range m.ids {
+				if i == j {
+					continue
+				}
+				body := digestBody{Incarnation: 1_700_000_000_000, Sequence: uint64(round)}
+				if err := l.Send(id, zinniatide.KindCatalogDigest, body); err != nil {
+					return err
+				}
+			}
+		}
+		time.Sleep(time.Until(next))
 	}
-	const name = "zinniatide_link_sent_bytes_total"
-	links, vms := float64(n-1), float64(n)
-	cpu.add(links, ms(end-start)/meshWindow.Seconds()/vms)
-	sent.add(links, (counts[name]-startCounts[name])/meshWindow.Seconds()/vms)
-	memory.add(links*vms, float64(members.LiveMemory())-float64(before))
 	return nil
 }
 
-func newMesh(n int, registry prometheus.Registerer) ([]*linker.Linker, map[zinniatide.VMID]string, error) {
-	var mesh []*linker.Linker
+// mesh has a link between every pair of its VMs.
+type mesh struct {
+	vms      []*linker.Linker
+	ids      []zinniatide.VMID
+	registry *prometheus.Registry
+	// before is the memory before the links. That of a VM without links
+	// depends on pools and event loops.
+	before uint64
+}
+
+func startMesh(n int) (*mesh, error) {
+	m := &mesh{registry: prometheus.NewRegistry()}
 	peers := map[zinniatide.VMID]string{}
 	for i := range n {
 		id := zinniatide.VMID(fmt.Sprintf("m%04d", i))
 		l, err := linker.New(linker.Config{Self: id, Incarnation: 1, ListenAddress: "127.0.0.1:0", EventLoops: 1},
-			clock.New(), prometheus.WrapRegistererWith(prometheus.Labels{"vm": string(id)}, registry))
+			clock.New(), prometheus.WrapRegistererWith(prometheus.Labels{"vm": string(id)}, m.registry))
 		if err != nil {
-			return mesh, nil, err
+			return m, err
 		}
-		mesh = append(mesh, l)
+		l.Handle(zinniatide.KindCatalogDigest, func(zinniatide.VMID, []byte, func(any, error)) {})
+		m.vms, m.ids = append(m.vms, l), append(m.ids, id)
 		if err := l.Start(); err != nil {
-			return mesh, nil, err
+			return m, err
 		}
 		peers[id] = l.Address()
 	}
-	return mesh, peers, nil
+	m.before = members.LiveMemory()
+	for _, l := range m.vms {
+		l.SetPeers(peers)
+	}
+	for end := time.Now().Add(10 * time.Second); !m.connected(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			return m, fmt.Errorf("links between %d VMs did not come up", n)
+		}
+	}
+	time.Sleep(500 * time.Millisecond) // until the first pings are spread
+	return m, nil
 }
 
-func connected(mesh []*linker.Linker) bool {
-	for i := range mesh {
-		for j := range mesh {
-			if !mesh[i].Connected(zinniatide.VMID(fmt.Sprintf("m%04d", j))) {
+func (m *mesh) connected() bool {
+	for _, l := range m.vms {
+		for _, id := range m.ids {
+			if !l.Connected(id) {
 				return false
 			}
 		}
 	}
 	return true
 }
+
+func (m *mesh) close() {
+	for _, l := range m.vms {
+		l.Close()
+	}
+}
+
+// use returns the processor time in ms and the bytes sent per second of f.
+func (m *mesh) use(f func() error) (cpu, sent float64, err error) {
+	const name = "zinniatide_link_sent_bytes_total"
+	start, began := time.Now(), time.Duration(0)
+	if began, err = members.ProcessorTime(); err != nil {
+		return 0, 0, err
+	}
+	before, err := members.Counters(m.registry)
+	if err != nil {
+		return 0, 0, err
+	}
+	if err := f(); err != nil {
+		return 0, 0, err
+	}
+	ended, err := members.ProcessorTime()
+	if err != nil {
+		return 0, 0, err
+	}
+	seconds := time.Since(start).Seconds()
+	after, err := members.Counters(m.registry)
+	return ms(ended-began) / seconds, (after[name] - before[name]) / seconds, err
+}
--- a/cmd/zinniabench/scenarios/capacityqueries.go
+++ b/cmd/zinniabench/scenarios/capacityqueries.go
@@ -24,6 +24,9 @@
 		Seeds: e.Seeds, Service: service, Tenant: "counter", Class: "interactive", Timeout: 2 * time.Second, Seed: e.Seed,
 	})
 	recorder.Pace(steadyRate, 3*time.Second, func(i int) { _, _ = l.Search("warm-up", fmt.Sprint("warm-up-", i)) })
+	if err := e.reportIdle(); err != nil {
+		return err
+	}
 	cpu := &series{name: "entry-VMs-cpu", unit: "ms/s", per: "sub-queries/s"}
 	memory := &series{name: "entry-VM-memory-max", unit: "B", per: "sub-queries/s"}
 	latency := &series{name: "p99", unit: "ms", per: "sub-queries/s"}
@@ -49,3 +52,20 @@
 	}
 	return e.reportSeries("capacity-queries", cpu, memory, latency)
 }}
+
+// reportIdle measures the entry VMs while only announcements and control work
+// reach them.
+func (e *Env) reportIdle() error {
+	start := time.Now()
+	before, err := e.snapshot()
+	if err != nil {
+		return err
+	}
+	time.Sleep(queryWindow)
+	after, err := e.snapshot()
+	if err != nil {
+		return err
+	}
+	idle := ms(after.cpu-before.cpu) / time.Since(start).Seconds() / float64(len(e.Pids))
+	return e.report("capacity-queries", "idle-cpu-per-VM", "ms/s", none, idle)
+}
--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -84,7 +84,7 @@
 func All() []Scenario {
 	return []Scenario{
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
-		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks, capacityQueries,
+		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks, capacityMessages, capacityQueries,
 	}
 }
 
