--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -88,6 +88,7 @@
 		leaderLoss, catchUp, overload, versionChange, repartition,
 		silentConnection, combined, plannedStop,
 		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks,
+		capacityMessages, capacityQueries,
 	}
 }
 
