Let requests of a replaced process end before its buckets are used again

Cause: a process that is killed and restarted within its lease got its buckets back at once, while requests of its old incarnation could still hold slots of the backend servers. Only removal by an expired lease waits that long. Tests at the registrar and the dispatcher.

--- a/configuration.go
+++ b/configuration.go
@@ -123,6 +123,10 @@
 	// Empty when no move is pending. A non-empty Next forbids Owner to start
 	// new work.
 	Next VMID `json:"next"`
+	// Settle is set when the bucket was taken from a process that was replaced
+	// before its lease had run out. Requests that it sent may still run, so the
+	// owner starts no work in the bucket for MaxRequestTime.
+	Settle bool `json:"settle,omitempty"`
 }
 
 // Configuration is the state in force at one epoch. It is immutable once
--- a/dispatcher/gate.go
+++ b/dispatcher/gate.go
@@ -47,6 +47,8 @@
 		return s.retired
 	case now >= s.d.o.Configuration.LeaseUntil():
 		return zinniatide.CodeNotServing
+	case now < s.settled:
+		return zinniatide.CodeNotOwner
 	case s.draining:
 		return zinniatide.CodeShed
 	}
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -75,6 +75,8 @@
 // connections are closed, send the warm state, release.
 func (d *Dispatcher) advance(key bucketKey, m *move, now zinniatide.Millis) {
 	switch {
+	case now < d.settled(d.seen.configuration, key):
+		d.ticker.At(d.settled(d.seen.configuration, key))
 	case !m.sent:
 		if servers, ok := d.emptied(key); ok {
 			m.sent = true
--- a/dispatcher/ownership_test.go
+++ b/dispatcher/ownership_test.go
@@ -301,3 +301,38 @@
 		})
 	}
 }
+
+// TestSettlesAfterReplacedOwner guards against work that starts, and a bucket
+// that is released, while requests of a replaced process may still hold slots.
+func TestSettlesAfterReplacedOwner(t *testing.T) {
+	b := newBackend(t)
+	c := clock.NewManual(10_000, 0)
+	h := newHost(t, "a", c)
+	settle := func(epoch zinniatide.Epoch, next zinniatide.VMID) {
+		cfg := configurationOf(epoch, "a", next)
+		for i := range cfg.Buckets[testZone] {
+			cfg.Buckets[testZone][i].Settle = true
+		}
+		h.configuration.Store(cfg)
+		h.dispatcher.Tick()
+	}
+	h.list(announcementOf(b))
+	settle(2, "")
+	c.Advance(zinniatide.MaxRequestTime - 1)
+	got := make(results, 2)
+	h.dispatcher.Dispatch(h.request("early", 5000), got.done)
+	got.want(t, zinniatide.OutcomeNotRun, zinniatide.CodeNotOwner)
+	settle(3, "b")
+	if n := len(h.released); n != 0 {
+		t.Errorf("got %d releases while requests may run, want 0", n)
+	}
+	settle(4, "")
+	c.Advance(1)
+	h.dispatcher.Tick()
+	eventually(t, "a connection", h.serverOf(t).pool.Free)
+	h.dispatcher.Dispatch(h.request("late", 5000), got.done)
+	got.want(t, zinniatide.OutcomeDone, "")
+	if n := b.starts.Load(); n != 1 {
+		t.Errorf("got %d starts, want 1", n)
+	}
+}
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -39,15 +39,17 @@
 	// retired is why the server takes no new work for good.
 	retired   zinniatide.Code
 	retiredAt zinniatide.Millis
-	services  []zinniatide.ServiceID // sorted as announced
-	gate      gate
-	slots     slotter.Slots
-	queue     queuer.Queue[*task]
-	ramp      ramper.Ramp
-	pace      pacer.Pacer
-	health    detector.Detector
-	running   []*task
-	paused    bool
+	// settled is when the requests of a replaced owner have ended.
+	settled  zinniatide.Millis
+	services []zinniatide.ServiceID // sorted as announced
+	gate     gate
+	slots    slotter.Slots
+	queue    queuer.Queue[*task]
+	ramp     ramper.Ramp
+	pace     pacer.Pacer
+	health   detector.Detector
+	running  []*task
+	paused   bool
 }
 
 // offers reports whether the server serves the service and the configuration
--- a/dispatcher/systems.go
+++ b/dispatcher/systems.go
@@ -176,6 +176,15 @@
 	}
 }
 
+// settled returns when the requests of a replaced owner of the bucket have
+// ended, 0 when there was none.
+func (d *Dispatcher) settled(c *zinniatide.Configuration, key bucketKey) zinniatide.Millis {
+	if !c.Buckets[key.zone][key.index].Settle {
+		return 0
+	}
+	return d.ownedSince[key] + zinniatide.MaxRequestTime
+}
+
 // newServer adds a server. It starts cold, or where its former owner left it,
 // but in any case one pacing window after this VM became the owner: the
 // former owner's last starts count towards the same bound.
@@ -187,6 +196,7 @@
 		s.ramp.Restore(w.Level, w.Successes, w.Warm)
 		s.health.Restore(w.Baseline)
 	}
+	s.settled = d.settled(d.seen.configuration, key)
 	s.pace.Begin(d.ownedSince[key], s.ramp.Rate())
 	s.pool = connector.New(connector.Options{
 		Address: a.Address, Clock: d.o.Clock, Random: d.newRandom(), Dial: d.o.Dial, Ready: s.ready, Wake: d.ticker.At,
--- a/registrar/buckets.go
+++ b/registrar/buckets.go
@@ -106,7 +106,8 @@
 func (r *Registrar) decide(c *zinniatide.Configuration, key bucketKey, b zinniatide.Bucket, live bool, wanted zinniatide.VMID) zinniatide.Bucket {
 	if !live {
 		delete(r.moves, key)
-		return zinniatide.Bucket{Owner: wanted, OwnerIncarnation: c.Members[wanted].Incarnation}
+		_, replaced := c.Members[b.Owner]
+		return zinniatide.Bucket{Owner: wanted, OwnerIncarnation: c.Members[wanted].Incarnation, Settle: replaced}
 	}
 	if wanted == "" {
 		wanted = b.Owner // nobody can take over
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -177,8 +177,11 @@
 	if r.ReleaseHasEffect(&controlproto.BucketRelease{VM: "e1", Incarnation: 1, Epoch: 9, Buckets: []controlproto.BucketID{{Zone: "a"}, {Zone: "none", Index: 1}}}) {
 		t.Error("a release of buckets that are not moving has an effect")
 	}
-	if b := r.Configuration().Buckets["a"][0]; b.OwnerIncarnation != 2 || b.Next != "" {
-		t.Errorf("bucket after a restart: %+v, want incarnation 2", b)
+	if b := r.Configuration().Buckets["a"][0]; b.OwnerIncarnation != 2 || b.Next != "" || !b.Settle {
+		t.Errorf("bucket after a restart: %+v, want incarnation 2 that lets requests settle", b)
+	}
+	if b := r.Configuration().Buckets["b"][0]; b.Settle {
+		t.Errorf("bucket that kept its owner: %+v, want no settling", b)
 	}
 	apply(t, r, 0, Command{Remove: &Removal{Sessions: []Session{{VM: "e1", Incarnation: 1}}}})
 	if _, ok := r.Configuration().Members["e1"]; !ok {
@@ -188,6 +191,9 @@
 	if owned, moving := countOwned(r, "a"); owned["e2"] != zinniatide.BucketsPerZone || moving != 0 {
 		t.Errorf("owners %v with %d moves, want all with e2", owned, moving)
 	}
+	if b := r.Configuration().Buckets["a"][0]; b.Settle {
+		t.Errorf("bucket after the end of a lease: %+v, want no settling", b)
+	}
 	before := r.Configuration()
 	mixed := join("e2", "b", 0)
 	twice := join("e7", "b", 2)
