Measure the choice of a guard by the number of VMs

Cause: the guard of a new fingerprint is a rendezvous hash over all serving VMs. Change: capacity-configuration times it.

--- a/cmd/zinniabench/scenarios/capacityconfiguration.go
+++ b/cmd/zinniabench/scenarios/capacityconfiguration.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -8,6 +9,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/cmd/zinniabench/members"
 	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -107,6 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
+	vms := slices.Sorted(maps.Keys(c.Members))
 	var kept *zinniatide.Configuration // keeps the results alive
 	tasks := map[string]func(i int) error{
 		"install-restart-cpu": func(int) error { kept = registrar.ApplyDeltas(c, restart); return nil },
@@ -124,6 +127,14 @@
 			lost := c.Members[zinniatide.VMID(fmt.Sprintf("vm-%05d", i+2))]
 			return applied(r, &registrar.Command{Remove: &registrar.Removal{Sessions: []registrar.Session{{VM: lost.VM, Incarnation: lost.Incarnation}}}})
 		},
+		"guards-of-100-requests-cpu": func(i int) error {
+			for j := range 100 {
+				if picker.Pick(fmt.Sprintf("%x", 100*i+j), vms) == "" {
+					return errors.New("no guard among the members")
+				}
+			}
+			return nil
+		},
 		"snapshot-cpu": func(int) error { _, err := r.Snapshot(); return err },
 	}
 	costs := map[string]float64{}
