Use one CBOR codec

Cause: common/codec and encoder held the same modes twice, written by different hands. Conclusion: limits of decoding are stated in one place.

--- a/cmd/zinniabench/scenarios/capacityconfiguration.go
+++ b/cmd/zinniabench/scenarios/capacityconfiguration.go
@@ -8,8 +8,8 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/cmd/zinniabench/members"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/common/picker"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -44,7 +44,7 @@
 			n := int(share * float64(part.size))
 			c, bytes := measureConfiguration(func(c *zinniatide.Configuration) { part.fill(c, n) })
 			memory.add(float64(n), bytes)
-			raw, err := codec.Encode(c)
+			raw, err := encoder.Marshal(c)
 			if err != nil {
 				return zinniatide.WrapStep(err, "encode configuration", part.name)
 			}
@@ -75,7 +75,7 @@
 			fillServices(c, scaleService)
 			fillStates(c, int(share*scaleServers))
 		})
-		raw, err := codec.Encode(c)
+		raw, err := encoder.Marshal(c)
 		if err != nil {
 			return zinniatide.WrapStep(err, "encode configuration", "whole")
 		}
@@ -116,9 +116,9 @@
 		"install-ticket-cpu":  func(int) error { kept = registrar.ApplyDeltas(c, ticket); return nil },
 		"install-whole-cpu": func(int) error {
 			kept = registrar.NewConfiguration()
-			return codec.Decode(raw, kept)
+			return encoder.Unmarshal(raw, kept)
 		},
-		"encode-whole-cpu": func(int) error { _, err := codec.Encode(c); return err },
+		"encode-whole-cpu": func(int) error { _, err := encoder.Marshal(c); return err },
 		"apply-restart-cpu": func(i int) error {
 			m.Incarnation = c.Members[m.VM].Incarnation + zinniatide.Incarnation(i) + 1
 			return applied(r, &registrar.Command{Join: &registrar.Join{Members: []zinniatide.Member{m}}})
@@ -156,12 +156,12 @@
 		return nil, zinniatide.WrapStep(err, "snapshot", "empty")
 	}
 	var snapshot map[int]any
-	if err := codec.Decode(raw, &snapshot); err != nil {
+	if err := encoder.Unmarshal(raw, &snapshot); err != nil {
 		return nil, zinniatide.WrapStep(err, "decode snapshot", "empty")
 	}
 	const configurationField = 3
 	snapshot[configurationField] = c
-	if raw, err = codec.Encode(snapshot); err != nil {
+	if raw, err = encoder.Marshal(snapshot); err != nil {
 		return nil, zinniatide.WrapStep(err, "encode snapshot", "whole")
 	}
 	return r, r.Restore(raw)
--- a/controller/claims.go
+++ b/controller/claims.go
@@ -2,14 +2,14 @@
 
 import (
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
 func (c *Controller) claimHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var claim zinniatide.Claim
-	if err := codec.Decode(body, &claim); err != nil {
+	if err := encoder.Unmarshal(body, &claim); err != nil {
 		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode claim of %s: %v", from, err))
 		return
 	}
@@ -36,7 +36,7 @@
 
 func (c *Controller) claimResultHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var result zinniatide.ClaimResult
-	if err := codec.Decode(body, &result); err != nil {
+	if err := encoder.Unmarshal(body, &result); err != nil {
 		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode claim result of %s: %v", from, err))
 		return
 	}
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -19,8 +19,8 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/checker"
 	"zinniatide.example/zinniatide/common/clock"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 	"zinniatide.example/zinniatide/subscriber"
 )
@@ -189,7 +189,7 @@
 	v.controller.route(f, 1000, func(answer controlproto.ForwardReply) {
 		answered = true
 		if err = answer.Refusal.Err(); err == nil && out != nil {
-			err = codec.Decode(answer.Result, out)
+			err = encoder.Unmarshal(answer.Result, out)
 		}
 	})
 	for i := 0; i < 2000 && !answered; i++ {
@@ -229,7 +229,7 @@
 func (v *vm) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func([]byte, error)) {
 	w := v.w
 	w.calls[kind]++
-	data, err := codec.Encode(body)
+	data, err := encoder.Marshal(body)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -250,7 +250,7 @@
 			return
 		}
 		target.handlers[kind](v.member.VM, data, func(value any, replyErr error) {
-			encoded, err := codec.Encode(value)
+			encoded, err := encoder.Marshal(value)
 			if err != nil {
 				w.t.Fatal(err)
 			}
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -4,14 +4,14 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
 func (c *Controller) heartbeatHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var h controlproto.Heartbeat
-	if err := codec.Decode(body, &h); err != nil {
+	if err := encoder.Unmarshal(body, &h); err != nil {
 		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode heartbeat of %s: %v", from, err))
 		return
 	}
@@ -121,7 +121,7 @@
 
 func (c *Controller) releaseHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var release controlproto.BucketRelease
-	if err := codec.Decode(body, &release); err != nil {
+	if err := encoder.Unmarshal(body, &release); err != nil {
 		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode bucket release of %s: %v", from, err))
 		return
 	}
--- a/controller/operator.go
+++ b/controller/operator.go
@@ -4,8 +4,8 @@
 	"errors"
 
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -58,7 +58,7 @@
 		if err := answer.Refusal.Err(); err != nil {
 			return err
 		}
-		if err := codec.Decode(answer.Result, out); err != nil {
+		if err := encoder.Unmarshal(answer.Result, out); err != nil {
 			return unsure(f, "decode the leader's answer: "+err.Error())
 		}
 		return nil
@@ -92,7 +92,7 @@
 	c.links.Call(lead.Leader, zinniatide.KindControlForward, f, timeout, func(body []byte, err error) {
 		var answer controlproto.ForwardReply
 		if err == nil {
-			err = codec.Decode(body, &answer)
+			err = encoder.Unmarshal(body, &answer)
 		}
 		switch {
 		case errors.Is(err, zinniatide.ErrNotSent):
@@ -109,7 +109,7 @@
 
 func (c *Controller) forwardHandler(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var f controlproto.Forward
-	if err := codec.Decode(body, &f); err != nil {
+	if err := encoder.Unmarshal(body, &f); err != nil {
 		reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode operator request of %s: %v", from, err))
 		return
 	}
@@ -141,7 +141,7 @@
 func (c *Controller) answer(value any, err error) controlproto.ForwardReply {
 	answer := controlproto.ForwardReply{Leadership: controlproto.Leadership{Leading: true, Leader: c.config.VM}}
 	if err == nil {
-		answer.Result, err = codec.Encode(value)
+		answer.Result, err = encoder.Marshal(value)
 	}
 	answer.Refusal = controlproto.FromError(err)
 	return answer
--- a/controller/push.go
+++ b/controller/push.go
@@ -5,8 +5,8 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -29,7 +29,7 @@
 		p.deltas = nil
 		return
 	}
-	encoded, err := codec.Encode(delta)
+	encoded, err := encoder.Marshal(delta)
 	if err != nil {
 		klog.ErrorS(err, "cannot encode a configuration delta", "step", "push", "epoch", delta.Epoch)
 		p.deltas = nil
@@ -52,7 +52,7 @@
 		return &controlproto.ConfigurationPush{Deltas: p.deltas[len(p.deltas)-int(behind):]}
 	}
 	if p.full == nil || p.fullEpoch != p.configuration.Epoch {
-		encoded, err := codec.Encode(p.configuration)
+		encoded, err := encoder.Marshal(p.configuration)
 		if err != nil {
 			klog.ErrorS(err, "cannot encode the configuration", "step", "push", "epoch", p.configuration.Epoch)
 			return nil
@@ -87,7 +87,7 @@
 	c.links.Call(vm, zinniatide.KindControlPush, message, pushTimeout, func(body []byte, err error) {
 		var ack controlproto.PushReply
 		if err == nil {
-			err = codec.Decode(body, &ack)
+			err = encoder.Unmarshal(body, &ack)
 		}
 		c.log.Post(func() { c.pushDone(vm, incarnation, ack, err) })
 	})
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -5,8 +5,8 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/checker"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 )
 
 // Command is one entry of the replicated log. Exactly one of its pointers is
@@ -56,12 +56,12 @@
 }
 
 // Encode returns the entry of c.
-func (c *Command) Encode() ([]byte, error) { return codec.Encode(c) }
+func (c *Command) Encode() ([]byte, error) { return encoder.Marshal(c) }
 
 // DecodeCommand reads an entry. It fails unless exactly one command is set.
 func DecodeCommand(data []byte) (*Command, error) {
 	c := &Command{}
-	if err := codec.Decode(data, c); err != nil {
+	if err := encoder.Unmarshal(data, c); err != nil {
 		return nil, fmt.Errorf("decode command: %w", err)
 	}
 	set := 0
--- a/registrar/snapshot.go
+++ b/registrar/snapshot.go
@@ -7,7 +7,7 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/checker"
-	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/encoder"
 )
 
 // snapshotVersion is raised with every incompatible change of the format.
@@ -58,14 +58,14 @@
 		s.Claims = append(s.Claims, c)
 	}
 	slices.SortFunc(s.Claims, func(a, b *claimRecord) int { return cmp.Compare(a.ID, b.ID) })
-	return codec.Encode(&s)
+	return encoder.Marshal(&s)
 }
 
 // Restore implements zinniatide.StateMachine. The state is unchanged when data
 // cannot be read.
 func (r *Registrar) Restore(data []byte) error {
 	var s snapshot
-	if err := codec.Decode(data, &s); err != nil {
+	if err := encoder.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode snapshot of control state: %w", err)
 	}
 	if s.Version != snapshotVersion || s.Configuration == nil {
--- a/subscriber/install.go
+++ b/subscriber/install.go
@@ -9,8 +9,8 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -20,7 +20,7 @@
 	body = bytes.Clone(body)
 	s.post(func() {
 		var push controlproto.ConfigurationPush
-		err := codec.Decode(body, &push)
+		err := encoder.Unmarshal(body, &push)
 		if err == nil {
 			s.install(&push)
 		}
@@ -58,7 +58,7 @@
 func decodePush(current *zinniatide.Configuration, push *controlproto.ConfigurationPush) (*zinniatide.Configuration, error) {
 	if len(push.Full) > 0 {
 		full := registrar.NewConfiguration()
-		if err := codec.Decode(push.Full, full); err != nil {
+		if err := encoder.Unmarshal(push.Full, full); err != nil {
 			return nil, fmt.Errorf("decode configuration: %w", err)
 		}
 		if full.Epoch > current.Epoch {
@@ -69,7 +69,7 @@
 	epoch := current.Epoch
 	for _, raw := range push.Deltas {
 		var delta registrar.Delta
-		if err := codec.Decode(raw, &delta); err != nil {
+		if err := encoder.Unmarshal(raw, &delta); err != nil {
 			return nil, fmt.Errorf("decode configuration delta: %w", err)
 		}
 		if delta.Epoch <= epoch {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -14,7 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/common/codec"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -200,7 +200,7 @@
 	s.links.Call(peer, kind, body, timeout, func(body []byte, err error) {
 		reply := new(T)
 		if err == nil {
-			err = codec.Decode(body, reply)
+			err = encoder.Unmarshal(body, reply)
 		}
 		s.post(func() { done(reply, err) })
 	})
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -12,8 +12,8 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/clock"
-	"zinniatide.example/zinniatide/common/codec"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
@@ -29,7 +29,7 @@
 func (l *scriptedLink) SetPeers(peers map[zinniatide.VMID]string)                 { l.peers = peers }
 func (l *scriptedLink) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, _ zinniatide.Millis, done func([]byte, error)) {
 	value, err := l.answer(peer, kind, body)
-	encoded, _ := codec.Encode(value)
+	encoded, _ := encoder.Marshal(value)
 	done(encoded, err)
 }
 
@@ -48,7 +48,7 @@
 	c := registrar.NewConfiguration()
 	c.Epoch = epoch
 	c.Members["e2"] = zinniatide.Member{VM: "e2", PeerAddress: "h:9"}
-	raw, err := codec.Encode(c)
+	raw, err := encoder.Marshal(c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +59,7 @@
 	t.Helper()
 	push := &controlproto.ConfigurationPush{}
 	for _, epoch := range epochs {
-		raw, err := codec.Encode(&registrar.Delta{Epoch: epoch})
+		raw, err := encoder.Marshal(&registrar.Delta{Epoch: epoch})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -87,7 +87,7 @@
 		{"whole configuration and deltas", &controlproto.ConfigurationPush{Full: full(t, 20).Full, Deltas: delta(t, 21).Deltas}, 21},
 	}
 	for _, step := range steps {
-		body, err := codec.Encode(step.push)
+		body, err := encoder.Marshal(step.push)
 		if err != nil && step.name != "damage" {
 			t.Fatal(err)
 		}
