--- a/cataloger/receive.go
+++ b/cataloger/receive.go
@@ -1,10 +1,10 @@
 package cataloger
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
 )
 
 func (c *Cataloger) receiveAnnounce(from zinniatide.VMID, body []byte, reply func(value any, err error)) {
@@ -22,7 +22,7 @@
 
 func (c *Cataloger) receiveDigest(from zinniatide.VMID, body []byte, reply func(value any, err error)) {
 	var d digest
-	err := cbor.Unmarshal(body, &d)
+	err := encoder.Unmarshal(body, &d)
 	if err == nil {
 		c.pull(from, d)
 	} else {
@@ -44,7 +44,7 @@
 }
 
 func decodeAnnouncement(body []byte) (a zinniatide.Announcement, err error) {
-	if err := cbor.Unmarshal(body, &a); err != nil {
+	if err := encoder.Unmarshal(body, &a); err != nil {
 		return a, err
 	}
 	return a, Validate(&a)
@@ -52,7 +52,7 @@
 
 // decodeList refuses a list with any invalid entry: its sender is faulty.
 func decodeList(body []byte) (l list, err error) {
-	if err := cbor.Unmarshal(body, &l); err != nil {
+	if err := encoder.Unmarshal(body, &l); err != nil {
 		return l, err
 	}
 	if len(l.Servers) > maxServers {
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -4,10 +4,10 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
 )
 
 const (
@@ -135,7 +135,7 @@
 
 func (d *Dispatcher) receiveWarmState(from zinniatide.VMID, body []byte, reply func(value any, err error)) {
 	var message warmMessage
-	if err := cbor.Unmarshal(body, &message); err != nil {
+	if err := encoder.Unmarshal(body, &message); err != nil {
 		if reply != nil {
 			reply(nil, zinniatide.WrapStep(err, "decode warm state", string(from)))
 		}
--- a/logkeeper/keeper.go
+++ b/logkeeper/keeper.go
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/journal"
 	"zinniatide.example/zinniatide/replicator"
 )
@@ -246,7 +246,7 @@
 // receive handles a message on the link's thread.
 func (k *Keeper) receive(from zinniatide.VMID, body []byte, _ func(any, error)) {
 	var m replicator.Message
-	if err := cbor.Unmarshal(body, &m); err != nil {
+	if err := encoder.Unmarshal(body, &m); err != nil {
 		klog.ErrorS(err, "log message dropped", "vm", k.cfg.VM, "step", "decode log message", "peer", from)
 		return
 	}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -11,13 +11,14 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
+	"zinniatide.example/zinniatide/encoder"
 )
 
 // Dependencies are the parts that a Quarantiner works with.
@@ -173,7 +174,7 @@
 
 func (q *Quarantiner) onCanary(_ zinniatide.VMID, body []byte, reply func(any, error)) {
 	var r canaryRequest
-	if err := cbor.Unmarshal(body, &r); err != nil {
+	if err := encoder.Unmarshal(body, &r); err != nil {
 		reply(nil, err)
 		return
 	}
@@ -182,7 +183,7 @@
 
 func (q *Quarantiner) onVerdict(from zinniatide.VMID, body []byte, _ func(any, error)) {
 	var v canaryVerdict
-	if err := cbor.Unmarshal(body, &v); err != nil {
+	if err := encoder.Unmarshal(body, &v); err != nil {
 		klog.ErrorS(err, "malformed canary verdict", "vm", q.VM, "step", "canary-verdict", "peer", from)
 		return
 	}
@@ -193,7 +194,7 @@
 
 func (q *Quarantiner) onQuarantine(from zinniatide.VMID, body []byte, _ func(any, error)) {
 	var n quarantineNotice
-	if err := cbor.Unmarshal(body, &n); err != nil {
+	if err := encoder.Unmarshal(body, &n); err != nil {
 		klog.ErrorS(err, "malformed quarantine notice", "vm", q.VM, "step", "quarantine", "peer", from)
 		return
 	}
@@ -219,7 +220,7 @@
 	q.Linker.Call(guard, zinniatide.KindCanary, r, q.config.GuardTimeout, func(body []byte, err error) {
 		var reply canaryReply
 		if err == nil {
-			err = cbor.Unmarshal(body, &reply)
+			err = encoder.Unmarshal(body, &reply)
 		}
 		if err == nil {
 			q.adopt(&r, &reply)
