Forget a drain rate that was measured long ago

Cause: the rate at which waiting requests drain is measured only while requests wait. After a stall the rate was so low that every request that had to wait was refused at once as overloaded, so that none waited and the rate was never measured again.

Change: a rate older than one second counts as unknown. The new test fails without the change.

--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -138,7 +138,7 @@
 	if left <= 0 {
 		return true
 	}
-	perMilli := g.rate.perMilli
+	perMilli := g.rate.at(now)
 	if perMilli <= 0 {
 		return false
 	}
--- a/admitter/limiter.go
+++ b/admitter/limiter.go
@@ -69,13 +69,28 @@
 // rate estimates how fast work drains while requests wait.
 type rate struct {
 	perMilli float64
+	measured zinniatide.Millis // when perMilli was last corrected
 	since    zinniatide.Millis
 	sum      int
 	backlog  bool
 }
 
-// rateWindow is long enough to hold several requests of 84 sub-requests.
-const rateWindow zinniatide.Millis = 50
+const (
+	// rateWindow is long enough to hold several requests of 84 sub-requests.
+	rateWindow zinniatide.Millis = 50
+	// rateLifetime is how long a measured rate is believed. A rate is measured
+	// only while requests wait. When a stall has made it so low that none may
+	// wait, it would never be measured again.
+	rateLifetime zinniatide.Millis = 1000
+)
+
+// at returns the rate per millisecond, 0 when it is not known.
+func (r *rate) at(now zinniatide.Millis) float64 {
+	if now-r.measured > rateLifetime {
+		return 0
+	}
+	return r.perMilli
+}
 
 func (r *rate) add(now zinniatide.Millis, n int, backlog bool) {
 	if !backlog {
@@ -89,11 +104,11 @@
 	r.sum += n
 	if d := now - r.since; d >= rateWindow {
 		sample := float64(r.sum) / float64(d)
-		if r.perMilli == 0 {
+		if r.at(now) == 0 {
 			r.perMilli = sample
 		}
 		r.perMilli += 0.2 * (sample - r.perMilli)
-		r.since, r.sum = now, 0
+		r.measured, r.since, r.sum = now, now, 0
 	}
 }
 
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -74,6 +74,41 @@
 	}
 }
 
+// Guards against a stall whose low drain rate makes every request that has to
+// wait look hopeless for good, because the rate is measured only while requests
+// wait.
+func TestRateOfAStallIsForgotten(t *testing.T) {
+	c, s := DefaultConfig(), setting()
+	g := newGate(&c)
+	g.limiter.resize(&c, 10, 1)
+	arrive := func(now zinniatide.Millis) *item {
+		it := &item{Request: Request{Service: "s", Tenant: "a", Class: "fast", Cost: 10, Deadline: now + 1000}}
+		g.arrive(now, it, &s)
+		return it
+	}
+	first, second := arrive(0), arrive(1)
+	g.release(300, first, 1)
+	g.release(900, first, 1)
+	if refused := arrive(901); refused.state == waiting {
+		t.Fatal("a request may wait during the stall; the test has no effect")
+	}
+	g.release(902, first, 8)
+	g.release(903, second, 10)
+	now := zinniatide.Millis(1000)
+	for range 100 {
+		it := arrive(now)
+		if it.state != admitted {
+			t.Fatalf("got state %d of a request alone, want admitted", it.state)
+		}
+		now += 10
+		g.release(now, it, 10)
+	}
+	arrive(now)
+	if it := arrive(now); it.state != waiting {
+		t.Errorf("got state %d of a request that has to wait after the stall, want waiting", it.state)
+	}
+}
+
 // Guards against a full queue that shuts out a tenant below its share, and
 // against a queue that grows without bound.
 func TestFullQueueFavoursTenantBelowItsShare(t *testing.T) {
