--- a/admitter/gate.go
+++ b/admitter/gate.go
@@ -143,8 +143,11 @@
 	if left <= 0 {
 		return true
 	}
-	perMilli := g.rate.perMilli
-	if perMilli <= 0 || g.service.high() < g.config.LooseBelow*total {
+	perMilli := g.rate.at(now)
+	if perMilli <= 0 {
+		return false
+	}
+	if taken := g.service.high(); taken > 0 && taken < g.config.LooseBelow*total {
 		return false // the limit still grows, so the rate is not that of the servers
 	}
 	c := it.class
