Render measurements as one HTML page

Cause: the output of make bench is JSON lines, which are hard to compare by eye.

Change: bin/zinniabench report reads the lines and, optionally, a time series of requests, and writes report.html with a table per scenario and SVG plots of gonum.org/v1/plot. The page loads no outside part. A bad line is an error that names the line, and leaves an earlier page as it is. The requirement is in the module of zinniabench only.

--- a/cmd/zinniabench/commands/commands.go
+++ b/cmd/zinniabench/commands/commands.go
@@ -24,7 +24,7 @@
 	root := &cobra.Command{
 		Use: "zinniabench", Short: "Measurements of the query tier", SilenceErrors: true, SilenceUsage: true,
 	}
-	root.AddCommand(newRun().command, newList().command, newMembers())
+	root.AddCommand(newRun().command, newList().command, newMembers(), newReport().command)
 	root.SetArgs(args)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "zinniabench:", err)
--- /dev/null
+++ b/cmd/zinniabench/reporter/plots.go
@@ -0,0 +1,213 @@
+package reporter
+
+import (
+	"bytes"
+	"errors"
+	"html/template"
+	"image/color"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	barWidth   = 7 * vg.Millimeter
+	// interval is the width of a point in time, in ms. At the 40 queries per
+	// second of the slowest scenario it holds 20 requests.
+	interval = 500
+)
+
+var (
+	baselineColor = color.RGBA{R: 170, G: 170, B: 170, A: 255}
+	valueColor    = color.RGBA{R: 30, G: 100, B: 170, A: 255}
+)
+
+// drawPlots returns the plots of one scenario as SVG elements. Plots without
+// data are left out.
+func drawPlots(scenario string, metrics []Metric, requests []Request) ([]template.HTML, error) {
+	bars, err := drawMetrics(scenario, metrics)
+	if err != nil || len(requests) == 0 {
+		return bars, err
+	}
+	curves, err := drawSeries(scenario, requests)
+	return append(bars, curves...), err
+}
+
+func drawMetrics(scenario string, metrics []Metric) ([]template.HTML, error) {
+	var latencies, loads []Metric
+	for _, m := range metrics {
+		switch {
+		case m.Unit == "ms" && m.Baseline != nil && m.Value != nil:
+			latencies = append(latencies, m)
+		case strings.HasPrefix(m.Metric, "extra-") && m.Value != nil:
+			loads = append(loads, m)
+		}
+	}
+	var list []template.HTML
+	for _, p := range []struct {
+		title   string
+		metrics []Metric
+	}{
+		{"latency with and without the policy", latencies},
+		{"extra load on backend servers", loads},
+	} {
+		if len(p.metrics) == 0 {
+			continue
+		}
+		svg, err := drawBars(scenario+": "+p.title, p.metrics)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, svg)
+	}
+	return list, nil
+}
+
+// drawBars draws the metrics side by side, with their baselines if all have
+// one. A missing baseline would look like 0.
+func drawBars(title string, metrics []Metric) (template.HTML, error) {
+	p := newPlot(title, "", metrics[0].Unit)
+	var names []string
+	var baselines, values plotter.Values
+	for _, m := range metrics {
+		names = append(names, m.Metric)
+		values = append(values, *m.Value)
+		if m.Baseline != nil {
+			baselines = append(baselines, *m.Baseline)
+		}
+	}
+	if len(baselines) == len(values) {
+		if err := addBars(p, "baseline", baselines, baselineColor, -barWidth/2); err != nil {
+			return "", err
+		}
+	}
+	if err := addBars(p, "with the policy", values, valueColor, barWidth/2); err != nil {
+		return "", err
+	}
+	p.NominalX(names...)
+	return render(p)
+}
+
+func addBars(p *plot.Plot, name string, values plotter.Values, c color.Color, offset vg.Length) error {
+	bars, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return err
+	}
+	bars.Color, bars.Offset = c, offset
+	p.Add(bars)
+	p.Legend.Add(name, bars)
+	return nil
+}
+
+func drawSeries(scenario string, requests []Request) ([]template.HTML, error) {
+	coverage, answered, failed := overTime(requests)
+	var list []template.HTML
+	for _, c := range []struct {
+		title, x, y string
+		points      plotter.XYs
+	}{
+		{"latency quantiles", "percent of the answered requests", "ms", quantiles(requests)},
+		{"coverage over time", "s", "mean coverage of the answers", coverage},
+		{"service over time", "s", "answered requests per second", answered},
+		{"failed requests over time", "s", "refused or failed requests per second", failed},
+	} {
+		if len(c.points) == 0 {
+			continue
+		}
+		svg, err := drawLine(scenario+": "+c.title, c.x, c.y, c.points)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, svg)
+	}
+	return list, nil
+}
+
+// quantiles returns the latency in ms over the percentage of the answered
+// requests that it bounds.
+func quantiles(requests []Request) plotter.XYs {
+	var latencies []float64
+	for _, q := range requests {
+		if q.Outcome == OutcomeAnswered {
+			latencies = append(latencies, q.Latency)
+		}
+	}
+	slices.Sort(latencies)
+	points := make(plotter.XYs, len(latencies))
+	for i, l := range latencies {
+		points[i] = plotter.XY{X: float64(i+1) / float64(len(latencies)) * 100, Y: l}
+	}
+	return points
+}
+
+// overTime returns the mean coverage, the answered requests per second and the
+// refused or failed requests per second, each over the start of the request in
+// seconds. An interval without an answer has no coverage.
+func overTime(requests []Request) (coverage, answered, failed plotter.XYs) {
+	type sums struct{ coverage, answered, failed float64 }
+	var table []sums
+	for _, q := range requests {
+		i := int(q.At / interval)
+		if i >= len(table) {
+			table = append(table, make([]sums, i+1-len(table))...)
+		}
+		if q.Outcome == OutcomeAnswered {
+			table[i].answered++
+			table[i].coverage += *q.Coverage
+		} else {
+			table[i].failed++
+		}
+	}
+	const perSecond = 1000.0 / interval
+	for i, s := range table {
+		x := float64(i) / perSecond
+		if s.answered > 0 {
+			coverage = append(coverage, plotter.XY{X: x, Y: s.coverage / s.answered})
+		}
+		answered = append(answered, plotter.XY{X: x, Y: s.answered * perSecond})
+		failed = append(failed, plotter.XY{X: x, Y: s.failed * perSecond})
+	}
+	return coverage, answered, failed
+}
+
+func drawLine(title, x, y string, points plotter.XYs) (template.HTML, error) {
+	p := newPlot(title, x, y)
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return "", err
+	}
+	line.Color = valueColor
+	p.Add(line)
+	p.Y.Min = min(p.Y.Min, 0)
+	return render(p)
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	return p
+}
+
+// render returns the svg element of p. The XML header is left out, as it is
+// not allowed inside HTML.
+func render(p *plot.Plot) (template.HTML, error) {
+	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", err
+	}
+	var out bytes.Buffer
+	if _, err = writer.WriteTo(&out); err != nil {
+		return "", err
+	}
+	start := bytes.Index(out.Bytes(), []byte("<svg"))
+	if start < 0 {
+		return "", errors.New("the plot has no svg element")
+	}
+	return template.HTML(out.Bytes()[start:]), nil
+}
--- /dev/null
+++ b/cmd/zinniabench/reporter/reporter_test.go
@@ -0,0 +1,108 @@
+package reporter
+
+import (
+	"bytes"
+	"flag"
+	"html/template"
+	"os"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the golden file")
+
+const metricsInput = `{"scenario":"straggler","metric":"p99","unit":"ms","baseline":240.5,"value":61.25}
+{"scenario":"straggler","metric":"extra-load","unit":"percent","baseline":null,"value":4.2}
+{"scenario":"zone-loss","metric":"last-new-work","unit":"ms","baseline":null,"value":null}
+{"scenario":"<b>","metric":"failed","unit":"count","baseline":null,"value":0}
+`
+
+const seriesInput = `{"scenario":"zone-loss","at-ms":0,"latency-ms":9,"coverage":1,"outcome":"answered"}
+{"scenario":"zone-loss","at-ms":600,"latency-ms":11,"coverage":0.5,"outcome":"answered"}
+{"scenario":"zone-loss","at-ms":700,"latency-ms":1000,"coverage":null,"outcome":"failed"}
+`
+
+func read(t *testing.T) *Reporter {
+	t.Helper()
+	metrics, err := ReadMetrics(strings.NewReader(metricsInput))
+	if err != nil {
+		t.Fatal(err)
+	}
+	series, err := ReadSeries(strings.NewReader(seriesInput))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(metrics, series)
+}
+
+// TestPageText guards against lost rows, nulls printed as zero and names that
+// are not escaped.
+func TestPageText(t *testing.T) {
+	const golden = "testdata/page.golden.html"
+	r := read(t)
+	r.draw = func(string, []Metric, []Request) ([]template.HTML, error) { return []template.HTML{"<svg></svg>"}, nil }
+	var got bytes.Buffer
+	if err := r.Write(&got); err != nil {
+		t.Fatal(err)
+	}
+	if *update {
+		if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.String() != string(want) {
+		t.Errorf("got %s\nwant %s", got.String(), want)
+	}
+}
+
+// TestPlots guards against plots that are missing or that load outside parts.
+func TestPlots(t *testing.T) {
+	var got bytes.Buffer
+	if err := read(t).Write(&got); err != nil {
+		t.Fatal(err)
+	}
+	// Two plots of metrics and four of the time series.
+	if n, want := strings.Count(got.String(), "<svg"), 6; n != want {
+		t.Errorf("got %d plots, want %d", n, want)
+	}
+	for _, part := range []string{"<?xml", "<!DOCTYPE svg", "<script", "<link", "src=", "url(", "@import", `href="http`} {
+		if strings.Contains(got.String(), part) {
+			t.Errorf("got a page with %q, want none", part)
+		}
+	}
+}
+
+// TestBadInput guards against bad lines that are skipped or not located.
+func TestBadInput(t *testing.T) {
+	metrics := func(in string) error { _, err := ReadMetrics(strings.NewReader(in)); return err }
+	series := func(in string) error { _, err := ReadSeries(strings.NewReader(in)); return err }
+	for name, c := range map[string]struct {
+		read   func(string) error
+		before string
+		line   string
+		want   string
+	}{
+		"not JSON":      {metrics, metricsInput, `bench: failed`, "line 5:"},
+		"empty line":    {metrics, metricsInput, "\n", "line 5:"},
+		"cut":           {metrics, "", `{"scenario":"a","metric":"b"`, "line 1:"},
+		"two values":    {metrics, "", `{"scenario":"a","metric":"b"}{}`, "line 1: more than one"},
+		"closing brace": {metrics, "", `{"scenario":"a","metric":"b"}}`, "line 1:"},
+		"text value":    {metrics, metricsInput, `{"scenario":"a","metric":"b","value":"1"}`, "line 5:"},
+		"no metric":     {metrics, "", `{"scenario":"a"}`, "line 1: scenario and metric"},
+		"too long":      {metrics, metricsInput, strings.Repeat("x", maxLine+1), "line 5:"},
+		"unknown field": {series, seriesInput, `{"scenario":"a","metric":"b"}`, "line 4:"},
+		"outcome":       {series, seriesInput, `{"scenario":"a","outcome":"lost"}`, `line 4: outcome "lost"`},
+		"negative time": {series, "", `{"scenario":"a","at-ms":-1,"outcome":"failed"}`, "line 1: at-ms"},
+		"no coverage":   {series, "", `{"scenario":"a","outcome":"answered"}`, "line 1: an answered"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := c.read(c.before + c.line); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+				t.Errorf("got %v, want %s", err, c.want)
+			}
+		})
+	}
+}
