Write a time series of requests from zinniabench run

Cause: the metrics of a scenario hide when coverage and service suffered.

The baseline of straggler is named straggler-baseline. The load of the scenarios is unchanged.

--- a/cmd/zinniabench/commands/commands.go
+++ b/cmd/zinniabench/commands/commands.go
@@ -2,12 +2,14 @@
 package commands
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 
 	"github.com/spf13/cobra"
 
+	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/cmd/zinniabench/scenarios"
 	"zinniatide.example/zinniatide/common/logger"
 )
@@ -37,6 +39,7 @@
 type run struct {
 	command *cobra.Command
 	env     scenarios.Env
+	series  string
 }
 
 func newRun() *run {
@@ -48,7 +51,7 @@
 			if err != nil {
 				return err
 			}
-			return s.Run(&r.env)
+			return r.measure(s)
 		},
 	}
 	flags := r.command.Flags()
@@ -56,10 +59,25 @@
 	flags.IntSliceVar(&r.env.Pids, "pids", nil, "process ids of the measured entry VMs")
 	flags.StringSliceVar(&r.env.Seeds, "seeds", nil, "HTTP addresses of the measured entry VMs")
 	flags.StringVar(&r.env.Counts, "counts", "", "address of the stand-ins' counts")
+	flags.StringVar(&r.series, "series", "", "file to which the requests of the zone scenarios and straggler are appended")
 	flags.StringVar(&r.env.Members, "members", "", "address of a running zinniabench members")
 	return r
 }
 
+// measure runs s, with its time series appended to the file of --series.
+func (r *run) measure(s scenarios.Scenario) error {
+	if r.series == "" {
+		return s.Run(&r.env)
+	}
+	file, err := os.OpenFile(r.series, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return zinniatide.WrapStep(err, "open time series", r.series)
+	}
+	r.env.Series = file
+	err = s.Run(&r.env)
+	return errors.Join(err, zinniatide.WrapStep(file.Close(), "close time series", r.series))
+}
+
 // list prints the names of the scenarios.
 type list struct{ command *cobra.Command }
 
--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -15,8 +15,11 @@
 
 // Env is what a scenario works with.
 type Env struct {
-	Out  io.Writer
-	Seed uint64
+	Out io.Writer
+	// Series gets one JSON line per request of the zone scenarios and of
+	// straggler. It is nil when no time series is wanted.
+	Series io.Writer
+	Seed   uint64
 	// Pids are the processes of entry VMs that a script has started, Seeds
 	// their addresses, and Counts the address of the stand-ins' counts. Only
 	// scenarios that measure processor time need them.
--- a/cmd/zinniabench/scenarios/straggler.go
+++ b/cmd/zinniabench/scenarios/straggler.go
@@ -24,6 +24,12 @@
 	if err != nil {
 		return err
 	}
+	if err = e.writeSeries("straggler-baseline", before); err != nil {
+		return err
+	}
+	if err = e.writeSeries("straggler", after); err != nil {
+		return err
+	}
 	return e.reportAll("straggler", []metric{
 		{"p99", "ms", before.Quantile(0.99), after.Quantile(0.99)},
 		{"p50", "ms", before.Quantile(0.5), after.Quantile(0.5)},
--- a/cmd/zinniabench/scenarios/zone.go
+++ b/cmd/zinniabench/scenarios/zone.go
@@ -129,6 +129,9 @@
 	if err := <-failed; err != nil {
 		return err
 	}
+	if err := e.writeSeries(name, r); err != nil {
+		return err
+	}
 	recovery := r.Recovery(happened.accepted)
 	if math.IsNaN(recovery) {
 		recovery = ms(zoneTime - zoneChange)
