Notice a server that turned cold while it still answers

Cause: a warm server that turns cold without a new incarnation still answers, ten times slower, and the detector asked for three failures or timeouts in a row. Change: five of the last eight answers above four times the baseline make a server cold; slow answers hardly move the baseline.

--- a/cmd/zinniabench/cluster/cluster.go
+++ b/cmd/zinniabench/cluster/cluster.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -136,14 +137,24 @@
 	return nil
 }
 
+// Ports of the VMs. They lie below the range from which the kernel takes the
+// ports of outgoing connections, so that a VM that is down keeps its ports.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+)
+
 // freeAddresses returns loopback addresses with free ports. All are held open
 // until the last is found, so that they differ.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < n; tries++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))) //nolint:gosec // a port, no secret
 		if err != nil {
-			return nil, zinniatide.WrapStep(err, "find a port", "loopback")
+			if tries > ports {
+				return nil, zinniatide.WrapStep(err, "find a port", "loopback")
+			}
+			continue
 		}
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
--- a/cmd/zinniabench/scenarios/cold.go
+++ b/cmd/zinniabench/scenarios/cold.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"fmt"
 	"time"
 
 	"zinniatide.example/zinniatide"
@@ -9,12 +10,14 @@
 	"zinniatide.example/zinniatide/recorder"
 )
 
-// trueRamp is what the servers of the cold scenarios bear after a start.
-var trueRamp = zinniatide.ColdStartSetting{InitialRate: 20, DoubleAfter: 10, FullRate: 160}
+// trueRamp is what the servers of the cold scenarios bear after a start. A
+// server that gets its full part of the load at once, 50 requests per second,
+// is beyond it for more than a second.
+var trueRamp = zinniatide.ColdStartSetting{InitialRate: 10, DoubleAfter: 20, FullRate: 160}
 
 const (
 	coldRate  = 150 // queries per second
-	coldTime  = 12 * time.Second
+	coldTime  = 10 * time.Second
 	coldAfter = 3 * time.Second
 )
 
@@ -85,7 +88,9 @@
 	}
 	defer c.Close()
 	l := e.callers(c, time.Second, "counter")
-	l.load(recorder.New(), coldRate, 4*time.Second, "warm-up")
+	for i, step := range []time.Duration{2500, 1500, 1000, 1000} {
+		l.load(recorder.New(), coldRate*min(1, float64(int(1)<<i)/6), step*time.Millisecond, fmt.Sprint("warm-up-", i))
+	}
 	before := c.StandIns.Totals().BeyondAllowance
 	done := make(chan struct{})
 	go func() {
--- a/dispatcher/detector/detector.go
+++ b/dispatcher/detector/detector.go
@@ -2,17 +2,29 @@
 // saying so.
 package detector
 
-import "zinniatide.example/zinniatide"
+import (
+	"math/bits"
+
+	"zinniatide.example/zinniatide"
+)
 
 const (
-	// slowFactor and failuresInRow are the two conditions of sudden slowness;
-	// both must hold, so that neither one slow answer nor a few refused
-	// connections take a server's rate away.
+	// slowFactor and failuresInRow are the two conditions of sudden slowness
+	// by failures; both must hold, so that a few refused connections do not take
+	// a server's rate away.
 	slowFactor    = 4
 	failuresInRow = 3
+	// slowAnswers of the last eight answers above slowFactor times the baseline
+	// are sudden slowness too, because a server that has turned cold still
+	// answers. With exponentially distributed service times one answer in 55 is
+	// as slow, so five of eight are no accident.
+	slowAnswers = 5
 	// recentWeight and baselineWeight are the EWMA weights of one sample.
 	recentWeight   = 1.0 / 8
 	baselineWeight = 1.0 / 64
+	// slowWeight is the weight of a slow answer in the baseline. It is low, or
+	// the baseline would follow a server that turns cold before it is noticed.
+	slowWeight = 1.0 / 512
 	// minBaseline is the resolution of the clock.
 	minBaseline = 1.0
 )
@@ -23,16 +35,25 @@
 	recent   float64
 	baseline float64 // while warm
 	failures int
+	slow     uint8 // the last eight answers, newest lowest; 1 is slow
 }
 
-// Answered records a successful request. Only a warm server's latency counts
-// towards the baseline.
-func (d *Detector) Answered(latency zinniatide.Millis, warm bool) {
+// Answered records a successful request and reports whether the server has
+// become slow all of a sudden. Only a warm server's latency counts towards the
+// baseline, and only a warm server can become slow.
+func (d *Detector) Answered(latency zinniatide.Millis, warm bool) bool {
 	d.failures = 0
+	d.slow <<= 1
+	weight := baselineWeight
+	if warm && d.baseline > 0 && float64(latency) > slowFactor*max(d.baseline, minBaseline) {
+		d.slow |= 1
+		weight = slowWeight
+	}
 	d.recent = blend(d.recent, float64(latency), recentWeight)
 	if warm {
-		d.baseline = blend(d.baseline, float64(latency), baselineWeight)
+		d.baseline = blend(d.baseline, float64(latency), weight)
 	}
+	return bits.OnesCount8(d.slow) >= slowAnswers
 }
 
 // Failed records a failure or timeout after elapsed and reports whether the
--- a/dispatcher/detector/detector_test.go
+++ b/dispatcher/detector/detector_test.go
@@ -10,11 +10,11 @@
 // alone, and against slow ones that are not noticed.
 func TestSlowness(t *testing.T) {
 	answer := func(ms ...zinniatide.Millis) func(*Detector) bool {
-		return func(d *Detector) bool {
+		return func(d *Detector) (slow bool) {
 			for _, latency := range ms {
-				d.Answered(latency, true)
+				slow = d.Answered(latency, true)
 			}
-			return false
+			return slow
 		}
 	}
 	fail := func(ms ...zinniatide.Millis) func(*Detector) bool {
@@ -35,6 +35,11 @@
 		{"success between", []func(*Detector) bool{answer(5), fail(300, 300), answer(5), fail(300)}, false},
 		{"quick failures", []func(*Detector) bool{answer(5, 6, 5), fail(1, 1, 1, 1)}, false},
 		{"never warm", []func(*Detector) bool{fail(300, 300, 300)}, false},
+		{"five slow answers", []func(*Detector) bool{answer(5, 6, 5, 60, 55, 70, 60, 50)}, true},
+		{"four slow answers", []func(*Detector) bool{answer(5, 6, 5, 60, 55, 70, 60)}, false},
+		{"five of eight slow", []func(*Detector) bool{answer(5, 6, 5, 60, 5, 60, 60, 5, 60, 5, 60)}, true},
+		{"four of eight slow", []func(*Detector) bool{answer(5, 6, 5, 60, 5, 60, 5, 60, 5, 60, 5, 60, 5)}, false},
+		{"somewhat slower answers", []func(*Detector) bool{answer(5, 6, 5, 19, 19, 19, 19, 19, 19)}, false},
 		{"below the clock's resolution", []func(*Detector) bool{answer(0, 0, 0), fail(1, 1, 1)}, false},
 	}
 	for _, tt := range tests {
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -150,23 +150,33 @@
 	current := t.incarnation == s.incarnation && !t.timedOut
 	switch {
 	case a.Outcome == zinniatide.OutcomeDone && current && a.Incarnation == s.incarnation:
-		s.health.Answered(now-t.started, s.ramp.Warm())
-		if s.ramp.Succeeded() {
-			s.pace.SetRate(now, s.ramp.Rate())
-		}
+		s.succeeded(now-t.started, now)
 	case a.Outcome == zinniatide.OutcomeUnknown && current:
 		s.failed(now-t.started, now)
 	}
 }
 
+// succeeded counts an answer.
+func (s *server) succeeded(latency, now zinniatide.Millis) {
+	if s.health.Answered(latency, s.ramp.Warm()) {
+		s.slow(now)
+	} else if s.ramp.Succeeded() {
+		s.pace.SetRate(now, s.ramp.Rate())
+	}
+}
+
 // failed counts a failure or timeout.
 func (s *server) failed(elapsed, now zinniatide.Millis) {
 	if s.health.Failed(elapsed) && s.ramp.Warm() {
-		klog.InfoS("backend server is slow all of a sudden", "step", "dispatch", "peer", s.id)
-		s.turnCold(now)
+		s.slow(now)
 	}
 }
 
+func (s *server) slow(now zinniatide.Millis) {
+	klog.InfoS("backend server is slow all of a sudden", "step", "dispatch", "peer", s.id)
+	s.turnCold(now)
+}
+
 // restarted notes a new incarnation of the server.
 func (s *server) restarted(incarnation zinniatide.Incarnation, now zinniatide.Millis) {
 	s.incarnation = incarnation
