--- a/cmd/zinniabench/cluster/cluster.go
+++ b/cmd/zinniabench/cluster/cluster.go
@@ -3,7 +3,6 @@
 package cluster
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -110,6 +109,10 @@
 }
 
 func (c *Cluster) configure() error {
+	addresses, err := freeAddresses(2 * c.Options.Entries)
+	if err != nil {
+		return err
+	}
 	for i := range c.Options.Entries {
 		cfg := node.Config{
 			VM: zinniatide.VMID(fmt.Sprintf("e%d", i+1)), Zone: c.Options.Zones[i%len(c.Options.Zones)],
@@ -117,11 +120,7 @@
 			WithoutAdmission: c.Options.WithoutAdmission, WithoutQuarantine: c.Options.WithoutQuarantine,
 			DataFolder: filepath.Join(c.folder, fmt.Sprintf("e%d", i+1)),
 		}
-		addresses, err := freeAddresses(2)
-		if err != nil {
-			return err
-		}
-		cfg.HTTPAddress, cfg.PeerAddress = addresses[0], addresses[1]
+		cfg.HTTPAddress, cfg.PeerAddress = addresses[2*i], addresses[2*i+1]
 		cfg.Route = c.Network.Route(cfg.VM)
 		if cfg.Control {
 			c.control = append(c.control, zinniatide.ControlVM{VM: cfg.VM, PeerAddress: cfg.PeerAddress})
@@ -137,29 +136,32 @@
 	return nil
 }
 
-// Ports of the VMs. They lie below the range from which the kernel takes the
-// ports of outgoing connections, so that a VM that is down keeps its ports.
+// Ports of VMs lie below those that the system gives to outgoing connections
+// (32768 and above on Linux): one of these could take the port of a VM that is
+// down, and the VM could not start again.
 const (
-	firstPort = 10_000
-	ports     = 20_000
+	firstPort = 16_000
+	lastPort  = 32_000
+	maxPorts  = 1000 // tries
 )
 
 // freeAddresses returns loopback addresses with free ports. All are held open
 // until the last is found, so that they differ.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for tries := 0; len(addresses) < n; tries++ {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))) //nolint:gosec // a port, no secret
+	for range maxPorts {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		port := firstPort + rand.IntN(lastPort-firstPort) //nolint:gosec // spreads runs over the ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			if tries > ports {
-				return nil, zinniatide.WrapStep(err, "find a port", "loopback")
-			}
 			continue
 		}
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("found %d of %d free ports from %d to %d", len(addresses), n, firstPort, lastPort)
 }
 
 func (c *Cluster) startStandIns() error {
@@ -220,16 +222,6 @@
 	}
 }
 
-// Stop ends VM i by plan.
-func (c *Cluster) Stop(ctx context.Context, i int) error {
-	n := c.members[i].node.Load()
-	if n == nil {
-		return errors.New("the VM does not run")
-	}
-	defer c.members[i].node.Store(nil)
-	return n.Stop(ctx)
-}
-
 // Node returns VM i, nil while it is down.
 func (c *Cluster) Node(i int) *node.Node { return c.members[i].node.Load() }
 
