Measure the loss of the control leader with 300 sessions

Cause: the cost of a leader change was arithmetic only. Change: capacity-sessions ends its leader last.

--- a/cmd/zinniabench/members/host.go
+++ b/cmd/zinniabench/members/host.go
@@ -33,12 +33,14 @@
 
 // Usage is the state of the process of a Host.
 type Usage struct {
-	Members  int                `json:"members"`
-	CPU      time.Duration      `json:"cpu"`
-	Heap     uint64             `json:"heap"`  // live bytes, with stacks
-	Epoch    zinniatide.Epoch   `json:"epoch"` // the oldest installed one
-	Leased   int                `json:"leased"`
-	Counters map[string]float64 `json:"counters"`
+	Members int              `json:"members"`
+	CPU     time.Duration    `json:"cpu"`
+	Heap    uint64           `json:"heap"`  // live bytes, with stacks
+	Epoch   zinniatide.Epoch `json:"epoch"` // the oldest installed one
+	Leased  int              `json:"leased"`
+	// LeaseLeft is the shortest time until the lease of a member ends.
+	LeaseLeft zinniatide.Millis  `json:"lease-left-ms"`
+	Counters  map[string]float64 `json:"counters"`
 }
 
 // NewHost returns a host without members.
@@ -178,6 +180,9 @@
 		if epoch := m.subscriber.Configuration().Epoch; i == 0 || epoch < u.Epoch {
 			u.Epoch = epoch
 		}
+		if left := m.subscriber.LeaseUntil() - m.clock.Now(); i == 0 || left < u.LeaseLeft {
+			u.LeaseLeft = left
+		}
 		if m.subscriber.LeaseUntil() > 0 {
 			u.Leased++
 		}
--- a/cmd/zinniabench/members/member.go
+++ b/cmd/zinniabench/members/member.go
@@ -37,6 +37,7 @@
 	id         zinniatide.VMID
 	links      *linker.Linker
 	subscriber *subscriber.Subscriber
+	clock      zinniatide.Clock
 	cancel     context.CancelFunc
 	running    sync.WaitGroup
 }
@@ -47,6 +48,7 @@
 	m := &member{id: zinniatide.VMID(fmt.Sprintf("a%05d", n))}
 	registry = prometheus.WrapRegistererWith(prometheus.Labels{"vm": string(m.id)}, registry)
 	now := clock.New()
+	m.clock = now
 	address, err := FreeAddress()
 	if err != nil {
 		return nil, err
--- a/cmd/zinniabench/scenarios/capacitysessions.go
+++ b/cmd/zinniabench/scenarios/capacitysessions.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/cmd/zinniabench/members"
 )
 
@@ -49,9 +50,41 @@
 		}
 		hostMemory.add(x, float64(usage.Heap))
 	}
-	return e.reportSeries("capacity-sessions", leader, host, sent, received, messages, memory, hostMemory)
+	if err := e.reportSeries("capacity-sessions", leader, host, sent, received, messages, memory, hostMemory); err != nil {
+		return err
+	}
+	return e.reportFailover(s)
 }}
 
+// renewed is the time left of a lease that is renewed at every heartbeat.
+const renewed = zinniatide.LeaseDuration - 2*zinniatide.HeartbeatInterval
+
+// reportFailover ends the leader as a crash does, and measures until the next
+// one has renewed the leases of all members.
+func (e *Env) reportFailover(s *controlSet) error {
+	var before, u members.Usage
+	if err := s.call("/usage", nil, &before); err != nil {
+		return err
+	}
+	s.leader.Close()
+	s.leader = nil
+	start, shortest := time.Now(), before.LeaseLeft
+	err := s.wait("new leases", func() (bool, error) {
+		err := s.call("/usage", nil, &u)
+		shortest = min(shortest, u.LeaseLeft)
+		return shortest < renewed && u.LeaseLeft >= renewed, err
+	})
+	if err != nil {
+		return err
+	}
+	return e.reportAll("capacity-sessions", []metric{
+		{"failover-members", "count", none, float64(u.Members)},
+		{"failover-time", "ms", none, ms(time.Since(start))},
+		{"failover-lease-left-min", "ms", none, float64(shortest)},
+		{"failover-cpu", "ms", none, ms(u.CPU - before.CPU)},
+	})
+}
+
 // changesPerSize are filed at each size, one every changeInterval.
 const (
 	changesPerSize = 100
