Draw the baseline's requests beside the policy's

Cause: straggler and straggler-baseline were separate sections, so latency with and without the policy was not in one plot.

Change: requests of a scenario with the suffix -baseline are a second line in the plots of the scenario.

--- a/cmd/zinniabench/reporter/plots.go
+++ b/cmd/zinniabench/reporter/plots.go
@@ -29,12 +29,12 @@
 
 // drawPlots returns the plots of one scenario as SVG elements. Plots without
 // data are left out.
-func drawPlots(scenario string, metrics []Metric, requests []Request) ([]template.HTML, error) {
-	bars, err := drawMetrics(scenario, metrics)
-	if err != nil || len(requests) == 0 {
-		return bars, err
+func drawPlots(scenario string, d data) ([]template.HTML, error) {
+	bars, err := drawMetrics(scenario, d.metrics)
+	if err != nil {
+		return nil, err
 	}
-	curves, err := drawSeries(scenario, requests)
+	curves, err := drawSeries(scenario, d.requests, d.baseline)
 	return append(bars, curves...), err
 }
 
@@ -104,22 +104,23 @@
 	return nil
 }
 
-func drawSeries(scenario string, requests []Request) ([]template.HTML, error) {
+func drawSeries(scenario string, requests, baseline []Request) ([]template.HTML, error) {
 	coverage, answered, failed := overTime(requests)
+	baseCoverage, baseAnswered, baseFailed := overTime(baseline)
 	var list []template.HTML
 	for _, c := range []struct {
-		title, x, y string
-		points      plotter.XYs
+		title, x, y  string
+		points, base plotter.XYs
 	}{
-		{"latency quantiles", "percent of the answered requests", "ms", quantiles(requests)},
-		{"coverage over time", "s", "mean coverage of the answers", coverage},
-		{"service over time", "s", "answered requests per second", answered},
-		{"failed requests over time", "s", "refused or failed requests per second", failed},
+		{"latency quantiles", "percent of the answered requests", "ms", quantiles(requests), quantiles(baseline)},
+		{"coverage over time", "s", "mean coverage of the answers", coverage, baseCoverage},
+		{"service over time", "s", "answered requests per second", answered, baseAnswered},
+		{"failed requests over time", "s", "refused or failed requests per second", failed, baseFailed},
 	} {
-		if len(c.points) == 0 {
+		if len(c.points)+len(c.base) == 0 {
 			continue
 		}
-		svg, err := drawLine(scenario+": "+c.title, c.x, c.y, c.points)
+		svg, err := drawLines(scenario+": "+c.title, c.x, c.y, c.points, c.base)
 		if err != nil {
 			return nil, err
 		}
@@ -175,18 +176,33 @@
 	return coverage, answered, failed
 }
 
-func drawLine(title, x, y string, points plotter.XYs) (template.HTML, error) {
+func drawLines(title, x, y string, points, baseline plotter.XYs) (template.HTML, error) {
 	p := newPlot(title, x, y)
-	line, err := plotter.NewLine(points)
-	if err != nil {
+	if err := addLine(p, "baseline", baseline, baselineColor); err != nil {
+		return "", err
+	}
+	if err := addLine(p, "with the policy", points, valueColor); err != nil {
 		return "", err
 	}
-	line.Color = valueColor
-	p.Add(line)
 	p.Y.Min = min(p.Y.Min, 0)
 	return render(p)
 }
 
+// addLine adds a line, or nothing without points.
+func addLine(p *plot.Plot, name string, points plotter.XYs, c color.Color) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color = c
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
 func newPlot(title, x, y string) *plot.Plot {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
--- a/cmd/zinniabench/reporter/reader.go
+++ b/cmd/zinniabench/reporter/reader.go
@@ -61,6 +61,10 @@
 	return nil
 }
 
+// BaselineSuffix marks the requests of a scenario that ran without the policy.
+// They are drawn with those of the scenario of the same name without it.
+const BaselineSuffix = "-baseline"
+
 // maxAt is a day in ms. It bounds the number of points of a plot.
 const maxAt = 24 * 60 * 60 * 1000
 
--- a/cmd/zinniabench/reporter/reporter.go
+++ b/cmd/zinniabench/reporter/reporter.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"io"
 	"strconv"
+	"strings"
 
 	"zinniatide.example/zinniatide"
 )
@@ -20,7 +21,7 @@
 	metrics []Metric
 	series  []Request
 	// draw is replaced in tests, as the page's text must not depend on a plot.
-	draw func(scenario string, metrics []Metric, requests []Request) ([]template.HTML, error)
+	draw func(scenario string, d data) ([]template.HTML, error)
 }
 
 // New returns a reporter of the given measurements. Series may be empty.
@@ -28,6 +29,12 @@
 	return &Reporter{metrics: metrics, series: series, draw: drawPlots}
 }
 
+// data is the input about one scenario.
+type data struct {
+	metrics            []Metric
+	requests, baseline []Request
+}
+
 // section is the part of the page about one scenario.
 type section struct {
 	Name  string
@@ -41,44 +48,43 @@
 // Write writes the page to out, with the scenarios in the order of the input.
 func (r *Reporter) Write(out io.Writer) error {
 	var sections []section
-	metrics, requests := group(r.metrics, r.series)
-	for _, name := range r.names() {
-		plots, err := r.draw(name, metrics[name], requests[name])
+	names, table := r.group()
+	for _, name := range names {
+		d := table[name]
+		plots, err := r.draw(name, *d)
 		if err != nil {
 			return zinniatide.WrapStep(err, "draw plots", name)
 		}
-		sections = append(sections, section{Name: name, Rows: rows(metrics[name]), Plots: plots})
+		sections = append(sections, section{Name: name, Rows: rows(d.metrics), Plots: plots})
 	}
 	return zinniatide.WrapStep(page.Execute(out, sections), "render page", "")
 }
 
-func (r *Reporter) names() []string {
+// group returns the scenarios in the order of the input, and their data.
+func (r *Reporter) group() ([]string, map[string]*data) {
 	var names []string
-	seen := make(map[string]bool)
-	add := func(name string) {
-		if !seen[name] {
-			seen[name] = true
+	table := make(map[string]*data)
+	of := func(name string) *data {
+		if table[name] == nil {
+			table[name] = new(data)
 			names = append(names, name)
 		}
+		return table[name]
 	}
 	for _, m := range r.metrics {
-		add(m.Scenario)
+		d := of(m.Scenario)
+		d.metrics = append(d.metrics, m)
 	}
 	for _, q := range r.series {
-		add(q.Scenario)
-	}
-	return names
-}
-
-func group(metrics []Metric, series []Request) (map[string][]Metric, map[string][]Request) {
-	byMetric, bySeries := make(map[string][]Metric), make(map[string][]Request)
-	for _, m := range metrics {
-		byMetric[m.Scenario] = append(byMetric[m.Scenario], m)
-	}
-	for _, q := range series {
-		bySeries[q.Scenario] = append(bySeries[q.Scenario], q)
+		name, isBaseline := strings.CutSuffix(q.Scenario, BaselineSuffix)
+		d := of(name)
+		if isBaseline {
+			d.baseline = append(d.baseline, q)
+		} else {
+			d.requests = append(d.requests, q)
+		}
 	}
-	return byMetric, bySeries
+	return names, table
 }
 
 func rows(metrics []Metric) []row {
--- a/cmd/zinniabench/reporter/reporter_test.go
+++ b/cmd/zinniabench/reporter/reporter_test.go
@@ -20,6 +20,7 @@
 const seriesInput = `{"scenario":"zone-loss","at-ms":0,"latency-ms":9,"coverage":1,"outcome":"answered"}
 {"scenario":"zone-loss","at-ms":600,"latency-ms":11,"coverage":0.5,"outcome":"answered"}
 {"scenario":"zone-loss","at-ms":700,"latency-ms":1000,"coverage":null,"outcome":"failed"}
+{"scenario":"zone-loss-baseline","at-ms":0,"latency-ms":20,"coverage":1,"outcome":"answered"}
 `
 
 func read(t *testing.T) *Reporter {
@@ -40,7 +41,7 @@
 func TestPageText(t *testing.T) {
 	const golden = "testdata/page.golden.html"
 	r := read(t)
-	r.draw = func(string, []Metric, []Request) ([]template.HTML, error) { return []template.HTML{"<svg></svg>"}, nil }
+	r.draw = func(string, data) ([]template.HTML, error) { return []template.HTML{"<svg></svg>"}, nil }
 	var got bytes.Buffer
 	if err := r.Write(&got); err != nil {
 		t.Fatal(err)
@@ -65,7 +66,7 @@
 	if err := read(t).Write(&got); err != nil {
 		t.Fatal(err)
 	}
-	// Two plots of metrics and four of the time series.
+	// Two plots of metrics and four of the time series with its baseline.
 	if n, want := strings.Count(got.String(), "<svg"), 6; n != want {
 		t.Errorf("got %d plots, want %d", n, want)
 	}
@@ -94,8 +95,8 @@
 		"text value":    {metrics, metricsInput, `{"scenario":"a","metric":"b","value":"1"}`, "line 5:"},
 		"no metric":     {metrics, "", `{"scenario":"a"}`, "line 1: scenario and metric"},
 		"too long":      {metrics, metricsInput, strings.Repeat("x", maxLine+1), "line 5:"},
-		"unknown field": {series, seriesInput, `{"scenario":"a","metric":"b"}`, "line 4:"},
-		"outcome":       {series, seriesInput, `{"scenario":"a","outcome":"lost"}`, `line 4: outcome "lost"`},
+		"unknown field": {series, seriesInput, `{"scenario":"a","metric":"b"}`, "line 5:"},
+		"outcome":       {series, seriesInput, `{"scenario":"a","outcome":"lost"}`, `line 5: outcome "lost"`},
 		"negative time": {series, "", `{"scenario":"a","at-ms":-1,"outcome":"failed"}`, "line 1: at-ms"},
 		"no coverage":   {series, "", `{"scenario":"a","outcome":"answered"}`, "line 1: an answered"},
 	} {
--- a/cmd/zinniabench/scenarios/straggler.go
+++ b/cmd/zinniabench/scenarios/straggler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinniatide.example/zinniatide/cmd/zinniabench/cluster"
+	"zinniatide.example/zinniatide/cmd/zinniabench/reporter"
 	"zinniatide.example/zinniatide/querier"
 	"zinniatide.example/zinniatide/recorder"
 )
@@ -24,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	if err = e.writeSeries("straggler-baseline", before); err != nil {
+	if err = e.writeSeries("straggler"+reporter.BaselineSuffix, before); err != nil {
 		return err
 	}
 	if err = e.writeSeries("straggler", after); err != nil {
