Plot the least coverage of an interval

Cause: the mean coverage hid a short loss. The legend also covered the lines, and bars touched the edge.

Change: the plot shows the least coverage of each 500 ms, and plots have space for the legend and around the bars.

--- a/cmd/zinniabench/reporter/plots.go
+++ b/cmd/zinniabench/reporter/plots.go
@@ -20,6 +20,8 @@
 	// interval is the width of a point in time, in ms. At the 40 queries per
 	// second of the slowest scenario it holds 20 requests.
 	interval = 500
+	// headroom leaves space for the legend above the highest point.
+	headroom = 1.25
 )
 
 var (
@@ -90,6 +92,7 @@
 		return "", err
 	}
 	p.NominalX(names...)
+	p.X.Min, p.X.Max, p.Y.Max = -0.5, float64(len(names))-0.5, p.Y.Max*headroom
 	return render(p)
 }
 
@@ -113,7 +116,7 @@
 		points, base plotter.XYs
 	}{
 		{"latency quantiles", "percent of the answered requests", "ms", quantiles(requests), quantiles(baseline)},
-		{"coverage over time", "s", "mean coverage of the answers", coverage, baseCoverage},
+		{"coverage over time", "s", "least coverage of the answers", coverage, baseCoverage},
 		{"service over time", "s", "answered requests per second", answered, baseAnswered},
 		{"failed requests over time", "s", "refused or failed requests per second", failed, baseFailed},
 	} {
@@ -146,20 +149,22 @@
 	return points
 }
 
-// overTime returns the mean coverage, the answered requests per second and the
+// overTime returns the least coverage, as a mean hides a short loss, the answered requests per second and the
 // refused or failed requests per second, each over the start of the request in
 // seconds. An interval without an answer has no coverage.
 func overTime(requests []Request) (coverage, answered, failed plotter.XYs) {
 	type sums struct{ coverage, answered, failed float64 }
-	var table []sums
+	var table []sums // coverage is valid with an answer
 	for _, q := range requests {
 		i := int(q.At / interval)
 		if i >= len(table) {
 			table = append(table, make([]sums, i+1-len(table))...)
 		}
 		if q.Outcome == OutcomeAnswered {
+			if table[i].answered == 0 || *q.Coverage < table[i].coverage {
+				table[i].coverage = *q.Coverage
+			}
 			table[i].answered++
-			table[i].coverage += *q.Coverage
 		} else {
 			table[i].failed++
 		}
@@ -168,7 +173,7 @@
 	for i, s := range table {
 		x := float64(i) / perSecond
 		if s.answered > 0 {
-			coverage = append(coverage, plotter.XY{X: x, Y: s.coverage / s.answered})
+			coverage = append(coverage, plotter.XY{X: x, Y: s.coverage})
 		}
 		answered = append(answered, plotter.XY{X: x, Y: s.answered * perSecond})
 		failed = append(failed, plotter.XY{X: x, Y: s.failed * perSecond})
@@ -184,7 +189,7 @@
 	if err := addLine(p, "with the policy", points, valueColor); err != nil {
 		return "", err
 	}
-	p.Y.Min = min(p.Y.Min, 0)
+	p.Y.Min, p.Y.Max = min(p.Y.Min, 0), p.Y.Max*headroom
 	return render(p)
 }
 
--- a/cmd/zinniabench/reporter/reporter_test.go
+++ b/cmd/zinniabench/reporter/reporter_test.go
@@ -5,8 +5,11 @@
 	"flag"
 	"html/template"
 	"os"
+	"slices"
 	"strings"
 	"testing"
+
+	"gonum.org/v1/plot/plotter"
 )
 
 var update = flag.Bool("update", false, "write the golden file")
@@ -77,6 +80,25 @@
 	}
 }
 
+// TestOverTime guards against a short loss of coverage that disappears in a
+// mean, and against failed requests that lower the coverage.
+func TestOverTime(t *testing.T) {
+	one, tenth := 1.0, 0.1
+	coverage, answered, failed := overTime([]Request{
+		{At: 0, Coverage: &one, Outcome: OutcomeAnswered}, {At: 499, Coverage: &tenth, Outcome: OutcomeAnswered},
+		{At: 10, Coverage: &one, Outcome: OutcomeAnswered}, {At: 500, Outcome: OutcomeRefused},
+	})
+	for name, c := range map[string]struct{ got, want plotter.XYs }{
+		"coverage": {coverage, plotter.XYs{{X: 0, Y: 0.1}}},
+		"answered": {answered, plotter.XYs{{X: 0, Y: 6}, {X: 0.5, Y: 0}}},
+		"failed":   {failed, plotter.XYs{{X: 0, Y: 0}, {X: 0.5, Y: 2}}},
+	} {
+		if !slices.Equal(c.got, c.want) {
+			t.Errorf("%s: got %v, want %v", name, c.got, c.want)
+		}
+	}
+}
+
 // TestBadInput guards against bad lines that are skipped or not located.
 func TestBadInput(t *testing.T) {
 	metrics := func(in string) error { _, err := ReadMetrics(strings.NewReader(in)); return err }
