--- a/cmd/zinniabench/reporter/plots.go
+++ b/cmd/zinniabench/reporter/plots.go
@@ -20,6 +20,8 @@
 	// interval is the width of a point in time, in ms. At the 40 queries per
 	// second of the slowest scenario it holds 20 requests.
 	interval = 500
+	// headroom leaves space for the legend above the highest point.
+	headroom = 1.25
 )
 
 var (
@@ -29,12 +31,12 @@
 
 // drawPlots returns the plots of one scenario as SVG elements. Plots without
 // data are left out.
-func drawPlots(scenario string, metrics []Metric, requests []Request) ([]template.HTML, error) {
-	bars, err := drawMetrics(scenario, metrics)
-	if err != nil || len(requests) == 0 {
-		return bars, err
+func drawPlots(scenario string, d data) ([]template.HTML, error) {
+	bars, err := drawMetrics(scenario, d.metrics)
+	if err != nil {
+		return nil, err
 	}
-	curves, err := drawSeries(scenario, requests)
+	curves, err := drawSeries(scenario, d.requests, d.baseline)
 	return append(bars, curves...), err
 }
 
@@ -90,6 +92,7 @@
 		return "", err
 	}
 	p.NominalX(names...)
+	p.X.Min, p.X.Max, p.Y.Max = -0.5, float64(len(names))-0.5, p.Y.Max*headroom
 	return render(p)
 }
 
@@ -104,22 +107,23 @@
 	return nil
 }
 
-func drawSeries(scenario string, requests []Request) ([]template.HTML, error) {
+func drawSeries(scenario string, requests, baseline []Request) ([]template.HTML, error) {
 	coverage, answered, failed := overTime(requests)
+	baseCoverage, baseAnswered, baseFailed := overTime(baseline)
 	var list []template.HTML
 	for _, c := range []struct {
-		title, x, y string
-		points      plotter.XYs
+		title, x, y  string
+		points, base plotter.XYs
 	}{
-		{"latency quantiles", "percent of the answered requests", "ms", quantiles(requests)},
-		{"coverage over time", "s", "mean coverage of the answers", coverage},
-		{"service over time", "s", "answered requests per second", answered},
-		{"failed requests over time", "s", "refused or failed requests per second", failed},
+		{"latency quantiles", "percent of the answered requests", "ms", quantiles(requests), quantiles(baseline)},
+		{"coverage over time", "s", "least coverage of the answers", coverage, baseCoverage},
+		{"service over time", "s", "answered requests per second", answered, baseAnswered},
+		{"failed requests over time", "s", "refused or failed requests per second", failed, baseFailed},
 	} {
-		if len(c.points) == 0 {
+		if len(c.points)+len(c.base) == 0 {
 			continue
 		}
-		svg, err := drawLine(scenario+": "+c.title, c.x, c.y, c.points)
+		svg, err := drawLines(scenario+": "+c.title, c.x, c.y, c.points, c.base)
 		if err != nil {
 			return nil, err
 		}
@@ -145,20 +149,22 @@
 	return points
 }
 
-// overTime returns the mean coverage, the answered requests per second and the
+// overTime returns the least coverage, as a mean hides a short loss, the answered requests per second and the
 // refused or failed requests per second, each over the start of the request in
 // seconds. An interval without an answer has no coverage.
 func overTime(requests []Request) (coverage, answered, failed plotter.XYs) {
 	type sums struct{ coverage, answered, failed float64 }
-	var table []sums
+	var table []sums // coverage is valid with an answer
 	for _, q := range requests {
 		i := int(q.At / interval)
 		if i >= len(table) {
 			table = append(table, make([]sums, i+1-len(table))...)
 		}
 		if q.Outcome == OutcomeAnswered {
+			if table[i].answered == 0 || *q.Coverage < table[i].coverage {
+				table[i].coverage = *q.Coverage
+			}
 			table[i].answered++
-			table[i].coverage += *q.Coverage
 		} else {
 			table[i].failed++
 		}
@@ -167,7 +173,7 @@
 	for i, s := range table {
 		x := float64(i) / perSecond
 		if s.answered > 0 {
-			coverage = append(coverage, plotter.XY{X: x, Y: s.coverage / s.answered})
+			coverage = append(coverage, plotter.XY{X: x, Y: s.coverage})
 		}
 		answered = append(answered, plotter.XY{X: x, Y: s.answered * perSecond})
 		failed = append(failed, plotter.XY{X: x, Y: s.failed * perSecond})
@@ -175,16 +181,31 @@
 	return coverage, answered, failed
 }
 
-func drawLine(title, x, y string, points plotter.XYs) (template.HTML, error) {
+func drawLines(title, x, y string, points, baseline plotter.XYs) (template.HTML, error) {
 	p := newPlot(title, x, y)
+	if err := addLine(p, "baseline", baseline, baselineColor); err != nil {
+		return "", err
+	}
+	if err := addLine(p, "with the policy", points, valueColor); err != nil {
+		return "", err
+	}
+	p.Y.Min, p.Y.Max = min(p.Y.Min, 0), p.Y.Max*headroom
+	return render(p)
+}
+
+// addLine adds a line, or nothing without points.
+func addLine(p *plot.Plot, name string, points plotter.XYs, c color.Color) error {
+	if len(points) == 0 {
+		return nil
+	}
 	line, err := plotter.NewLine(points)
 	if err != nil {
-		return "", err
+		return err
 	}
-	line.Color = valueColor
+	line.Color = c
 	p.Add(line)
-	p.Y.Min = min(p.Y.Min, 0)
-	return render(p)
+	p.Legend.Add(name, line)
+	return nil
 }
 
 func newPlot(title, x, y string) *plot.Plot {
