--- a/cmd/zinniatide/commands/run.go
+++ b/cmd/zinniatide/commands/run.go
@@ -44,6 +44,7 @@
 }
 
 func (r *run) serve(s *settings.Settings) error {
+	tuneCollector()
 	logger.Install(os.Stderr, s.LogLevel, s.VM, s.Zone)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
