Report the idle processor time in scenario steady

Cause: the cost per sub-query holds the cost of idle processes, which nothing showed on its own. Change: steady first measures 4 s without callers and reports idle-cpu, the average of a process in percent of one core. cpu-per-sub-query keeps its meaning, with the idle share included.

--- a/cmd/zinniabench/scenarios/steady.go
+++ b/cmd/zinniabench/scenarios/steady.go
@@ -29,6 +29,10 @@
 	l := loader.New(loader.Config{
 		Seeds: e.Seeds, Service: service, Tenant: "counter", Class: "interactive", Timeout: 2 * time.Second, Seed: e.Seed,
 	})
+	idle, err := e.idleShare()
+	if err != nil {
+		return err
+	}
 	recorder.Pace(steadyRate, 4*time.Second, func(i int) { _, _ = l.Search("warm-up", fmt.Sprint("warm-up-", i)) })
 	before, err := e.snapshot()
 	if err != nil {
@@ -50,6 +54,7 @@
 	subQueries := float64(after.totals.SubQueries - before.totals.SubQueries)
 	return e.reportAll("steady", []metric{
 		{"cpu-per-sub-query", "us", bare, float64((after.cpu - before.cpu).Microseconds()) / subQueries},
+		{"idle-cpu", "%", none, idle},
 		{"p99", "ms", none, r.Quantile(0.99)},
 		{"p50", "ms", none, r.Quantile(0.5)},
 		{"idle-memory-max", "MB", none, float64(before.memory) / (1 << 20)},
@@ -60,8 +65,27 @@
 	steadyRate = 60 // queries per second
 	steadyTime = 12 * time.Second
 	bareTime   = 5 * time.Second
+	idleTime   = 4 * time.Second
 )
 
+// idleShare measures the processes without callers. It returns the processor
+// time of one process on average, as a percentage of one core. The cost of a
+// sub-query is reported with this share included.
+func (e *Env) idleShare() (float64, error) {
+	before, err := e.snapshot()
+	if err != nil {
+		return 0, err
+	}
+	start := time.Now()
+	time.Sleep(idleTime)
+	elapsed := time.Since(start)
+	after, err := e.snapshot()
+	if err != nil {
+		return 0, err
+	}
+	return 100 * float64(after.cpu-before.cpu) / float64(elapsed) / float64(len(e.Pids)), nil
+}
+
 // usage is the state of the measured processes.
 type usage struct {
 	cpu    time.Duration
