--- a/cmd/zinniabench/cluster/cluster.go
+++ b/cmd/zinniabench/cluster/cluster.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -222,6 +223,16 @@
 	}
 }
 
+// Stop ends VM i by plan.
+func (c *Cluster) Stop(ctx context.Context, i int) error {
+	n := c.members[i].node.Load()
+	if n == nil {
+		return errors.New("the VM does not run")
+	}
+	defer c.members[i].node.Store(nil)
+	return n.Stop(ctx)
+}
+
 // Node returns VM i, nil while it is down.
 func (c *Cluster) Node(i int) *node.Node { return c.members[i].node.Load() }
 
