Let the admission limit grow with longer queues while deadlines are not tight

Change: below half of the deadlines the limit grows with queues up to twice the busy slots; otherwise as before.

--- a/admitter/config.go
+++ b/admitter/config.go
@@ -14,8 +14,11 @@
 	// distance to the next request; a longer one only adds latency.
 	GrowBelow   float64
 	ShrinkAbove float64
-	Grow        float64 // factor per interval
-	Shrink      float64
+	// GrowBelowEased takes the place of GrowBelow while deadlines are not tight:
+	// a longer queue then keeps more slots busy and costs no request its deadline.
+	GrowBelowEased float64
+	Grow           float64 // factor per interval
+	Shrink         float64
 	// LooseBelow and TightAbove compare the time that admitted requests take with
 	// their deadlines. Below LooseBelow the limit grows whatever the queues are,
 	// and only above TightAbove do long queues shrink it: a service far below
@@ -39,7 +42,7 @@
 // DefaultConfig returns the rules in use.
 func DefaultConfig() Config {
 	return Config{
-		QueueLimit: 2048, AdjustInterval: 100, GrowBelow: 0.5, ShrinkAbove: 1, Grow: 1.05, Shrink: 0.9,
+		QueueLimit: 2048, AdjustInterval: 100, GrowBelow: 0.5, GrowBelowEased: 2, ShrinkAbove: 1, Grow: 1.05, Shrink: 0.9,
 		LooseBelow: 0.25, TightAbove: 0.5, ShedShare: 0.02, MinFactor: 0.5, MinRequests: 4, MaxFactor: 4,
 	}
 }
--- a/admitter/limiter.go
+++ b/admitter/limiter.go
@@ -71,7 +71,7 @@
 			l.factor *= c.Shrink
 		case l.loose(c) && l.blocked:
 			l.factor *= c.Grow * c.Grow
-		case queued < c.GrowBelow*busy && l.blocked:
+		case l.blocked && (queued < c.GrowBelow*busy || !tight && queued < c.GrowBelowEased*busy):
 			l.factor *= c.Grow
 		}
 		l.apply(c)
--- a/admitter/overload_test.go
+++ b/admitter/overload_test.go
@@ -227,6 +227,7 @@
 		{"long queues, tight deadlines", 6, 0, true, 7, 9.1, 5, 0.6},
 		{"long queues, far from the deadlines", 6, 0, true, 10.9, 11.1, 400, 0.1},
 		{"long queues, in between", 6, 0, true, 10, 10, 10, 0.4},
+		{"queues as wanted, deadlines not tight", 3, 0, true, 10.4, 10.6, 400, 0.4},
 		{"shedding", 0, 3, true, 7, 9.1, 5, 0},
 		{"shedding far from the deadlines", 0, 3, true, 7, 9.1, 5, 0.1},
 		{"short queues, requests wait", 0, 0, true, 10.4, 10.6, 400, 0},
