--- a/cmd/zinniabench/scenarios/steady.go
+++ b/cmd/zinniabench/scenarios/steady.go
@@ -47,6 +47,7 @@
 	if failed := r.Failed(); failed > 0 {
 		return fmt.Errorf("%d of %d searches failed: %w", failed, r.Total(), r.FirstError())
 	}
+	time.Sleep(settleTime) // requests that were cancelled late give their slots back
 	bare, err := bareLoop(after.totals)
 	if err != nil {
 		return err
