Avoid a cold server no longer than its pacing needs

Cause: in the combined fault silent-connections-during-zone-return the zone got no work within 1.5 s of its return. The pause after refusals by an owner without room doubled up to 2 s, beyond the pacing window of one second.

--- a/observer/server.go
+++ b/observer/server.go
@@ -25,6 +25,10 @@
 	// exceed the retry budget.
 	firstPause zinniatide.Millis = 100
 	maxPause   zinniatide.Millis = 2000
+	// maxFullPause takes the place of maxPause when the owner had no room. A cold
+	// server has room again after its pacing window of one second, and a zone
+	// that returns should get work soon after.
+	maxFullPause zinniatide.Millis = 400
 	// coldPenalty multiplies the score of a server that reports that it is not
 	// warm.
 	coldPenalty = 2.0
@@ -87,8 +91,12 @@
 		if s.Paused(now) {
 			return // sent before the pause began
 		}
+		longest := maxPause
+		if r.Code == zinniatide.CodeOverloaded {
+			longest = maxFullPause
+		}
 		n := s.unreachable.Add(1)
-		s.pausedUntil.Store(int64(now + min(firstPause<<min(n-1, 10), maxPause)))
+		s.pausedUntil.Store(int64(now + min(firstPause<<min(n-1, 10), longest)))
 	case "":
 		s.unreachable.Store(0)
 		s.pausedUntil.Store(0)
