Send the loser of a ticket race again after no-quorum

Trace: the VM that had been cut off answered "no-quorum: no control leader is known; try again", which the interface allows right after a heal; the ticket was not accepted. Change: the check sends it again for up to 5 s, as zinniactl does; any other answer than ticket-conflict still fails. Conclusion: the check asks for the same refusal as before.

--- a/cmd/zinniabench/scenarios/control.go
+++ b/cmd/zinniabench/scenarios/control.go
@@ -116,14 +116,27 @@
 	return rawLoser, <-won
 }
 
+const (
+	resendLimit = 5 * time.Second
+	resendPause = 100 * time.Millisecond
+)
+
 // errNotRefused means that the loser of a race of tickets got another answer
 // than a refusal for the conflict.
 var errNotRefused = errors.New("wrong answer to a ticket that lost")
 
-// resendLoser sends the loser of a race again, which must be refused.
+// resendLoser sends the loser of a race again, which must be refused. A VM that
+// was cut off may not know the new leader yet; it then answers no-quorum, and
+// the ticket has to be sent again to learn its fate.
 func resendLoser(c *cluster.Cluster, raw []byte, victim int) error {
-	_, err := c.Node(victim).Operator().FileTicket(raw, false, operatorTimeout)
+	var err error
 	refusal := new(zinniatide.Refusal)
+	for end := time.Now().Add(resendLimit); time.Now().Before(end); time.Sleep(resendPause) {
+		_, err = c.Node(victim).Operator().FileTicket(raw, false, operatorTimeout)
+		if !errors.As(err, &refusal) || refusal.Code != zinniatide.CodeNoQuorum {
+			break
+		}
+	}
 	if !errors.As(err, &refusal) || refusal.Code != zinniatide.CodeTicketConflict {
 		return fmt.Errorf("the loser of a race was not refused with %s: %w", zinniatide.CodeTicketConflict, errors.Join(errNotRefused, err))
 	}
