Keep a routing table in the control state

Cause: the users' platform routes HTTP requests by host and path prefix, splits them by weight and gathers shards; the control state knew services with key ranges only.

Change: a ticket may carry a routing table, kept with the operator's own notation of it; zones can be ordered out and in without a ticket number; the control leader adds and replaces control VMs by itself when a wanted number is set, but never for silence alone.

--- a/checker/difference.go
+++ b/checker/difference.go
@@ -34,6 +34,9 @@
 	if len(t.ControlVMs) > 0 {
 		out = append(out, compare(kindControlVMs, controlSet(c.ControlVMs), controlSet(t.ControlVMs))...)
 	}
+	if t.Routing != nil {
+		out = append(out, compare(kindRouting, routeSet(c.Routing), routeSet(t.Routing))...)
+	}
 	return out
 }
 
@@ -91,6 +94,22 @@
 	return out
 }
 
+// routeSet returns the routes by host and prefix, and the services by name.
+func routeSet(r *zinniatide.Routing) any {
+	out := map[string]any{}
+	if r == nil {
+		return out
+	}
+	for i := range r.Routes {
+		out["routes."+r.Routes[i].Host+r.Routes[i].PathPrefix] = generic(r.Routes[i])
+	}
+	for i := range r.Services {
+		out["services."+string(r.Services[i].Service)] = generic(r.Services[i])
+	}
+	out["limits"] = generic(r.Limits)
+	return out
+}
+
 // compare returns the differing values below path, in key order.
 func compare(path string, before, after any) []string {
 	if reflect.DeepEqual(before, after) {
--- a/checker/entity.go
+++ b/checker/entity.go
@@ -12,7 +12,7 @@
 type Entity struct {
 	// Kind is the ticket's field, such as "services".
 	Kind string `cbor:"1,keyasint"`
-	// ID is empty for the set of control VMs.
+	// ID is empty for the set of control VMs and the routing table.
 	ID string `cbor:"2,keyasint,omitempty"`
 }
 
@@ -35,6 +35,7 @@
 	kindVMs            = "vms"
 	kindBackendServers = "backend-servers"
 	kindControlVMs     = "control-vms"
+	kindRouting        = "routing"
 )
 
 // Entities returns the entities that t touches, in order.
@@ -46,6 +47,9 @@
 	if len(t.ControlVMs) > 0 {
 		out = append(out, Entity{Kind: kindControlVMs})
 	}
+	if t.Routing != nil {
+		out = append(out, Entity{Kind: kindRouting})
+	}
 	return out
 }
 
--- /dev/null
+++ b/checker/routing.go
@@ -0,0 +1,104 @@
+package checker
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+
+	"zinniatide.example/zinniatide"
+)
+
+// RoutingProblems returns what is wrong with a routing table.
+func RoutingProblems(r *zinniatide.Routing) []string {
+	var problems []string
+	report := func(format string, args ...any) {
+		problems = append(problems, fmt.Sprintf("at routing: "+format, args...))
+	}
+	services := map[zinniatide.ServiceID]bool{}
+	for i := range r.Services {
+		s := &r.Services[i]
+		switch {
+		case s.Service == "" || len(s.Service) > zinniatide.MaxIDLength:
+			report("service name must have 1 to %d bytes", zinniatide.MaxIDLength)
+		case services[s.Service]:
+			report("service %s appears twice", s.Service)
+		case s.MaxConnections < 0 || s.ColdRate < 0 || s.ColdStart < 0:
+			report("service %s has a negative bound", s.Service)
+		}
+		services[s.Service] = true
+	}
+	type place struct{ host, prefix string }
+	places := map[place]zinniatide.RouteID{}
+	for i := range r.Routes {
+		route := &r.Routes[i]
+		at := place{strings.ToLower(route.Host), route.PathPrefix}
+		if other, taken := places[at]; taken {
+			report("routes %s and %s share host %s and prefix %s", other, route.ID, route.Host, route.PathPrefix)
+		}
+		places[at] = route.ID
+		for _, problem := range routeProblems(route, services) {
+			report("route %s: %s", route.ID, problem)
+		}
+	}
+	return problems
+}
+
+func routeProblems(route *zinniatide.Route, services map[zinniatide.ServiceID]bool) []string {
+	var problems []string
+	report := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
+	if route.Host == "" {
+		report("host is missing")
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
+		report("path prefix %q does not begin and end with a slash", route.PathPrefix)
+	}
+	if route.Timeout <= 0 {
+		report("timeout of %d ms is not positive", route.Timeout)
+	}
+	if (len(route.Targets) > 0) == route.Gathers() {
+		report("exactly one of targets and shards must be given")
+	}
+	weight := 0.0
+	for _, t := range route.Targets {
+		if !services[t.Service] {
+			report("service %q is not configured", t.Service)
+		}
+		if t.Weight < 0 {
+			report("weight of service %s is negative", t.Service)
+		}
+		weight += t.Weight
+	}
+	if len(route.Targets) > 0 && weight <= 0 {
+		report("weights add up to 0")
+	}
+	shards := map[zinniatide.ServiceID]bool{}
+	for _, s := range route.Shards {
+		if !services[s] {
+			report("shard %q is not configured", s)
+		}
+		if shards[s] {
+			report("shard %s appears twice", s)
+		}
+		shards[s] = true
+	}
+	if route.Gathers() && (route.TopRecords <= 0 || route.MinCoverage < 0 || route.MinCoverage > 1 || !route.Idempotent) {
+		report("a gathering route needs top records above 0, a least coverage of 0 to 1 and idempotent requests")
+	}
+	return problems
+}
+
+// CheckRouting checks a routing table and its ticket number. The error is a
+// *zinniatide.Refusal that lists everything that is wrong.
+func CheckRouting(number zinniatide.TicketNumber, r *zinniatide.Routing) error {
+	problems := RoutingProblems(r)
+	if number == 0 {
+		problems = append(problems, "ticket number must be above 0")
+	}
+	if len(problems) > 0 {
+		return refuse(problems)
+	}
+	return nil
+}
+
+// DocumentDigest is the digest of a routing ticket that carries its document.
+func DocumentDigest(document []byte) Digest { return sha256.Sum256(document) }
--- a/checker/semantics.go
+++ b/checker/semantics.go
@@ -17,6 +17,9 @@
 			problems = append(problems, serviceProblems("services."+string(id), s)...)
 		}
 	}
+	if t.Routing != nil {
+		problems = append(problems, RoutingProblems(t.Routing)...)
+	}
 	seen := map[zinniatide.VMID]bool{}
 	for _, vm := range t.ControlVMs {
 		if seen[vm.VM] {
--- a/configuration.go
+++ b/configuration.go
@@ -96,17 +96,23 @@
 	VMs               map[VMID]*StateSetting            `json:"vms,omitempty"`
 	BackendServers    map[BackendServerID]*StateSetting `json:"backend-servers,omitempty"`
 	ControlVMs        []ControlVM                       `json:"control-vms,omitempty"`
+	Routing           *Routing                          `json:"routing,omitempty"`
 }
 
 // Member is a VM with a live session.
 type Member struct {
-	VM          VMID         `json:"vm"`
-	Incarnation Incarnation  `json:"incarnation"`
-	Zone        ZoneID       `json:"zone"`
-	HTTPAddress string       `json:"http-address"`
-	PeerAddress string       `json:"peer-address"`
-	Entry       bool         `json:"entry"` // serves callers and owns buckets
-	State       ServingState `json:"state"` // StateIn or StateLeaving
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
+	Zone        ZoneID      `json:"zone"`
+	HTTPAddress string      `json:"http-address"`
+	PeerAddress string      `json:"peer-address"`
+	Entry       bool        `json:"entry"` // serves callers and owns buckets
+	// Relay is set on a VM that relays HTTP requests by the routing table. It
+	// owns no buckets.
+	Relay bool `json:"relay,omitempty"`
+	// Control is set on a VM that keeps the replicated log.
+	Control bool         `json:"control,omitempty"`
+	State   ServingState `json:"state"` // StateIn or StateLeaving
 }
 
 // BucketsPerZone is the number of buckets into which the backend servers of
@@ -141,6 +147,10 @@
 	Members           map[VMID]Member                  `json:"members"`
 	// Buckets holds BucketsPerZone entries for every zone that has or had a member.
 	Buckets map[ZoneID][]Bucket `json:"buckets"`
+	// Routing is nil before the first ticket that sets it. RoutingNumber is the
+	// number of the ticket that set it.
+	Routing       *Routing     `json:"routing,omitempty"`
+	RoutingNumber TicketNumber `json:"routing-number,omitempty"`
 }
 
 // ZoneIn reports whether zone takes new work.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -41,6 +41,12 @@
 	VM zinniatide.VMID
 	// ControlVMs is the set given to a system that has none configured yet.
 	ControlVMs []zinniatide.ControlVM
+	// Voters is the wanted number of control VMs. The leader then adds and
+	// replaces them by itself; with 0 only tickets change them.
+	Voters int
+	// KnownLeader names the leader known to this VM while its log knows none,
+	// as on a control VM that is not in the set. It may be nil.
+	KnownLeader func() zinniatide.VMID
 }
 
 // Controller implements zinniatide.Operator. Its state is used on the control
@@ -59,6 +65,8 @@
 	sessions sessionTable
 	pushes   pushCache
 	lastTick zinniatide.Millis
+	// nextControlSet is when the set of control VMs is checked again.
+	nextControlSet zinniatide.Millis
 	// joins wait for the entry of the members before them.
 	joins     []joining
 	joinsOpen bool
@@ -102,7 +110,15 @@
 // the log says that this VM leads with a quorum at this moment.
 func (c *Controller) leadership() controlproto.Leadership {
 	status := c.log.Status()
-	return controlproto.Leadership{Leading: c.leading && status.Leading, Leader: status.Leader}
+	lead := controlproto.Leadership{Leading: c.leading && status.Leading, Leader: status.Leader}
+	if lead.Leader == "" && c.config.KnownLeader != nil {
+		lead.Leader = c.config.KnownLeader()
+	}
+	configuration := c.machine.Configuration()
+	if m, known := configuration.Members[lead.Leader]; known {
+		lead.LeaderAddress = m.PeerAddress
+	}
+	return lead
 }
 
 // onLeadership starts or ends the leader's work.
@@ -181,6 +197,7 @@
 		return
 	}
 	c.removeExpired(now)
+	c.tendControlSet(now)
 	c.pushAll()
 }
 
--- a/controller/operator.go
+++ b/controller/operator.go
@@ -70,7 +70,7 @@
 // unsure refuses f after its effect became unknown.
 func unsure(f *controlproto.Forward, message string) error {
 	refusal := zinniatide.Refuse(zinniatide.CodeNoQuorum, "%s", message)
-	if f.Operation == controlproto.ForwardFileTicket && !f.DryRun {
+	if changes(f) {
 		refusal.Outcome = zinniatide.OutcomeUnknown
 		refusal.Message += "; send the same ticket again to learn its fate"
 	}
@@ -125,8 +125,8 @@
 // serve runs f on the leader.
 func (c *Controller) serve(f *controlproto.Forward, done func(controlproto.ForwardReply)) {
 	finish := func(value any, err error) { done(c.answer(value, err)) }
-	if f.Operation == controlproto.ForwardFileTicket && !f.DryRun {
-		c.file(f.Ticket, finish)
+	if changes(f) {
+		c.change(f, finish)
 		return
 	}
 	c.log.Barrier(func(err error) {
@@ -183,6 +183,11 @@
 		return zinniatide.TicketStatus{Number: f.Number, Epoch: epoch, InForce: len(behind) == 0, NotYetOn: behind}, nil
 	case controlproto.ForwardState:
 		return c.machine.Configuration(), nil
+	case controlproto.ForwardRoutingDocument:
+		if document := c.machine.RoutingDocument(); document != nil {
+			return document, nil
+		}
+		return nil, zinniatide.Refuse(zinniatide.CodeNotFound, "no routing table has been accepted")
 	case controlproto.ForwardHistory:
 		return c.machine.History(min(max(f.Limit, 1), maxHistory)), nil
 	}
--- /dev/null
+++ b/controller/routing.go
@@ -0,0 +1,75 @@
+package controller
+
+import (
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/registrar"
+)
+
+var _ zinniatide.RoutingOperator = (*Controller)(nil)
+
+// FileRouting implements zinniatide.RoutingOperator.
+func (c *Controller) FileRouting(number zinniatide.TicketNumber, routing *zinniatide.Routing, document []byte, timeout zinniatide.Millis) (zinniatide.TicketReply, error) {
+	var reply zinniatide.TicketReply
+	if err := checker.CheckRouting(number, routing); err != nil {
+		return reply, err
+	}
+	err := c.ask(&controlproto.Forward{
+		Operation: controlproto.ForwardFileRouting, Number: number, Routing: routing, Document: document,
+	}, timeout, &reply)
+	return reply, err
+}
+
+// RoutingDocument implements zinniatide.RoutingOperator.
+func (c *Controller) RoutingDocument(timeout zinniatide.Millis) ([]byte, error) {
+	var document []byte
+	err := c.ask(&controlproto.Forward{Operation: controlproto.ForwardRoutingDocument}, timeout, &document)
+	return document, err
+}
+
+// SetZoneState implements zinniatide.RoutingOperator.
+func (c *Controller) SetZoneState(zone zinniatide.ZoneID, state zinniatide.ServingState, timeout zinniatide.Millis) error {
+	var epoch zinniatide.Epoch
+	return c.ask(&controlproto.Forward{Operation: controlproto.ForwardSetZone, Zone: zone, State: state}, timeout, &epoch)
+}
+
+// fileRouting proposes the ticket of a routing table. The table is checked
+// again, because the forwarding VM may run another version of the program.
+func (c *Controller) fileRouting(f *controlproto.Forward, done func(any, error)) {
+	if f.Routing == nil {
+		done(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "routing table is missing"))
+		return
+	}
+	if err := checker.CheckRouting(f.Number, f.Routing); err != nil {
+		done(nil, err)
+		return
+	}
+	c.propose(&registrar.Command{Ticket: &registrar.TicketEntry{
+		Ticket: zinniatide.Ticket{Number: f.Number, Routing: f.Routing},
+		Digest: checker.DocumentDigest(f.Document), Document: f.Document,
+	}}, done)
+}
+
+// changes reports whether f proposes an entry.
+func changes(f *controlproto.Forward) bool {
+	switch f.Operation {
+	case controlproto.ForwardFileTicket:
+		return !f.DryRun
+	case controlproto.ForwardFileRouting, controlproto.ForwardSetZone:
+		return true
+	}
+	return false
+}
+
+// change proposes the entry of f.
+func (c *Controller) change(f *controlproto.Forward, done func(any, error)) {
+	switch f.Operation {
+	case controlproto.ForwardFileRouting:
+		c.fileRouting(f, done)
+	case controlproto.ForwardSetZone:
+		c.propose(&registrar.Command{Zone: &registrar.ZoneOrder{Zone: f.Zone, State: f.State}}, done)
+	default:
+		c.file(f.Ticket, done)
+	}
+}
--- a/controlproto/controlproto.go
+++ b/controlproto/controlproto.go
@@ -16,6 +16,8 @@
 	Leading bool `cbor:"1,keyasint"`
 	// Leader is the leader known to the answering VM, or empty.
 	Leader zinniatide.VMID `cbor:"2,keyasint"`
+	// LeaderAddress is the peer address of Leader, or empty when unknown.
+	LeaderAddress string `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is sent every zinniatide.HeartbeatInterval.
@@ -133,6 +135,9 @@
 	ForwardTicketStatus
 	ForwardState
 	ForwardHistory
+	ForwardFileRouting
+	ForwardRoutingDocument
+	ForwardSetZone
 )
 
 // Forward carries an operator's request to the leader.
@@ -142,6 +147,10 @@
 	DryRun    bool                    `cbor:"3,keyasint,omitempty"`
 	Number    zinniatide.TicketNumber `cbor:"4,keyasint,omitempty"`
 	Limit     int                     `cbor:"5,keyasint,omitempty"`
+	Routing   *zinniatide.Routing     `cbor:"6,keyasint,omitempty"`
+	Document  []byte                  `cbor:"7,keyasint,omitempty"`
+	Zone      zinniatide.ZoneID       `cbor:"8,keyasint,omitempty"`
+	State     zinniatide.ServingState `cbor:"9,keyasint,omitempty"`
 }
 
 // ForwardReply answers a Forward. Result is the encoded result of the
--- a/interfaces.go
+++ b/interfaces.go
@@ -31,6 +31,9 @@
 	KindCanary           MessageKind = 50 // to the guard of a fingerprint
 	KindCanaryVerdict    MessageKind = 51
 	KindQuarantine       MessageKind = 52 // to all VMs
+	KindEnroll           MessageKind = 70 // control VM to all: []Enrollment
+	KindEnrollDigest     MessageKind = 71 // control VM to all: state of its enrollments
+	KindEnrollPull       MessageKind = 72 // ask a control VM for its enrollments
 	KindClaimQuery       MessageKind = 60 // to the VM that holds a claim
 )
 
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -22,6 +22,8 @@
 	Claim     *zinniatide.Claim           `cbor:"6,keyasint,omitempty"`
 	Result    *zinniatide.ClaimResult     `cbor:"7,keyasint,omitempty"`
 	Bootstrap *Bootstrap                  `cbor:"8,keyasint,omitempty"`
+	Zone      *ZoneOrder                  `cbor:"9,keyasint,omitempty"`
+	Control   *ControlChange              `cbor:"10,keyasint,omitempty"`
 }
 
 // TicketEntry is a ticket that has passed the checker. The digest is taken
@@ -30,6 +32,21 @@
 type TicketEntry struct {
 	Ticket zinniatide.Ticket `cbor:"1,keyasint"`
 	Digest checker.Digest    `cbor:"2,keyasint"`
+	// Document is the operator's notation of the routing table, kept as it is.
+	Document []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// ZoneOrder takes a zone out or in without a ticket number.
+type ZoneOrder struct {
+	Zone  zinniatide.ZoneID       `cbor:"1,keyasint"`
+	State zinniatide.ServingState `cbor:"2,keyasint"`
+}
+
+// ControlChange replaces the set of control VMs. It takes effect only while
+// the set is Before, so that two leaders cannot undo each other.
+type ControlChange struct {
+	Before []zinniatide.ControlVM `cbor:"1,keyasint"`
+	After  []zinniatide.ControlVM `cbor:"2,keyasint"`
 }
 
 // Join adds or updates members. The leader puts the members that appear while
@@ -66,7 +83,7 @@
 	}
 	set := 0
 	for _, present := range []bool{c.Ticket != nil, c.Join != nil, c.Remove != nil, c.Release != nil,
-		c.Claim != nil, c.Result != nil, c.Bootstrap != nil} {
+		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.Zone != nil, c.Control != nil} {
 		if present {
 			set++
 		}
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -18,6 +18,13 @@
 	ControlVMs        []zinniatide.ControlVM                                  `cbor:"6,keyasint,omitempty"`
 	Members           map[zinniatide.VMID]*zinniatide.Member                  `cbor:"7,keyasint,omitempty"`
 	Buckets           []BucketChange                                          `cbor:"8,keyasint,omitempty"`
+	Routing           *RoutingChange                                          `cbor:"9,keyasint,omitempty"`
+}
+
+// RoutingChange replaces the routing table.
+type RoutingChange struct {
+	Number  zinniatide.TicketNumber `cbor:"1,keyasint"`
+	Routing *zinniatide.Routing     `cbor:"2,keyasint"`
 }
 
 // BucketChange replaces one bucket.
@@ -29,7 +36,7 @@
 
 func (d *Delta) empty() bool {
 	return len(d.Services)+len(d.AvailabilityZones)+len(d.VMs)+len(d.BackendServers)+
-		len(d.ControlVMs)+len(d.Members)+len(d.Buckets) == 0
+		len(d.ControlVMs)+len(d.Members)+len(d.Buckets) == 0 && d.Routing == nil
 }
 
 // NewConfiguration returns the configuration of epoch 0, which has no
@@ -81,6 +88,9 @@
 	for i := range d.Buckets {
 		e.setBucket(&d.Buckets[i])
 	}
+	if d.Routing != nil {
+		e.next.Routing, e.next.RoutingNumber = d.Routing.Routing, d.Routing.Number
+	}
 }
 
 // edit applies changes to *m, which it copies before the first write.
@@ -146,6 +156,9 @@
 		c.delta.ControlVMs = slices.Clone(d.ControlVMs)
 	}
 	c.delta.Buckets = append(c.delta.Buckets, d.Buckets...)
+	if d.Routing != nil {
+		c.delta.Routing = d.Routing
+	}
 }
 
 func merge[K comparable, V any](into *map[K]V, from map[K]V) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -17,6 +17,8 @@
 	tickets       ticketTable
 	moves         map[bucketKey]zinniatide.Epoch // epoch at which the pending move began
 	claims        claimTable
+	// document is the operator's notation of the routing table in force.
+	document []byte
 	// serving belongs to configuration; nil when it has to be computed. Only
 	// entries that call assignBuckets change it.
 	serving   *serving
@@ -80,6 +82,10 @@
 	case c.Result != nil:
 		r.claims.finish(c.Result, r.clock)
 		return r.configuration.Epoch
+	case c.Zone != nil:
+		return r.applyZone(c.Zone)
+	case c.Control != nil:
+		return r.applyControl(c.Control)
 	default:
 		return r.applyBootstrap(c.Bootstrap)
 	}
--- a/registrar/snapshot.go
+++ b/registrar/snapshot.go
@@ -24,6 +24,7 @@
 	Highest       []entityNumber            `cbor:"6,keyasint"`
 	Moves         []pendingMove             `cbor:"7,keyasint"`
 	Claims        []*claimRecord            `cbor:"8,keyasint"`
+	Document      []byte                    `cbor:"9,keyasint,omitempty"`
 }
 
 type entityNumber struct {
@@ -38,7 +39,7 @@
 
 // Snapshot implements zinniatide.StateMachine.
 func (r *Registrar) Snapshot() ([]byte, error) {
-	s := snapshot{Version: snapshotVersion, Clock: r.clock, Configuration: r.configuration, Floor: r.tickets.floor}
+	s := snapshot{Version: snapshotVersion, Clock: r.clock, Configuration: r.configuration, Floor: r.tickets.floor, Document: r.document}
 	s.Tickets = r.tickets.newest(len(r.tickets.records))
 	slices.Reverse(s.Tickets)
 	for entity, number := range r.tickets.highest {
@@ -84,6 +85,7 @@
 		claims.insert(c)
 	}
 	r.configuration, r.clock, r.tickets, r.claims = s.Configuration, s.Clock, tickets, claims
+	r.document = s.Document
 	r.serving = nil
 	r.moves = map[bucketKey]zinniatide.Epoch{}
 	for _, m := range s.Moves {
--- a/registrar/tickets.go
+++ b/registrar/tickets.go
@@ -118,6 +118,9 @@
 	if len(d.AvailabilityZones)+len(d.VMs) > 0 {
 		r.assignBuckets(c)
 	}
+	if e.Ticket.Routing != nil {
+		r.document = e.Document
+	}
 	reply.Epoch = r.commit(c)
 	r.tickets.record(ticketRecord{Number: reply.Number, Epoch: reply.Epoch, Digest: e.Digest}, checker.Entities(&e.Ticket))
 	return reply
@@ -183,6 +186,9 @@
 	if len(t.ControlVMs) > 0 && !checker.SameControlVMs(c.ControlVMs, t.ControlVMs) {
 		d.ControlVMs = t.ControlVMs
 	}
+	if t.Routing != nil {
+		d.Routing = &RoutingChange{Number: t.Number, Routing: t.Routing}
+	}
 	return d
 }
 
--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -62,10 +62,14 @@
 		return
 	}
 	if !reply.Leading {
+		s.noteHint(reply.Leader, reply.LeaderAddress)
 		s.changeLeader(leader, reply.Leader)
 		return
 	}
 	s.lease.reported = ""
+	if known := s.knownLeader.Load(); known == nil || *known != leader {
+		s.knownLeader.Store(&leader)
+	}
 	s.lease.answered = max(s.lease.answered, h.Sequence)
 	if s.gone {
 		if h.Gone {
@@ -89,6 +93,19 @@
 	s.extendLease()
 }
 
+// noteHint keeps the address of a leader that is not among the peers, so that
+// a VM whose settings name other control VMs reaches it.
+func (s *Subscriber) noteHint(leader zinniatide.VMID, address string) {
+	if leader == "" || address == "" || leader == s.config.Member.VM {
+		return
+	}
+	if _, known := s.Peers()[leader]; known {
+		return
+	}
+	s.hints = map[zinniatide.VMID]string{leader: address}
+	s.links.SetPeers(s.Peers())
+}
+
 // reportUnanswered logs each cause once until it changes. A refusal, such as
 // that of a second process with the same VM id, stays until an operator acts.
 func (s *Subscriber) reportUnanswered(peer zinniatide.VMID, err error) {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -42,6 +42,9 @@
 	// ControlVMs is the set from the settings. The set of the configuration
 	// replaces it once one is installed.
 	ControlVMs []zinniatide.ControlVM
+	// Peering selects the members to which this VM keeps a link; nil selects
+	// all.
+	Peering func(*zinniatide.Member) bool
 }
 
 // Subscriber implements zinniatide.ConfigurationProvider and
@@ -69,6 +72,10 @@
 	nextRelease zinniatide.Millis
 	releaseSent zinniatide.Epoch // of the last message
 	claims      claimQueue
+	// hints are addresses of leaders that the configuration does not name yet.
+	hints map[zinniatide.VMID]string
+	// knownLeader is the VM that last answered as leader.
+	knownLeader atomic.Pointer[zinniatide.VMID]
 	goodbyes    []func(error)
 	gone        bool
 }
@@ -103,6 +110,14 @@
 // LeaseUntil implements zinniatide.ConfigurationProvider.
 func (s *Subscriber) LeaseUntil() zinniatide.Millis { return zinniatide.Millis(s.leaseUntil.Load()) }
 
+// KnownLeader returns the VM that last answered as control leader, or empty.
+func (s *Subscriber) KnownLeader() zinniatide.VMID {
+	if vm := s.knownLeader.Load(); vm != nil {
+		return *vm
+	}
+	return ""
+}
+
 // OnConfiguration registers f to run on the subscriber's goroutine after each
 // installed configuration. It is called before Run.
 func (s *Subscriber) OnConfiguration(f func(*zinniatide.Configuration)) {
@@ -118,8 +133,13 @@
 	for _, vm := range controlVMs(c, s.config.ControlVMs) {
 		peers[vm.VM] = vm.PeerAddress
 	}
+	for vm, address := range s.hints {
+		peers[vm] = address
+	}
 	for vm, m := range c.Members {
-		peers[vm] = m.PeerAddress
+		if s.config.Peering == nil || s.config.Peering(&m) {
+			peers[vm] = m.PeerAddress
+		}
 	}
 	delete(peers, s.config.Member.VM)
 	return peers
