Write again after a failed write instead of stopping until restart

Cause: disks of the platform fill up and stall for seconds; a log that stops until its process is restarted would need an operator.

Without the setting nothing changes. Ruled out: appending again to the old file, as it is unknown what reached the disk.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -250,6 +250,14 @@
 	return j.removeAllBut(name)
 }
 
+// Recover replaces everything by state after a failed write. State must hold
+// all that was ever given to Append or Rewrite, so that it does not matter what
+// of the failed write reached the disk.
+func (j *Journal) Recover(state replicator.State) error {
+	j.failure = nil
+	return j.Rewrite(state)
+}
+
 // removeAllBut deletes superseded and temporary files. It keeps files that
 // are not the journal's.
 func (j *Journal) removeAllBut(keep string) error {
--- a/logkeeper/engine.go
+++ b/logkeeper/engine.go
@@ -18,6 +18,7 @@
 	entries  []replicator.Entry
 	rewrite  *replicator.State // replaces everything; nil to append
 	wanted   bool              // a rewrite is due
+	recover  bool              // the write before failed
 }
 
 // diskWriter starts a write. Its end is posted to the control thread as a
@@ -35,6 +36,9 @@
 
 // perform runs a write to its end, including the sync.
 func (k *Keeper) perform(w write) error {
+	if w.recover && w.rewrite != nil {
+		return k.journal.Recover(*w.rewrite)
+	}
 	if w.rewrite != nil {
 		return k.journal.Rewrite(*w.rewrite)
 	}
@@ -43,6 +47,10 @@
 
 func (k *Keeper) finishWrite(w write, err error) {
 	k.writing = false
+	if err != nil && k.cfg.DiskRetry > 0 {
+		k.retryWrite(w, err)
+		return
+	}
 	if err != nil {
 		k.fail(fmt.Errorf("the data folder failed: %w", err))
 		return
@@ -50,6 +58,9 @@
 	if k.failure != nil {
 		return
 	}
+	if w.recover {
+		klog.InfoS("data folder takes writes again", "vm", k.cfg.VM, "step", "write journal", "sequence", w.sequence)
+	}
 	k.synced = w.sequence
 	k.metrics.syncedEntries.Add(float64(len(w.entries)))
 	k.machine.Synced(w.sequence)
@@ -95,9 +106,12 @@
 // startWrite hands everything gathered to the disk as one write, unless one
 // is under way.
 func (k *Keeper) startWrite() {
-	if k.writing || k.pending.sequence == 0 {
+	now := k.cfg.Clock.Now()
+	if k.writing || k.pending.sequence == 0 || now < k.retryAt {
 		return
 	}
+	k.retryAt = 0
+	k.writeStart = now
 	w := k.pending
 	k.pending = write{}
 	if w.wanted {
--- a/logkeeper/keeper.go
+++ b/logkeeper/keeper.go
@@ -39,7 +39,10 @@
 	Rand       *mathrand.Rand
 	// SnapshotEvery defaults to DefaultSnapshotEvery.
 	SnapshotEvery uint64
-	Registerer    prometheus.Registerer
+	// DiskRetry is the pause before a failed write is tried again, as a whole
+	// new file. With 0 a failed write stops the log until restart.
+	DiskRetry  zinniatide.Millis
+	Registerer prometheus.Registerer
 }
 
 // Keeper runs the replicated log of one control VM.
@@ -69,6 +72,8 @@
 	waiting     []waitingRead
 	pending     write // gathered while the disk is busy
 	writing     bool
+	writeStart  zinniatide.Millis
+	retryAt     zinniatide.Millis // of a failed write, 0 when none failed
 	synced      uint64
 	held        []replicator.Message
 	onTick      []func(zinniatide.Millis)
@@ -237,6 +242,7 @@
 	now := k.cfg.Clock.Now()
 	if k.failure == nil {
 		k.machine.Tick(now)
+		k.tickDisk(now)
 	}
 	for _, f := range k.onTick {
 		f(now)
@@ -284,6 +290,10 @@
 	k.machine.SetControlVMs(ids)
 }
 
+// SetContacts gives the VMs to which this VM announces itself while it knows no
+// leader. It is called on the control thread.
+func (k *Keeper) SetContacts(vms []zinniatide.VMID) { k.machine.SetContacts(vms) }
+
 // ControlVMs returns the control VMs that the log was initialised with. It is
 // called on the control thread, and is empty on a VM that has not yet
 // received the first entry.
--- a/logkeeper/metrics.go
+++ b/logkeeper/metrics.go
@@ -7,6 +7,7 @@
 	syncedEntries prometheus.Counter
 	applied       prometheus.Counter
 	snapshots     prometheus.Counter
+	failedWrites  prometheus.Counter
 	leading       prometheus.Gauge
 }
 
@@ -26,12 +27,15 @@
 		snapshots: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "zinniatide_log_snapshots_total", Help: "Snapshots taken on this VM.",
 		}),
+		failedWrites: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_log_failed_writes_total", Help: "Writes that the data folder refused.",
+		}),
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "zinniatide_log_leading", Help: "1 while this VM leads the replicated log with a quorum.",
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.syncSeconds, m.syncedEntries, m.applied, m.snapshots, m.leading)
+		registerer.MustRegister(m.syncSeconds, m.syncedEntries, m.applied, m.snapshots, m.failedWrites, m.leading)
 	}
 	return m
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -180,6 +180,10 @@
 	}
 }
 
+// SetContacts replaces the VMs to which a VM that knows no leader announces
+// itself.
+func (r *Replicator) SetContacts(vms []zinniatide.VMID) { r.cfg.Peers = slices.Clone(vms) }
+
 // Synced tells that all writes up to sequence are durable.
 func (r *Replicator) Synced(sequence uint64) {
 	r.synced = max(r.synced, sequence)
