Relay HTTP requests by the routing table

Cause: the product had no path for HTTP requests that go to backend servers unchanged, and none that merges fixed-size records.

The writer that never waits moved from connector to common/trywriter. Ruled out: the owner of a backend server for each send, as a lost owner takes its servers away for a lease; slots are no rule here.

--- a/connector/conn.go
+++ b/connector/conn.go
@@ -5,11 +5,11 @@
 	"errors"
 	"io"
 	"net"
-	"syscall"
 
 	"github.com/valyala/fasthttp"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/trywriter"
 )
 
 // readBuffer also bounds the size of an answer's header.
@@ -24,18 +24,10 @@
 type conn struct {
 	pool   *Pool
 	net    net.Conn
-	raw    syscall.RawConn
 	reader *bufio.Reader
 	codec  *codec
 
-	// try is the method value of tryWrite, made once because each costs an
-	// allocation; attempt carries its argument and results.
-	try     func(fd uintptr) bool
-	attempt struct {
-		out []byte
-		n   int
-		err error
-	}
+	writer *trywriter.Writer
 
 	// current is the exchange that runs on the connection, nil when idle.
 	current *Exchange
@@ -52,14 +44,7 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	c := &conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, readBuffer), codec: newCodec(p.o.Address)}
-	if sc, ok := nc.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			c.raw = raw
-			c.try = c.tryWrite
-		}
-	}
-	return c
+	return &conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, readBuffer), codec: newCodec(p.o.Address), writer: trywriter.New(nc)}
 }
 
 // start writes x. It returns false when no byte of it was written; the
@@ -68,7 +53,7 @@
 	c.current, c.written = x, 0
 	x.started = now
 	out := c.codec.encode(x, now)
-	n, err := c.writeNow(out)
+	n, err := c.writer.TryWrite(out)
 	c.written = n
 	switch {
 	case err != nil && n == 0:
@@ -84,30 +69,6 @@
 	return true
 }
 
-// writeNow writes what the socket takes without waiting.
-func (c *conn) writeNow(out []byte) (n int, err error) {
-	if c.raw == nil {
-		return 0, nil
-	}
-	c.attempt.out = out
-	rawErr := c.raw.Write(c.try)
-	n, err = c.attempt.n, c.attempt.err
-	c.attempt.out = nil
-	if rawErr != nil {
-		return 0, rawErr
-	}
-	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
-		return 0, nil
-	}
-	return max(n, 0), err
-}
-
-// tryWrite makes one write to the socket, which does not block.
-func (c *conn) tryWrite(fd uintptr) bool {
-	c.attempt.n, c.attempt.err = syscall.Write(int(fd), c.attempt.out)
-	return true
-}
-
 // flush writes the rest of a large request. If the connection is lost
 // meanwhile, it is flush that ends the exchange, since only then is it known
 // whether a byte was written.
--- /dev/null
+++ b/ranker/ranker.go
@@ -0,0 +1,88 @@
+// Package ranker merges the records of shards into the greatest ones.
+package ranker
+
+import (
+	"encoding/binary"
+	"slices"
+)
+
+// RecordSize is the size of one record in bytes. A shorter remainder of a part
+// is no record.
+const RecordSize = 16
+
+// record is compared as the big-endian number that its bytes form, which is
+// the order of the bytes.
+type record struct{ high, low uint64 }
+
+func (r record) less(o record) bool { return r.high < o.high || r.high == o.high && r.low < o.low }
+
+// Ranker collects the greatest records. Equal records all count.
+type Ranker struct {
+	limit int
+	heap  []record // the smallest kept record first
+}
+
+// New returns a Ranker that keeps limit records.
+func New(limit int) *Ranker { return &Ranker{limit: limit, heap: make([]record, 0, limit)} }
+
+// Add takes in the records of one part.
+func (r *Ranker) Add(part []byte) {
+	for ; len(part) >= RecordSize; part = part[RecordSize:] {
+		v := record{binary.BigEndian.Uint64(part), binary.BigEndian.Uint64(part[8:])}
+		switch {
+		case len(r.heap) < r.limit:
+			r.heap = append(r.heap, v)
+			r.up(len(r.heap) - 1)
+		case r.limit > 0 && r.heap[0].less(v):
+			r.heap[0] = v
+			r.down(0)
+		}
+	}
+}
+
+func (r *Ranker) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !r.heap[i].less(r.heap[parent]) {
+			return
+		}
+		r.heap[i], r.heap[parent] = r.heap[parent], r.heap[i]
+		i = parent
+	}
+}
+
+func (r *Ranker) down(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(r.heap) {
+			return
+		}
+		if child+1 < len(r.heap) && r.heap[child+1].less(r.heap[child]) {
+			child++
+		}
+		if !r.heap[child].less(r.heap[i]) {
+			return
+		}
+		r.heap[i], r.heap[child] = r.heap[child], r.heap[i]
+		i = child
+	}
+}
+
+// Append appends the kept records to out, greatest first. The Ranker must not
+// be used afterwards.
+func (r *Ranker) Append(out []byte) []byte {
+	slices.SortFunc(r.heap, func(a, b record) int {
+		switch {
+		case b.less(a):
+			return -1
+		case a.less(b):
+			return 1
+		}
+		return 0
+	})
+	for _, v := range r.heap {
+		out = binary.BigEndian.AppendUint64(out, v.high)
+		out = binary.BigEndian.AppendUint64(out, v.low)
+	}
+	return out
+}
--- /dev/null
+++ b/relayer/gathering.go
@@ -0,0 +1,228 @@
+package relayer
+
+import (
+	"strconv"
+	"strings"
+
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/ranker"
+	"zinniatide.example/zinniatide/selector"
+	"zinniatide.example/zinniatide/transporter"
+)
+
+// Bounds of the delay after which a second server is asked for a part, as
+// shares of the target latency.
+const (
+	leastHedgeShare = 0.15
+	mostHedgeShare  = 0.45
+)
+
+// gathering answers a request from one server of each shard.
+type gathering struct {
+	task
+	parts   []part
+	got     int // parts that arrived
+	pending int // parts that may still arrive
+	ranker  *ranker.Ranker
+	stamps  []string
+	// cutoff is when an answer with enough parts goes out without the others.
+	cutoff zinniatide.Millis
+}
+
+// part is the share of one shard in the answer.
+type part struct {
+	service *selector.Service
+	tried   []*selector.Server
+	running int
+	runs    int // servers that may have begun to run the request
+	sheds   int
+	done    bool
+	failed  bool
+}
+
+func (g *gathering) begin() {
+	o := g.r.options(nil)
+	g.parts = make([]part, len(g.route.Shards))
+	available := 0
+	for i, shard := range g.route.Shards {
+		p := &g.parts[i]
+		p.service = g.r.services[shard]
+		p.failed = p.service == nil || !p.service.Available(o)
+		if !p.failed {
+			available++
+		}
+	}
+	if available < g.route.LeastShards {
+		g.r.refuse(g.req, g.route, g.respond, statusUnavailable,
+			"too few shards can be reached", lostRetryAfter)
+		g.ended = true
+		return
+	}
+	g.pending = available
+	g.ranker = ranker.New(g.route.TopRecords)
+	g.cutoff = min(g.req.Arrived+max(g.route.TargetLatency-g.r.config.ReplyMargin, g.route.TargetLatency/2), g.end-endMargin)
+	g.after(g.cutoff-o.Now, g.atCutoff)
+	g.after(g.end-endMargin-o.Now, g.timeout)
+	for i := range g.parts {
+		p := &g.parts[i]
+		if p.failed || g.ended {
+			continue
+		}
+		p.service.Budget.Request(o.Now)
+		g.sendPart(p, p.service.Pick(o))
+	}
+	if !g.ended {
+		g.after(g.hedgeDelay(), g.hedge)
+	}
+}
+
+// hedgeDelay is when the parts that have not arrived are asked for again.
+func (g *gathering) hedgeDelay() zinniatide.Millis {
+	target := float64(g.route.TargetLatency)
+	delay := mostHedgeShare * target
+	if spread := g.r.spreadOf(g.route.ID); spread.Known() {
+		delay = spread.Mean + hedgeDeviations*spread.Deviation
+	}
+	return zinniatide.Millis(min(max(delay, leastHedgeShare*target), mostHedgeShare*target))
+}
+
+func (g *gathering) sendPart(p *part, s *selector.Server) {
+	p.tried = append(p.tried, s)
+	p.runs++
+	p.running++
+	g.send(s, func(y *try, a transporter.Answer) { g.answered(p, y, a) })
+}
+
+// hedge asks a second server for each part that is late.
+func (g *gathering) hedge() {
+	sent, denied := 0, 0
+	for i := range g.parts {
+		p := &g.parts[i]
+		if g.ended || p.done || p.failed || p.running != 1 {
+			continue
+		}
+		if g.again(p) {
+			sent++
+		} else {
+			denied++
+		}
+	}
+	if sent+denied > 0 {
+		g.r.metrics.hedges.Add(float64(sent))
+		klog.InfoS("late parts asked for again", "step", "gather", "request", g.req.ID, "route", g.route.ID, "sent", sent,
+			"denied", denied, "got", g.got, "after-ms", g.r.d.Clock.Now()-g.req.Arrived)
+	}
+}
+
+// again sends a part to another server, and reports whether it did.
+func (g *gathering) again(p *part) bool {
+	if p.runs >= max(g.route.MaxAttempts, 1) {
+		return false
+	}
+	o := g.r.options(p.tried)
+	s := p.service.Pick(o)
+	if s == nil || !p.service.Budget.Take(o.Now) {
+		return false
+	}
+	g.sendPart(p, s)
+	return true
+}
+
+func (g *gathering) answered(p *part, y *try, a transporter.Answer) {
+	p.running--
+	if !a.Result.MayHaveRun() {
+		p.runs--
+	}
+	if p.done {
+		return
+	}
+	if a.Result == transporter.Answered && a.Status == 200 && a.Stamp != "" {
+		g.take(p, y, &a)
+		return
+	}
+	if a.Result == transporter.NotRun {
+		p.sheds++
+	}
+	if p.sheds < maxSheds && g.again(p) {
+		return
+	}
+	if p.running == 0 && !p.failed {
+		p.failed = true
+		g.pending--
+		g.check("parts failed: " + a.Result.String())
+	}
+}
+
+func (g *gathering) take(p *part, y *try, a *transporter.Answer) {
+	p.done = true
+	g.pending--
+	g.got++
+	g.ranker.Add(a.Body)
+	g.stamps = append(g.stamps, a.Stamp)
+	g.r.spreadOf(g.route.ID).Add(float64(g.r.d.Clock.Now() - y.start))
+	g.check("")
+}
+
+// check ends the gathering when nothing more can arrive, when enough has
+// arrived after the cutoff, or when too few parts can arrive.
+func (g *gathering) check(reason string) {
+	switch {
+	case g.got+g.pending < g.route.LeastShards:
+		g.fail(reason, shortRetryAfter)
+	case g.pending == 0, g.got >= g.route.LeastShards && g.r.d.Clock.Now() >= g.cutoff:
+		g.reply()
+	}
+}
+
+func (g *gathering) atCutoff() { g.check("") }
+
+// timeout ends the gathering at its deadline.
+func (g *gathering) timeout() {
+	if g.got >= g.route.LeastShards {
+		g.reply()
+		return
+	}
+	g.ran = g.ran || len(g.open) > 0
+	g.fail("timeout", 0)
+}
+
+// reply answers with the parts that have arrived.
+func (g *gathering) reply() {
+	missing := len(g.parts) - g.got
+	now := g.r.d.Clock.Now()
+	outcome := "answered"
+	if missing > 0 {
+		outcome = "partial"
+		g.r.metrics.partials.Inc()
+		g.r.metrics.missing.Add(float64(missing))
+		klog.InfoS("partial answer", "step", "gather", "request", g.req.ID, "route", g.route.ID, "missing", missing,
+			"shards", g.missingShards(), "after-ms", now-g.req.Arrived, "cutoff-ms", g.cutoff-g.req.Arrived, "table", g.r.number())
+	}
+	g.r.metrics.outcome(g.route, outcome, float64(now-g.req.Arrived))
+	names := &g.r.d.Names
+	header := make([]byte, 0, 64+len(g.stamps)*40)
+	header = append(header, names.PartStamps...)
+	header = append(header, ": "...)
+	header = append(header, strings.Join(g.stamps, ", ")...)
+	header = append(header, "\r\n"...)
+	header = append(header, names.MissingParts...)
+	header = append(header, ": "...)
+	header = strconv.AppendInt(header, int64(missing), 10)
+	header = append(header, "\r\n"...)
+	g.finish(Reply{Status: 200, Header: header, Body: g.ranker.Append(nil)})
+}
+
+// maxNamedShards bounds the shards that a log line names.
+const maxNamedShards = 8
+
+func (g *gathering) missingShards() []zinniatide.ServiceID {
+	var out []zinniatide.ServiceID
+	for i := range g.parts {
+		if !g.parts[i].done && len(out) < maxNamedShards {
+			out = append(out, g.route.Shards[i])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/relayer/metrics.go
@@ -0,0 +1,73 @@
+package relayer
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniatide.example/zinniatide/router"
+	"zinniatide.example/zinniatide/transporter"
+)
+
+type metrics struct {
+	outcomes  *prometheus.HistogramVec
+	refusals  *prometheus.CounterVec
+	exchanges *prometheus.CounterVec
+	partials  prometheus.Counter
+	missing   prometheus.Counter
+	hedges    prometheus.Counter
+}
+
+// newMetrics registers the metrics; without a registerer they are only counted.
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		outcomes: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "zinniatide_relay_seconds", Help: "Time from the arrival of a request to its end, by kind of route and outcome.",
+			Buckets: []float64{.005, .01, .02, .03, .04, .06, .08, .12, .2, .3, .5, .8, 1.2, 2, 5},
+		}, []string{"kind", "priority", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "zinniatide_relay_refusals_total", Help: "Requests that were sent to no backend server, by reason.",
+		}, []string{"reason"}),
+		exchanges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "zinniatide_relay_exchanges_total", Help: "Requests sent to backend servers, by result.",
+		}, []string{"result"}),
+		partials: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_relay_partial_answers_total", Help: "Gathered answers that lack shards.",
+		}),
+		missing: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_relay_missing_shards_total", Help: "Shards left out of gathered answers.",
+		}),
+		hedges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_relay_hedges_total", Help: "Sends to a second server because the first was late.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partials, m.missing, m.hedges)
+	}
+	return m
+}
+
+func (m *metrics) outcome(route *router.Route, outcome string, ms float64) {
+	kind := "forward"
+	if route.Gathers() {
+		kind = "gather"
+	}
+	m.outcomes.WithLabelValues(kind, priorityLabel(route.Priority), outcome).Observe(ms / 1000)
+}
+
+// priorityLabel bounds the number of label values.
+func priorityLabel(priority int) string {
+	if priority < 0 || priority > 9 {
+		return "other"
+	}
+	return string(rune('0' + priority))
+}
+
+// refused counts by a bounded set of reasons: reasons that name a service share
+// one.
+func (m *metrics) refused(reason string) {
+	if len(reason) > len("no server of ") && reason[:len("no server of ")] == "no server of " {
+		reason = "no server"
+	}
+	m.refusals.WithLabelValues(reason).Inc()
+}
+
+func (m *metrics) exchange(r transporter.Result) { m.exchanges.WithLabelValues(r.String()).Inc() }
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,214 @@
+// Package relayer answers callers' HTTP requests from backend servers by the
+// routing table: plain requests from one server of a service, gathered ones
+// from one server of each shard.
+package relayer
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/timer"
+	"zinniatide.example/zinniatide/rationer"
+	"zinniatide.example/zinniatide/router"
+	"zinniatide.example/zinniatide/selector"
+	"zinniatide.example/zinniatide/transporter"
+)
+
+// Pool sends exchanges to one process of a backend server.
+type Pool interface {
+	Send(x *transporter.Exchange)
+	SetLimit(limit int)
+	Warm(n int)
+	Conns() int
+	Close()
+}
+
+// Config holds the policy of a Relayer.
+type Config struct {
+	Zone zinniatide.ZoneID
+	// Budget is the bound on repeated sends to one service over all VMs.
+	Budget rationer.Config
+	// RemoteCost is what a server of another zone is set back, in milliseconds
+	// of expected wait. It pays for the way and for the bytes between zones.
+	RemoteCost float64
+	// ReplyMargin is taken from the target latency for the way between caller
+	// and VM.
+	ReplyMargin zinniatide.Millis
+}
+
+// Dependencies of a Relayer.
+type Dependencies struct {
+	Lock   *sync.Mutex
+	Clock  zinniatide.Clock
+	Timer  timer.Timer
+	Random *rand.Rand
+	// NewPool opens the connections to a process.
+	NewPool    func(server zinniatide.BackendServerID, address string, limit int) Pool
+	Names      Names
+	Registerer prometheus.Registerer
+}
+
+// Relayer serves callers. Its state is guarded by Dependencies.Lock.
+type Relayer struct {
+	config   Config
+	d        Dependencies
+	metrics  *metrics
+	internal map[string]bool
+
+	table    *router.Router
+	services map[zinniatide.ServiceID]*selector.Service
+	servers  map[processID]*server
+	// spreads describe the answers to the parts of each gathering route.
+	spreads  map[zinniatide.RouteID]*selector.Spread
+	zonesOut map[zinniatide.ZoneID]bool
+	vms      int
+	resting  bool // a tick for resting servers is due
+}
+
+// processID names one process of a backend server.
+type processID struct {
+	server zinniatide.BackendServerID
+	born   zinniatide.Millis
+}
+
+// server joins what is known of a process with its connections.
+type server struct {
+	selector.Server
+	pool Pool
+}
+
+// New returns a Relayer without a routing table.
+func New(config Config, d Dependencies) *Relayer {
+	r := &Relayer{
+		config: config, d: d, metrics: newMetrics(d.Registerer),
+		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processID]*server{},
+		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
+			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
+		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1,
+	}
+	for _, name := range d.Names.Internal {
+		r.internal[name] = true
+	}
+	return r
+}
+
+// Limits returns what callers may send, or false before the first routing
+// table.
+func (r *Relayer) Limits() (zinniatide.CallerLimits, bool) {
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	if r.table == nil {
+		return zinniatide.CallerLimits{}, false
+	}
+	return r.table.Limits, true
+}
+
+// Ready reports whether requests can be answered.
+func (r *Relayer) Ready() bool {
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	return r.table != nil && len(r.servers) > 0
+}
+
+// Serve answers req by one call of respond, under the lock and possibly before
+// Serve returns. After cancel, respond is not called and servers are told to
+// stop.
+func (r *Relayer) Serve(req *Request, respond func(Reply)) (cancel func()) {
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	nothing := func() {}
+	if r.table == nil {
+		r.refuse(req, nil, respond, fasthttp.StatusServiceUnavailable, "no routing table yet", startRetryAfter)
+		return nothing
+	}
+	route := r.table.Match(req.Host, req.Path)
+	if route == nil {
+		r.refuse(req, nil, respond, fasthttp.StatusNotFound, "no route", 0)
+		return nothing
+	}
+	wait := route.Timeout
+	if req.Wait > 0 {
+		wait = min(wait, req.Wait)
+	}
+	base := task{r: r, req: req, route: route, respond: respond, begun: r.d.Clock.Now(), end: req.Arrived + wait}
+	if base.end <= base.begun {
+		r.refuse(req, route, respond, fasthttp.StatusServiceUnavailable, "deadline has passed", 0)
+		return nothing
+	}
+	if route.Gathers() {
+		g := &gathering{task: base}
+		g.begin()
+		return g.cancel
+	}
+	f := &forwarding{task: base}
+	f.begin()
+	return f.cancel
+}
+
+// Advice to refused callers.
+const (
+	// startRetryAfter is for a VM that has just started and learns its
+	// configuration within this time.
+	startRetryAfter zinniatide.Millis = 300
+	// shortRetryAfter is for servers whose queues are full. They drain within it.
+	shortRetryAfter zinniatide.Millis = 100
+	// lostRetryAfter is for services without a reachable server. Connections are
+	// tried again at this interval.
+	lostRetryAfter zinniatide.Millis = 500
+)
+
+// refuse answers a request that was sent to no server.
+func (r *Relayer) refuse(req *Request, route *router.Route, respond func(Reply), status int, reason string, after zinniatide.Millis) {
+	klog.InfoS("request refused", "step", "relay", "request", req.ID, "route", routeID(route), "status", status,
+		"reason", reason, "retry-after-ms", after, "wait-ms", req.Wait, "table", r.number())
+	r.metrics.refused(reason)
+	respond(Reply{Status: status, RetryAfter: after})
+}
+
+func (r *Relayer) number() zinniatide.TicketNumber {
+	if r.table == nil {
+		return 0
+	}
+	return r.table.Number
+}
+
+func routeID(route *router.Route) zinniatide.RouteID {
+	if route == nil {
+		return ""
+	}
+	return route.ID
+}
+
+// options describes a choice among servers now.
+func (r *Relayer) options(tried []*selector.Server) *selector.Options {
+	return &selector.Options{
+		Zone: r.config.Zone, RemoteCost: r.config.RemoteCost, Now: r.d.Clock.Now(), Tried: tried, Random: r.d.Random,
+		Out: func(zone zinniatide.ZoneID) bool { return r.zonesOut[zone] },
+	}
+}
+
+// maxSpreads bounds the routes whose answers are described.
+const maxSpreads = 4096
+
+// spreadOf returns the description of a route's answers.
+func (r *Relayer) spreadOf(id zinniatide.RouteID) *selector.Spread {
+	s := r.spreads[id]
+	if s == nil {
+		if len(r.spreads) >= maxSpreads {
+			clear(r.spreads)
+		}
+		s = &selector.Spread{}
+		r.spreads[id] = s
+	}
+	return s
+}
+
+// poolOf returns the connections of a server that a selector chose.
+func (r *Relayer) poolOf(s *selector.Server) Pool {
+	return r.servers[processID{s.Enrollment.Server, s.Born}].pool
+}
--- /dev/null
+++ b/relayer/update.go
@@ -0,0 +1,162 @@
+package relayer
+
+import (
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/rationer"
+	"zinniatide.example/zinniatide/router"
+	"zinniatide.example/zinniatide/selector"
+)
+
+const (
+	// spareVMs are connections of a backend server left free for VMs that join
+	// or restart.
+	spareVMs = 2
+	// warmConnections are opened to each server before requests need them.
+	warmConnections = 1
+	// restTick spaces the looks at servers that cannot be reached.
+	restTick zinniatide.Millis = 100
+)
+
+// Update puts a configuration and a table of backend servers in force. An
+// older routing table never replaces a newer one.
+func (r *Relayer) Update(c *zinniatide.Configuration, enrollments []zinniatide.Enrollment) {
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	if c.Routing != nil && (r.table == nil || c.RoutingNumber > r.table.Number) {
+		r.table = router.New(c.RoutingNumber, c.Routing)
+		klog.InfoS("routing table in force", "step", "routing", "number", c.RoutingNumber, "epoch", c.Epoch,
+			"routes", len(c.Routing.Routes), "services", len(c.Routing.Services))
+	}
+	r.zonesOut = map[zinniatide.ZoneID]bool{}
+	for zone, setting := range c.AvailabilityZones {
+		if setting.State == zinniatide.StateOut {
+			r.zonesOut[zone] = true
+		}
+	}
+	r.vms = 0
+	for _, m := range c.Members {
+		if m.Relay {
+			r.vms++
+		}
+	}
+	r.vms = max(r.vms, 1)
+	if r.table != nil {
+		r.updateServices()
+		r.updateServers(enrollments)
+	}
+}
+
+func (r *Relayer) updateServices() {
+	now := r.d.Clock.Now()
+	for id, setting := range r.table.Services() {
+		s := r.services[id]
+		if s == nil {
+			s = &selector.Service{Budget: rationer.New(r.config.Budget, r.vms, now)}
+			r.services[id] = s
+		}
+		s.RelayService = setting
+		s.Budget.Share(r.vms, now)
+	}
+	for id := range r.services {
+		if _, ok := r.table.Service(id); !ok {
+			delete(r.services, id)
+		}
+	}
+}
+
+func (r *Relayer) updateServers(enrollments []zinniatide.Enrollment) {
+	youngest := map[string]zinniatide.Millis{} // start of the last process at each address
+	for i := range enrollments {
+		e := &enrollments[i]
+		youngest[e.Address] = max(youngest[e.Address], e.Born)
+	}
+	kept := map[processID]bool{}
+	for i := range enrollments {
+		e := &enrollments[i]
+		service := r.services[e.Service]
+		if service == nil || e.Gone || e.Born < youngest[e.Address] {
+			continue
+		}
+		id := processID{e.Server, e.Born}
+		kept[id] = true
+		r.updateServer(id, e, service)
+	}
+	for id, s := range r.servers {
+		if !kept[id] {
+			s.Gone = true
+			s.pool.Close()
+			delete(r.servers, id)
+		}
+	}
+	for _, service := range r.services {
+		service.Servers = service.Servers[:0]
+	}
+	for _, s := range r.servers {
+		s.Service.Servers = append(s.Service.Servers, &s.Server)
+	}
+	for _, service := range r.services {
+		slices.SortFunc(service.Servers, func(a, b *selector.Server) int {
+			if a.Enrollment.Server < b.Enrollment.Server {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (r *Relayer) updateServer(id processID, e *zinniatide.Enrollment, service *selector.Service) {
+	limit := max(1, service.MaxConnections/(r.vms+spareVMs))
+	s := r.servers[id]
+	if s == nil {
+		s = &server{pool: r.d.NewPool(e.Server, e.Address, limit)}
+		r.servers[id] = s
+	}
+	if s.ColdLeft != e.ColdLeft || s.Sequence == 0 {
+		s.Cold(e.ColdLeft, r.d.Clock.Now())
+	}
+	s.Enrollment, s.Service = *e, service
+	s.pool.SetLimit(limit)
+	if e.State == zinniatide.StateIn {
+		s.pool.Warm(warmConnections)
+	}
+}
+
+// rest leaves an unreachable server alone and looks after it until a
+// connection to it comes about.
+func (r *Relayer) rest(s *selector.Server) {
+	s.Rest(r.d.Clock.Now())
+	if !r.resting {
+		r.resting = true
+		r.d.Timer.After(restTick, r.tickResting)
+	}
+}
+
+func (r *Relayer) tickResting() {
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	now := r.d.Clock.Now()
+	again := false
+	for _, s := range r.servers {
+		if !s.Unreached() {
+			continue
+		}
+		if s.pool.Conns() > 0 {
+			s.Reached()
+			klog.InfoS("backend server reached again", "step", "connect", "server", s.Enrollment.Server, "service", s.Service.Service)
+			continue
+		}
+		again = true
+		if !s.Resting(now) {
+			s.Rest(now)
+			s.pool.Warm(1)
+		}
+	}
+	r.resting = again
+	if again {
+		r.d.Timer.After(restTick, r.tickResting)
+	}
+}
--- /dev/null
+++ b/transporter/names.go
@@ -0,0 +1,24 @@
+package transporter
+
+// Names are the HTTP headers spoken with backend servers. The zero value of a
+// name switches off what it serves.
+type Names struct {
+	// RequestID carries the caller's id of a request; answers repeat it.
+	RequestID string
+	// Deadline carries the milliseconds that are left.
+	Deadline string
+	// ExpectServer names the process that a request is meant for. Any other
+	// process answers 421.
+	ExpectServer string
+	// Stamp is the server's signature of its answer.
+	Stamp string
+	// NotRun marks an answer to a request that did not and will not run.
+	NotRun string
+	// Load states running requests, waiting requests and slots.
+	Load string
+	// Server names the process that answers a health check.
+	Server string
+	// ColdLeft states in a health answer how many milliseconds the server stays
+	// cold.
+	ColdLeft string
+}
