--- a/cmd/zinniatide/commands/commands.go
+++ b/cmd/zinniatide/commands/commands.go
@@ -31,7 +31,7 @@
 			"--http-address is ZINNIATIDE_HTTP_ADDRESS. Exit code 1 is a failure, 2 a wrong setting.",
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	root.AddCommand(newRun().command, newInit().command)
+	root.AddCommand(newRun().command, newInit().command, newPlatform().command)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return settingsError{err} })
 	root.SetArgs(args)
 	err := root.Execute()
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,387 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/acceptor"
+	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/common/timer"
+	"zinniatide.example/zinniatide/controller"
+	"zinniatide.example/zinniatide/enroller"
+	"zinniatide.example/zinniatide/journal"
+	"zinniatide.example/zinniatide/linker"
+	"zinniatide.example/zinniatide/logkeeper"
+	"zinniatide.example/zinniatide/rationer"
+	"zinniatide.example/zinniatide/registrar"
+	"zinniatide.example/zinniatide/relayer"
+	"zinniatide.example/zinniatide/steerer"
+	"zinniatide.example/zinniatide/subscriber"
+	"zinniatide.example/zinniatide/transporter"
+)
+
+// RelayConfig describes one process that relays HTTP requests by the routing
+// table, or keeps the control state of such processes.
+type RelayConfig struct {
+	// VM is the peer address of the process, which names it.
+	VM   zinniatide.VMID
+	Zone zinniatide.ZoneID
+	// CallerAddress serves callers; empty on a process that does not relay.
+	CallerAddress string
+	// DataFolder holds the replicated log; empty on a process without it.
+	DataFolder string
+	// FirstStart is set when the whole system starts for the first time, with
+	// empty data folders. The first of Seeds then initialises the log.
+	FirstStart bool
+	// Seeds are control VMs known from the settings, in order of their ids.
+	Seeds []zinniatide.ControlVM
+	// Voters is the wanted number of control VMs.
+	Voters int
+	// Budget bounds repeated sends to one service over all VMs.
+	Budget rationer.Config
+	// StopLimit is how long a planned stop may take.
+	StopLimit zinniatide.Millis
+	// Names of the headers spoken with callers and backend servers.
+	CallerNames  acceptor.Names
+	RelayNames   relayer.Names
+	BackendNames transporter.Names
+}
+
+// Endpoint is an HTTP address that the process serves besides callers.
+type Endpoint struct {
+	Address string
+	Handler fasthttp.RequestHandler
+}
+
+// Relay is one process of a relaying deployment.
+type Relay struct {
+	cfg   RelayConfig
+	clock zinniatide.Clock
+
+	linker      *linker.Linker
+	keeper      *logkeeper.Keeper
+	controller  *controller.Controller
+	subscriber  *subscriber.Subscriber
+	enroller    *enroller.Enroller
+	steerer     *steerer.Steerer
+	relayer     *relayer.Relayer
+	transporter *transporter.Transporter
+	acceptor    *acceptor.Acceptor
+	servers     []*fasthttp.Server
+
+	changed chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	mu      sync.Mutex
+	leaving bool
+}
+
+// Policy of relaying.
+const (
+	// remoteCost is about the way to another zone and back, and what the bytes
+	// between zones cost.
+	remoteCost = 6.0
+	// replyMargin covers the way between caller and VM, a new connection
+	// included.
+	replyMargin zinniatide.Millis = 12
+	// diskRetry spaces attempts to write after a failure.
+	diskRetry zinniatide.Millis = 200
+)
+
+// NewRelay assembles a process that does nothing until Start.
+func NewRelay(cfg RelayConfig, clock zinniatide.Clock, registerer prometheus.Registerer) (*Relay, error) {
+	r := &Relay{cfg: cfg, clock: clock, changed: make(chan struct{}, 1)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	incarnation := zinniatide.Incarnation(clock.Unix())
+	var err error
+	r.linker, err = linker.New(linker.Config{
+		Self: cfg.VM, Incarnation: incarnation, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM),
+	}, clock, registerer)
+	if err != nil {
+		return nil, err
+	}
+	control := cfg.DataFolder != ""
+	r.subscriber = subscriber.New(subscriber.Config{
+		Member: zinniatide.Member{
+			VM: cfg.VM, Incarnation: incarnation, Zone: cfg.Zone, HTTPAddress: cfg.CallerAddress,
+			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
+		},
+		Control: control, ControlVMs: cfg.Seeds,
+		// Relays talk with control VMs only, so links grow with the VMs and not
+		// with their square.
+		Peering: func(m *zinniatide.Member) bool { return control || m.Control },
+	}, r.linker, clock, newRandom(), registerer)
+	if control {
+		if err := r.assembleControl(registerer); err != nil {
+			return nil, err
+		}
+	}
+	r.enroller = enroller.New(enroller.Dependencies{
+		VM: cfg.VM, Control: control, Clock: clock, Linker: r.linker, Configurations: r.subscriber,
+		Registerer: registerer, Changed: r.change,
+	})
+	r.subscriber.OnConfiguration(func(c *zinniatide.Configuration) {
+		r.change()
+		if r.keeper != nil {
+			r.keeper.Post(func() { r.keeper.SetContacts(contacts(c, cfg.Seeds)) })
+		}
+	})
+	r.steerer = steerer.New(cfg.VM, r.subscriber, r.enroller.Table)
+	if cfg.CallerAddress != "" {
+		r.assembleRelayer(registerer)
+	}
+	return r, nil
+}
+
+// contacts are the control VMs to which one that knows no leader turns.
+func contacts(c *zinniatide.Configuration, seeds []zinniatide.ControlVM) []zinniatide.VMID {
+	var out []zinniatide.VMID
+	for _, list := range [][]zinniatide.ControlVM{c.ControlVMs, seeds} {
+		for _, vm := range list {
+			out = append(out, vm.VM)
+		}
+	}
+	return out
+}
+
+func (r *Relay) assembleControl(registerer prometheus.Registerer) error {
+	cfg := &r.cfg
+	if err := r.initialise(); err != nil {
+		return err
+	}
+	tickets, err := checker.New()
+	if err != nil {
+		return err
+	}
+	machine := registrar.New()
+	seeds := contacts(registrar.NewConfiguration(), cfg.Seeds)
+	r.keeper, err = logkeeper.New(logkeeper.Config{
+		VM: cfg.VM, Folder: cfg.DataFolder, ControlVMs: seeds, Linker: r.linker, Clock: r.clock,
+		Machine: machine, Rand: newRandom(), DiskRetry: diskRetry, Registerer: registerer,
+	})
+	if err != nil {
+		return zinniatide.WrapStep(err, "open data folder", cfg.DataFolder)
+	}
+	r.controller = controller.New(controller.Config{
+		VM: cfg.VM, ControlVMs: cfg.Seeds, Voters: cfg.Voters, KnownLeader: r.subscriber.KnownLeader,
+	}, r.keeper, r.linker, r.clock, machine, tickets, registerer)
+	return nil
+}
+
+// initialise begins the replicated log on the first seed of a system that
+// starts for the first time. The others join it as empty voters to be.
+func (r *Relay) initialise() error {
+	cfg := &r.cfg
+	if !cfg.FirstStart || len(cfg.Seeds) == 0 || cfg.Seeds[0].VM != cfg.VM {
+		return nil
+	}
+	entries, err := os.ReadDir(cfg.DataFolder)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return zinniatide.WrapStep(err, "read data folder", cfg.DataFolder)
+	}
+	if len(entries) > 0 {
+		return nil
+	}
+	if err := logkeeper.Init(journal.Disk{}, cfg.DataFolder, cfg.VM, cfg.Seeds); err != nil {
+		return zinniatide.WrapStep(err, "initialise data folder", cfg.DataFolder)
+	}
+	klog.InfoS("replicated log initialised", "step", "initialise", "control-vms", cfg.Seeds)
+	return nil
+}
+
+func (r *Relay) assembleRelayer(registerer prometheus.Registerer) {
+	lock, timers := &sync.Mutex{}, timer.New()
+	dialled := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_backend_connections_total", Help: "Connections set up to backend servers.",
+	})
+	registerer.MustRegister(dialled)
+	r.transporter = transporter.New(transporter.Dependencies{
+		Lock: lock, Clock: r.clock, Timer: timers, Names: r.cfg.BackendNames, Dialled: dialled.Inc,
+	})
+	r.relayer = relayer.New(relayer.Config{
+		Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: remoteCost, ReplyMargin: replyMargin,
+	}, relayer.Dependencies{
+		Lock: lock, Clock: r.clock, Timer: timers, Random: newRandom(), Names: r.cfg.RelayNames, Registerer: registerer,
+		NewPool: func(server zinniatide.BackendServerID, address string, limit int) relayer.Pool {
+			return r.transporter.Pool(server, address, limit)
+		},
+	})
+	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
+}
+
+// change has the newest configuration and enrollments put in force.
+func (r *Relay) change() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Start begins to serve. On an error the process must exit.
+func (r *Relay) Start(endpoints []Endpoint) error {
+	if err := r.linker.Start(); err != nil {
+		return err
+	}
+	if r.keeper != nil {
+		r.keeper.Start()
+	}
+	r.enroller.Start()
+	r.goRun(func() { r.subscriber.Run(r.ctx) })
+	if r.acceptor != nil {
+		r.goRun(r.follow)
+		listener, err := net.Listen("tcp", r.cfg.CallerAddress)
+		if err != nil {
+			return zinniatide.WrapStep(err, "listen", r.cfg.CallerAddress)
+		}
+		go r.acceptor.Serve(listener)
+	}
+	for _, e := range endpoints {
+		if err := r.host(e); err != nil {
+			return err
+		}
+	}
+	klog.InfoS("serving", "step", "start", "caller-address", r.cfg.CallerAddress, "control", r.keeper != nil,
+		"first-start", r.cfg.FirstStart, "seeds", r.cfg.Seeds, "voters", r.cfg.Voters)
+	return nil
+}
+
+// Bounds of the HTTP servers for operators and backend servers.
+const (
+	maxDocument = 4 << 20
+	idleTimeout = 30 * time.Second
+	readTimeout = 10 * time.Second
+)
+
+func (r *Relay) host(e Endpoint) error {
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return zinniatide.WrapStep(err, "listen", e.Address)
+	}
+	server := &fasthttp.Server{
+		Handler: e.Handler, MaxRequestBodySize: maxDocument, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
+	}
+	r.servers = append(r.servers, server)
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			klog.ErrorS(err, "HTTP server ended", "step", "serve", "peer", e.Address)
+		}
+	}()
+	return nil
+}
+
+// follow keeps the relayer on the newest configuration and enrollments.
+func (r *Relay) follow() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.changed:
+			r.relayer.Update(r.subscriber.Configuration(), r.enroller.Table())
+		}
+	}
+}
+
+func (r *Relay) goRun(f func()) {
+	r.running.Add(1)
+	go func() {
+		defer r.running.Done()
+		f()
+	}()
+}
+
+// Operator returns the operators' interface, nil without a data folder.
+func (r *Relay) Operator() zinniatide.RoutingOperator {
+	if r.controller == nil {
+		return nil
+	}
+	return r.controller
+}
+
+// Enroller takes the heartbeats of backend servers.
+func (r *Relay) Enroller() zinniatide.Enroller { return r.enroller }
+
+// Addresses returns the relay VMs for callers in zone.
+func (r *Relay) Addresses(zone zinniatide.ZoneID) []string { return r.steerer.Addresses(zone) }
+
+// Ready reports whether callers should be sent here.
+func (r *Relay) Ready() bool {
+	r.mu.Lock()
+	leaving := r.leaving
+	r.mu.Unlock()
+	return !leaving && r.relayer != nil && r.relayer.Ready()
+}
+
+// SetSeeds replaces the control VMs known from the settings.
+func (r *Relay) SetSeeds(seeds []zinniatide.ControlVM) {
+	klog.InfoS("settings changed", "step", "reload", "seeds", seeds)
+	if r.keeper != nil {
+		r.keeper.Post(func() { r.keeper.SetContacts(contacts(r.subscriber.Configuration(), seeds)) })
+	}
+}
+
+// Stages of a planned stop of a relay VM, counted from its begin.
+const (
+	// moveAway is how long callers may go on with addresses that they were given
+	// before: three lifetimes of an address answer.
+	moveAway = 3 * RelayAddressLifetime
+	// cutMargin is left at the end of a stop for closing.
+	cutMargin zinniatide.Millis = 400
+)
+
+// RelayAddressLifetime is how long callers may use an address answer.
+const RelayAddressLifetime zinniatide.Millis = 1000
+
+// Stop ends the process by plan: callers are sent elsewhere, open requests are
+// finished, and leadership is handed over.
+func (r *Relay) Stop() {
+	r.mu.Lock()
+	r.leaving = true
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), (r.cfg.StopLimit - cutMargin).Duration())
+	defer cancel()
+	r.subscriber.Leave()
+	if r.keeper != nil {
+		r.keeper.Post(r.keeper.TransferLeadership)
+	}
+	cut := 0
+	if r.acceptor != nil {
+		r.acceptor.Leave()
+		sleep(ctx, moveAway)
+		r.acceptor.Refuse()
+		cut = r.acceptor.Close(ctx)
+	} else {
+		sleep(ctx, handOver)
+	}
+	done := make(chan error, 1)
+	r.subscriber.Goodbye(func(err error) { done <- err })
+	select {
+	case <-done: // without an answer the leader removes this VM by its lease
+	case <-time.After(goodbyeTimeout):
+	}
+	klog.InfoS("stopped", "step", "stop", "requests-cut", cut)
+}
+
+const (
+	// handOver is the time for a transfer of leadership.
+	handOver zinniatide.Millis = 600
+	// goodbyeTimeout bounds the wait for the leader's answer.
+	goodbyeTimeout = 300 * time.Millisecond
+)
+
+func sleep(ctx context.Context, d zinniatide.Millis) {
+	select {
+	case <-time.After(d.Duration()):
+	case <-ctx.Done():
+	}
+}
