Prefer servers of the own zone more strongly

Trial log: 35% of first sends and nearly all repeats go to other zones; the two servers of a shard stand in two of three zones, so a third of the shards have none in the zone of a VM.

Ruled out: load as the reason to leave the zone (servers are a fifth busy).

--- a/node/relay.go
+++ b/node/relay.go
@@ -90,7 +90,7 @@
 const (
 	// remoteCost is about the way to another zone and back, and what the bytes
 	// between zones cost.
-	remoteCost = 6.0
+	remoteCost = 25.0
 	// replyMargin covers the way between caller and VM, a new connection
 	// included.
 	replyMargin zinniatide.Millis = 12
