Gather the shards of other zones through a VM there

Cause: shards without a server in a VM's own zone cost about 700 bytes a part between zones.

Change: a relay VM of a zone that has servers gathers these parts and returns their greatest records and their stamps in one message. It answers before the cutoff with what it has; one that does not is left alone for a second and its parts are asked for directly, but only when all of them may be, as records must not count twice.

--- a/interfaces.go
+++ b/interfaces.go
@@ -34,6 +34,8 @@
 	KindEnroll           MessageKind = 70 // control VM to all: []Enrollment
 	KindEnrollDigest     MessageKind = 71 // control VM to all: state of its enrollments
 	KindEnrollPull       MessageKind = 72 // ask a control VM for its enrollments
+	KindGather           MessageKind = 80 // relay VM to one of another zone: parts of a query
+	KindGatherCancel     MessageKind = 81
 	KindClaimQuery       MessageKind = 60 // to the VM that holds a claim
 )
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -117,9 +117,7 @@
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
 		Control: control, ControlVMs: cfg.Seeds,
-		// Relays talk with control VMs only, so links grow with the VMs and not
-		// with their square.
-		Peering: func(m *zinniatide.Member) bool { return control || m.Control },
+		Peering: r.peering,
 	}, r.linker, clock, newRandom(), registerer)
 	if control {
 		if err := r.assembleControl(registerer); err != nil {
@@ -143,6 +141,12 @@
 	return r, nil
 }
 
+// peering reports whether this VM keeps a link to a member: control VMs to all,
+// relays to control VMs and to relays of other zones.
+func (r *Relay) peering(m *zinniatide.Member) bool {
+	return r.cfg.DataFolder != "" || m.Control || m.Zone != r.cfg.Zone
+}
+
 // contacts are the control VMs to which one that knows no leader turns.
 func contacts(c *zinniatide.Configuration, seeds []zinniatide.ControlVM) []zinniatide.VMID {
 	var out []zinniatide.VMID
@@ -211,11 +215,13 @@
 	r.relayer = relayer.New(relayer.Config{
 		Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: remoteCost, ReplyMargin: replyMargin,
 	}, relayer.Dependencies{
-		Lock: lock, Clock: r.clock, Timer: timers, Random: newRandom(), Names: r.cfg.RelayNames, Registerer: registerer,
+		Lock: lock, Clock: r.clock, Timer: timers, Random: newRandom(), Names: r.cfg.RelayNames, Links: r.linker, Registerer: registerer,
 		NewPool: func(server zinniatide.BackendServerID, address string, limit int) relayer.Pool {
 			return r.transporter.Pool(server, address, limit)
 		},
 	})
+	r.linker.Handle(zinniatide.KindGather, r.relayer.HandleGather)
+	r.linker.Handle(zinniatide.KindGatherCancel, r.relayer.HandleGatherCancel)
 	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
 }
 
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -74,10 +74,15 @@
 	r.tokens = min(r.tokens+r.config.Ratio*ratioShare, r.limit())
 }
 
+// Has reports whether one more send is allowed.
+func (r *Rationer) Has(now zinniatide.Millis) bool {
+	r.refill(now)
+	return r.tokens >= 1
+}
+
 // Take reports whether one more send is allowed and counts it.
 func (r *Rationer) Take(now zinniatide.Millis) bool {
-	r.refill(now)
-	if r.tokens < 1 {
+	if !r.Has(now) {
 		return false
 	}
 	r.tokens--
--- /dev/null
+++ b/relayer/delegation.go
@@ -0,0 +1,336 @@
+package relayer
+
+import (
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
+	"zinniatide.example/zinniatide/router"
+	"zinniatide.example/zinniatide/selector"
+)
+
+// A relay VM sends parts to servers of its own zone. Shards without a server
+// there are gathered by a helper, a relay VM of a zone that has one: the request
+// crosses zones once instead of once for each shard, and so do the greatest
+// records of all of them.
+
+const (
+	// leastDelegated is the number of parts from which on a helper saves bytes.
+	leastDelegated = 2
+	// helperWay is about the way to a helper and back. It answers so much sooner.
+	helperWay zinniatide.Millis = 6
+	// helperRest keeps requests from a helper that did not answer in time.
+	helperRest zinniatide.Millis = 1000
+	// callTimeout bounds the wait for a helper's answer that comes too late to
+	// be used, but tells that the helper lives.
+	callTimeout zinniatide.Millis = 1500
+)
+
+// helper is a relay VM of another zone.
+type helper struct {
+	vm        zinniatide.VMID
+	restUntil zinniatide.Millis
+}
+
+// delegationID names a gathering that runs for another VM.
+type delegationID struct {
+	from zinniatide.VMID
+	call uint64
+}
+
+// delegation asks a helper for parts.
+type delegation struct {
+	Call       uint64                 `cbor:"1,keyasint"`
+	RequestID  string                 `cbor:"2,keyasint"`
+	Head       []byte                 `cbor:"3,keyasint"`
+	Body       []byte                 `cbor:"4,keyasint,omitempty"`
+	Route      zinniatide.RouteID     `cbor:"5,keyasint"`
+	Shards     []zinniatide.ServiceID `cbor:"6,keyasint"`
+	TopRecords int                    `cbor:"7,keyasint"`
+	Attempts   int                    `cbor:"8,keyasint"`
+	Target     zinniatide.Millis      `cbor:"9,keyasint"`
+	// Cutoff and Left are the times, from the receipt, to answer with what has
+	// arrived and to the caller's deadline.
+	Cutoff zinniatide.Millis `cbor:"10,keyasint"`
+	Left   zinniatide.Millis `cbor:"11,keyasint"`
+}
+
+// delegated answers a delegation.
+type delegated struct {
+	// Parts are positions in delegation.Shards, Stamps the stamps of their
+	// answers.
+	Parts   []int    `cbor:"1,keyasint"`
+	Stamps  []string `cbor:"2,keyasint"`
+	Records []byte   `cbor:"3,keyasint"`
+	// Ran is set when any server may have begun to run the request.
+	Ran bool `cbor:"4,keyasint,omitempty"`
+}
+
+// delegationCancel ends a delegation whose caller has left.
+type delegationCancel struct {
+	Call uint64 `cbor:"1,keyasint"`
+}
+
+// group is the parts that one helper gathers.
+type group struct {
+	helper *helper
+	call   uint64
+	parts  []*part
+	open   bool
+}
+
+// updateHelpers follows the members.
+func (r *Relayer) updateHelpers(c *zinniatide.Configuration) {
+	known := map[zinniatide.VMID]*helper{}
+	for _, list := range r.helpers {
+		for _, h := range list {
+			known[h.vm] = h
+		}
+	}
+	r.helpers = map[zinniatide.ZoneID][]*helper{}
+	for vm, m := range c.Members {
+		if !m.Relay || m.State != zinniatide.StateIn || m.Zone == r.config.Zone {
+			continue
+		}
+		h := known[vm]
+		if h == nil {
+			h = &helper{vm: vm}
+		}
+		r.helpers[m.Zone] = append(r.helpers[m.Zone], h)
+	}
+}
+
+// helperIn returns a helper of zone that can be reached, or nil.
+func (r *Relayer) helperIn(zone zinniatide.ZoneID, now zinniatide.Millis) *helper {
+	list := r.helpers[zone]
+	if len(list) == 0 {
+		return nil
+	}
+	first := r.d.Random.IntN(len(list))
+	for i := range list {
+		h := list[(first+i)%len(list)]
+		if now >= h.restUntil && r.d.Links.Connected(h.vm) {
+			return h
+		}
+	}
+	return nil
+}
+
+// delegate hands the shards without a server in this zone to helpers.
+func (g *gathering) delegate(o *selector.Options) {
+	if g.r.d.Links == nil || len(g.r.helpers) == 0 {
+		return
+	}
+	byZone := map[zinniatide.ZoneID][]int{}
+	for i := range g.parts {
+		p := &g.parts[i]
+		if p.failed {
+			continue
+		}
+		zones := p.service.Zones(o)
+		if slices.Contains(zones, o.Zone) {
+			continue
+		}
+		for _, zone := range zones {
+			byZone[zone] = append(byZone[zone], i)
+		}
+	}
+	for len(byZone) > 0 {
+		zone, list := g.largest(byZone)
+		delete(byZone, zone)
+		list = slices.DeleteFunc(list, func(i int) bool { return g.parts[i].group != nil })
+		if len(list) < leastDelegated {
+			continue
+		}
+		if h := g.r.helperIn(zone, o.Now); h != nil {
+			g.hand(h, list, o.Now)
+		}
+	}
+}
+
+// largest returns the zone with most parts. Equal zones are drawn, so that
+// their servers share the load.
+func (g *gathering) largest(byZone map[zinniatide.ZoneID][]int) (zinniatide.ZoneID, []int) {
+	var best zinniatide.ZoneID
+	n := -1
+	ties := 0
+	for zone, list := range byZone {
+		switch {
+		case len(list) > n:
+			best, n, ties = zone, len(list), 1
+		case len(list) == n:
+			ties++
+			if g.r.d.Random.IntN(ties) == 0 {
+				best = zone
+			}
+		}
+	}
+	return best, byZone[best]
+}
+
+// hand sends parts to a helper.
+func (g *gathering) hand(h *helper, list []int, now zinniatide.Millis) {
+	r := g.r
+	r.lastCall++
+	gr := &group{helper: h, call: r.lastCall, open: true}
+	d := &delegation{
+		Call: gr.call, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
+		Attempts: g.route.MaxAttempts, Target: g.route.TargetLatency, Cutoff: max(g.cutoff-now-helperWay, 1), Left: g.end - now,
+	}
+	for _, i := range list {
+		p := &g.parts[i]
+		p.group = gr
+		gr.parts = append(gr.parts, p)
+		d.Shards = append(d.Shards, g.route.Shards[i])
+	}
+	g.groups = append(g.groups, gr)
+	r.metrics.delegations.Inc()
+	// A helper answers before the cutoff with what it has, so one that has not
+	// is lost.
+	g.after(g.cutoff-now, func() { g.fallBack(gr) })
+	r.d.Links.Call(h.vm, zinniatide.KindGather, d, min(callTimeout, max(g.end-now, 1)), func(body []byte, err error) {
+		var answer delegated
+		if err == nil {
+			err = encoder.Unmarshal(body, &answer)
+		}
+		// An error may come within the call, under the lock.
+		go func() {
+			r.d.Lock.Lock()
+			defer r.d.Lock.Unlock()
+			g.handed(gr, &answer, err)
+		}()
+	})
+}
+
+// handed takes a helper's answer.
+func (g *gathering) handed(gr *group, answer *delegated, err error) {
+	if g.ended || !gr.open {
+		return
+	}
+	gr.open = false
+	if err != nil {
+		klog.InfoS("helper failed; parts are asked for directly", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm,
+			"parts", len(gr.parts), "err", err.Error())
+		gr.helper.restUntil = g.r.d.Clock.Now() + helperRest
+		g.ran = true
+		g.release(gr)
+		return
+	}
+	g.ran = g.ran || answer.Ran
+	for n, i := range answer.Parts {
+		if i < 0 || i >= len(gr.parts) || n >= len(answer.Stamps) || gr.parts[i].done {
+			continue
+		}
+		p := gr.parts[i]
+		p.done, p.stamp, p.group = true, answer.Stamps[n], nil
+		g.got++
+		g.pending--
+	}
+	g.ranker.Add(answer.Records)
+	g.release(gr)
+	g.check("parts failed")
+}
+
+// fallBack stops waiting for a helper. Its answer is not used any more, because
+// records of parts that are asked for directly would count twice. Where not all
+// of them may be asked for again, the helper's late answer is worth more.
+func (g *gathering) fallBack(gr *group) {
+	if !gr.open {
+		return
+	}
+	now := g.r.d.Clock.Now()
+	gr.helper.restUntil = now + helperRest
+	for _, p := range gr.parts {
+		if !p.service.Budget.Has(now) {
+			return
+		}
+	}
+	gr.open = false
+	g.ran = true
+	klog.InfoS("helper is late; parts are asked for directly", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm,
+		"parts", len(gr.parts), "after-ms", g.r.d.Clock.Now()-g.req.Arrived)
+	g.release(gr)
+}
+
+// release asks for the parts directly that a helper has not brought.
+func (g *gathering) release(gr *group) {
+	for _, p := range gr.parts {
+		if p.done || p.group != gr {
+			continue
+		}
+		p.group = nil
+		if g.ended || g.again(p) {
+			continue
+		}
+		g.giveUp(p, "helper brought no answer")
+	}
+}
+
+// cancelGroups tells helpers that the caller has left. The lock is held.
+func (g *gathering) cancelGroups() {
+	if g.ended {
+		return
+	}
+	for _, gr := range g.groups {
+		if gr.open {
+			_ = g.r.d.Links.Send(gr.helper.vm, zinniatide.KindGatherCancel, &delegationCancel{Call: gr.call}) // servers stop at the deadline
+		}
+	}
+}
+
+// HandleGather serves a delegation. It is a zinniatide.LinkHandler.
+func (r *Relayer) HandleGather(from zinniatide.VMID, body []byte, reply func(any, error)) {
+	var d delegation
+	if err := encoder.Unmarshal(body, &d); err != nil || reply == nil {
+		klog.ErrorS(err, "delegation dropped", "step", "decode delegation", "peer", from)
+		if reply != nil {
+			reply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode delegation: %v", err))
+		}
+		return
+	}
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	now := r.d.Clock.Now()
+	id := delegationID{from, d.Call}
+	route := &router.Route{Route: zinniatide.Route{
+		ID: d.Route, Idempotent: true, Shards: d.Shards, TopRecords: d.TopRecords, MaxAttempts: d.Attempts, TargetLatency: d.Target,
+	}}
+	g := &gathering{task: task{
+		r: r, req: &Request{ID: d.RequestID, Head: d.Head, Body: d.Body, Arrived: now}, route: route,
+		respond: func(Reply) {}, begun: now, end: now + d.Left,
+	}, cutoff: now + d.Cutoff}
+	g.deliver = func() {
+		answer := &delegated{Ran: g.ran || len(g.open) > 0}
+		for i := range g.parts {
+			if g.parts[i].done {
+				answer.Parts = append(answer.Parts, i)
+				answer.Stamps = append(answer.Stamps, g.parts[i].stamp)
+			}
+		}
+		answer.Records = g.ranker.Append(nil)
+		delete(r.delegated, id)
+		g.finish(Reply{})
+		reply(answer, nil)
+	}
+	r.delegated[id] = g
+	r.metrics.helped.Inc()
+	g.begin()
+}
+
+// HandleGatherCancel ends a delegation. It is a zinniatide.LinkHandler.
+func (r *Relayer) HandleGatherCancel(from zinniatide.VMID, body []byte, _ func(any, error)) {
+	var c delegationCancel
+	if err := encoder.Unmarshal(body, &c); err != nil {
+		klog.ErrorS(err, "cancel of a delegation dropped", "step", "decode cancel", "peer", from)
+		return
+	}
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	id := delegationID{from, c.Call}
+	if g := r.delegated[id]; g != nil {
+		delete(r.delegated, id)
+		g.cancelLocked()
+	}
+}
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -26,9 +26,11 @@
 	got     int // parts that arrived
 	pending int // parts that may still arrive
 	ranker  *ranker.Ranker
-	stamps  []string
 	// cutoff is when an answer with enough parts goes out without the others.
 	cutoff zinniatide.Millis
+	groups []*group
+	// deliver ends a gathering that runs for another VM; nil for a caller's.
+	deliver func()
 }
 
 // part is the share of one shard in the answer.
@@ -40,6 +42,8 @@
 	sheds   int
 	done    bool
 	failed  bool
+	stamp   string
+	group   *group // set while another VM gathers the part
 }
 
 func (g *gathering) begin() {
@@ -54,7 +58,7 @@
 			available++
 		}
 	}
-	if available < g.route.LeastShards {
+	if available < g.route.LeastShards && g.deliver == nil {
 		g.r.refuse(g.req, g.route, g.respond, statusUnavailable,
 			"too few shards can be reached", lostRetryAfter)
 		g.ended = true
@@ -62,12 +66,15 @@
 	}
 	g.pending = available
 	g.ranker = ranker.New(g.route.TopRecords)
-	g.cutoff = min(g.req.Arrived+max(g.route.TargetLatency-g.r.config.ReplyMargin, g.route.TargetLatency/2), g.end-endMargin)
+	if g.deliver == nil {
+		g.cutoff = min(g.req.Arrived+max(g.route.TargetLatency-g.r.config.ReplyMargin, g.route.TargetLatency/2), g.end-endMargin)
+		g.delegate(o)
+	}
 	g.after(g.cutoff-o.Now, g.atCutoff)
 	g.after(g.end-endMargin-o.Now, g.timeout)
 	for i := range g.parts {
 		p := &g.parts[i]
-		if p.failed || g.ended {
+		if p.failed || p.group != nil || g.ended {
 			continue
 		}
 		p.service.Budget.Request(o.Now)
@@ -75,6 +82,7 @@
 	}
 	if !g.ended {
 		g.after(g.hedgeDelay(), g.hedge)
+		g.check("")
 	}
 }
 
@@ -100,7 +108,7 @@
 	sent, denied := 0, 0
 	for i := range g.parts {
 		p := &g.parts[i]
-		if g.ended || p.done || p.failed || p.running != 1 {
+		if g.ended || p.done || p.failed || p.running != 1 || p.group != nil {
 			continue
 		}
 		if g.again(p) {
@@ -148,10 +156,15 @@
 	if p.sheds < maxSheds && g.again(p) {
 		return
 	}
-	if p.running == 0 && !p.failed {
+	g.giveUp(p, a.Result.String())
+}
+
+// giveUp notes that a part will not arrive, unless an exchange for it is open.
+func (g *gathering) giveUp(p *part, reason string) {
+	if p.running == 0 && p.group == nil && !p.failed && !p.done {
 		p.failed = true
 		g.pending--
-		g.check("parts failed: " + a.Result.String())
+		g.check("parts failed: " + reason)
 	}
 }
 
@@ -160,7 +173,7 @@
 	g.pending--
 	g.got++
 	g.ranker.Add(a.Body)
-	g.stamps = append(g.stamps, a.Stamp)
+	p.stamp = a.Stamp
 	g.r.spreadOf(g.route.ID).Add(float64(g.r.d.Clock.Now() - y.start))
 	g.check("")
 }
@@ -178,18 +191,41 @@
 
 func (g *gathering) atCutoff() { g.check("") }
 
+// cancel ends the gathering because its caller has left.
+func (g *gathering) cancel() {
+	g.r.d.Lock.Lock()
+	defer g.r.d.Lock.Unlock()
+	g.cancelGroups()
+	g.cancelLocked()
+}
+
 // timeout ends the gathering at its deadline.
 func (g *gathering) timeout() {
 	if g.got >= g.route.LeastShards {
 		g.reply()
 		return
 	}
-	g.ran = g.ran || len(g.open) > 0
+	g.ran = g.ran || len(g.open) > 0 || len(g.groups) > 0
 	g.fail("timeout", 0)
 }
 
+// stamps lists the stamps of the parts that have arrived.
+func (g *gathering) stamps() []string {
+	out := make([]string, 0, g.got)
+	for i := range g.parts {
+		if g.parts[i].done {
+			out = append(out, g.parts[i].stamp)
+		}
+	}
+	return out
+}
+
 // reply answers with the parts that have arrived.
 func (g *gathering) reply() {
+	if g.deliver != nil {
+		g.deliver()
+		return
+	}
 	missing := len(g.parts) - g.got
 	now := g.r.d.Clock.Now()
 	outcome := "answered"
@@ -202,10 +238,11 @@
 	}
 	g.r.metrics.outcome(g.route, outcome, float64(now-g.req.Arrived))
 	names := &g.r.d.Names
-	header := make([]byte, 0, 64+len(g.stamps)*40)
+	stamps := g.stamps()
+	header := make([]byte, 0, 64+len(stamps)*40)
 	header = append(header, names.PartStamps...)
 	header = append(header, ": "...)
-	header = append(header, strings.Join(g.stamps, ", ")...)
+	header = append(header, strings.Join(stamps, ", ")...)
 	header = append(header, "\r\n"...)
 	header = append(header, names.MissingParts...)
 	header = append(header, ": "...)
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -14,6 +14,8 @@
 	partials  prometheus.Counter
 	missing   prometheus.Counter
 	hedges    prometheus.Counter
+	// delegations counts what was asked of helpers, helped what was done as one.
+	delegations, helped prometheus.Counter
 }
 
 // newMetrics registers the metrics; without a registerer they are only counted.
@@ -39,8 +41,14 @@
 			Name: "zinniatide_relay_hedges_total", Help: "Sends to a second server because the first was late.",
 		}),
 	}
+	m.delegations = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_relay_delegations_total", Help: "Groups of parts that a VM of another zone was asked to gather.",
+	})
+	m.helped = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_relay_helped_total", Help: "Groups of parts gathered for VMs of other zones.",
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partials, m.missing, m.hedges)
+		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partials, m.missing, m.hedges, m.delegations, m.helped)
 	}
 	return m
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -48,11 +48,21 @@
 	Timer  timer.Timer
 	Random *rand.Rand
 	// NewPool opens the connections to a process.
-	NewPool    func(server zinniatide.BackendServerID, address string, limit int) Pool
-	Names      Names
+	NewPool func(server zinniatide.BackendServerID, address string, limit int) Pool
+	Names   Names
+	// Links reach relay VMs of other zones, which gather parts on behalf of this
+	// VM; nil sends every part directly.
+	Links      Links
 	Registerer prometheus.Registerer
 }
 
+// Links are the links to other VMs.
+type Links interface {
+	Connected(peer zinniatide.VMID) bool
+	Send(peer zinniatide.VMID, kind zinniatide.MessageKind, body any) error
+	Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func(body []byte, err error))
+}
+
 // Relayer serves callers. Its state is guarded by Dependencies.Lock.
 type Relayer struct {
 	config   Config
@@ -67,7 +77,12 @@
 	spreads  map[zinniatide.RouteID]*selector.Spread
 	zonesOut map[zinniatide.ZoneID]bool
 	vms      int
-	resting  bool // a tick for resting servers is due
+	// helpers are the relay VMs of other zones.
+	helpers map[zinniatide.ZoneID][]*helper
+	// delegated are the gatherings that run here for other VMs.
+	delegated map[delegationID]*gathering
+	lastCall  uint64
+	resting   bool // a tick for resting servers is due
 }
 
 // processID names one process of a backend server.
@@ -90,6 +105,7 @@
 		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1,
+		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{},
 	}
 	for _, name := range d.Names.Internal {
 		r.internal[name] = true
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -44,6 +44,7 @@
 		}
 	}
 	r.vms = max(r.vms, 1)
+	r.updateHelpers(c)
 	if r.table != nil {
 		r.updateServices()
 		r.updateServers(enrollments)
--- a/selector/service.go
+++ b/selector/service.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/rationer"
@@ -44,6 +45,17 @@
 	return false
 }
 
+// Zones returns the zones in which servers may get requests.
+func (s *Service) Zones(o *Options) []zinniatide.ZoneID {
+	var zones []zinniatide.ZoneID
+	for _, server := range s.Servers {
+		if o.allowed(server) && !server.Unreached() && !slices.Contains(zones, server.Zone) {
+			zones = append(zones, server.Zone)
+		}
+	}
+	return zones
+}
+
 func (o *Options) allowed(s *Server) bool { return s.usable() && !o.Out(s.Zone) }
 
 func (o *Options) tried(s *Server) bool {
