--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -87,6 +87,9 @@
 	}()
 }
 
+// Wake has tables compared soon, as after a change of the members.
+func (e *Enroller) Wake() { e.ticker.Wake() }
+
 // Close stops it.
 func (e *Enroller) Close() {
 	close(e.stop)
--- a/linker/hello.go
+++ b/linker/hello.go
@@ -21,6 +21,11 @@
 	errStale      = errors.New("a later incarnation of the VM is known")
 )
 
+// connectTimeout bounds the set-up of a TCP connection. The first packet to a
+// machine that is still starting is lost and would be sent again only after a
+// second, which is longer than a new dial takes.
+const connectTimeout = 300 * time.Millisecond
+
 // maxHello bounds the hello message, which arrives before the peer is known.
 const maxHello = 4 << 10
 
@@ -94,7 +99,8 @@
 func (l *Linker) connect(peer zinniatide.VMID, address string) error {
 	ctx, cancel := context.WithTimeout(l.ctx, zinniatide.LinkSilenceTimeout.Duration())
 	defer cancel()
-	conn, buffered, _, err := ws.Dialer{}.Dial(ctx, "ws://"+l.config.Route(peer, address)+"/link")
+	dialer := ws.Dialer{NetDial: (&net.Dialer{Timeout: connectTimeout}).DialContext}
+	conn, buffered, _, err := dialer.Dial(ctx, "ws://"+l.config.Route(peer, address)+"/link")
 	if err != nil {
 		return err
 	}
--- a/logkeeper/keeper.go
+++ b/logkeeper/keeper.go
@@ -41,8 +41,10 @@
 	SnapshotEvery uint64
 	// DiskRetry is the pause before a failed write is tried again, as a whole
 	// new file. With 0 a failed write stops the log until restart.
-	DiskRetry  zinniatide.Millis
-	Registerer prometheus.Registerer
+	DiskRetry zinniatide.Millis
+	// ElectionTimeout and HeartbeatInterval default to those of the replicator.
+	ElectionTimeout, HeartbeatInterval zinniatide.Millis
+	Registerer                         prometheus.Registerer
 }
 
 // Keeper runs the replicated log of one control VM.
@@ -160,6 +162,7 @@
 	var err error
 	k.machine, err = replicator.New(replicator.Config{
 		Self: k.self, State: c.State, Peers: k.cfg.ControlVMs, Now: k.cfg.Clock.Now(), Rand: k.cfg.Rand,
+		ElectionTimeout: k.cfg.ElectionTimeout, HeartbeatInterval: k.cfg.HeartbeatInterval,
 	})
 	return err
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -94,6 +94,11 @@
 	// replyMargin covers the way between caller and VM, a new connection
 	// included.
 	replyMargin zinniatide.Millis = 12
+	// electionTimeout and logHeartbeat are shorter than the defaults: the control
+	// VMs of one region answer within a few milliseconds, and after a restart of
+	// all processes nothing is served before a leader is elected.
+	electionTimeout zinniatide.Millis = 400
+	logHeartbeat    zinniatide.Millis = 120
 	// diskRetry spaces attempts to write after a failure.
 	diskRetry zinniatide.Millis = 200
 )
@@ -130,6 +135,7 @@
 	})
 	r.subscriber.OnConfiguration(func(c *zinniatide.Configuration) {
 		r.change()
+		r.enroller.Wake()
 		if r.keeper != nil {
 			r.keeper.Post(func() { r.keeper.SetContacts(contacts(c, cfg.Seeds)) })
 		}
@@ -171,7 +177,8 @@
 	seeds := contacts(registrar.NewConfiguration(), cfg.Seeds)
 	r.keeper, err = logkeeper.New(logkeeper.Config{
 		VM: cfg.VM, Folder: cfg.DataFolder, ControlVMs: seeds, Linker: r.linker, Clock: r.clock,
-		Machine: machine, Rand: newRandom(), DiskRetry: diskRetry, Registerer: registerer,
+		Machine: machine, Rand: newRandom(), DiskRetry: diskRetry,
+		ElectionTimeout: electionTimeout, HeartbeatInterval: logHeartbeat, Registerer: registerer,
 	})
 	if err != nil {
 		return zinniatide.WrapStep(err, "open data folder", cfg.DataFolder)
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"slices"
 
 	"k8s.io/klog/v2"
@@ -23,9 +24,8 @@
 	helperWay zinniatide.Millis = 6
 	// helperRest keeps requests from a helper that did not answer in time.
 	helperRest zinniatide.Millis = 1000
-	// callTimeout bounds the wait for a helper's answer that comes too late to
-	// be used, but tells that the helper lives.
-	callTimeout zinniatide.Millis = 1500
+	// helperGrace is how long after the cutoff a helper's answer is waited for.
+	helperGrace zinniatide.Millis = 60
 )
 
 // helper is a relay VM of another zone.
@@ -189,8 +189,8 @@
 	r.metrics.delegations.Inc()
 	// A helper answers before the cutoff with what it has, so one that has not
 	// is lost.
-	g.after(g.cutoff-now, func() { g.fallBack(gr) })
-	r.d.Links.Call(h.vm, zinniatide.KindGather, d, min(callTimeout, max(g.end-now, 1)), func(body []byte, err error) {
+	g.after(g.cutoff-now, func() { g.suspect(gr) })
+	r.d.Links.Call(h.vm, zinniatide.KindGather, d, max(g.end-now, 1), func(body []byte, err error) {
 		var answer delegated
 		if err == nil {
 			err = encoder.Unmarshal(body, &answer)
@@ -214,7 +214,13 @@
 		klog.InfoS("helper failed; parts are asked for directly", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm,
 			"parts", len(gr.parts), "err", err.Error())
 		gr.helper.restUntil = g.r.d.Clock.Now() + helperRest
-		g.ran = true
+		if !errors.Is(err, zinniatide.ErrNotSent) {
+			// The helper may have sent each part once.
+			g.ran = true
+			for _, p := range gr.parts {
+				p.runs++
+			}
+		}
 		g.release(gr)
 		return
 	}
@@ -229,29 +235,44 @@
 		g.pending--
 	}
 	g.ranker.Add(answer.Records)
+	// What a helper has not brought it has asked all allowed servers for.
+	for _, p := range gr.parts {
+		if p.group == gr {
+			p.runs += g.route.MaxAttempts
+		}
+	}
 	g.release(gr)
 	g.check("parts failed")
 }
 
-// fallBack stops waiting for a helper. Its answer is not used any more, because
-// records of parts that are asked for directly would count twice. Where not all
-// of them may be asked for again, the helper's late answer is worth more.
-func (g *gathering) fallBack(gr *group) {
+// suspect leaves a helper alone that has not answered by the cutoff. Its parts
+// are not asked for directly: it may have sent each to as many servers as the
+// route allows.
+func (g *gathering) suspect(gr *group) {
+	if !gr.open {
+		return
+	}
+	gr.helper.restUntil = g.r.d.Clock.Now() + helperRest
+	klog.InfoS("helper is late", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm, "parts", len(gr.parts),
+		"after-ms", g.r.d.Clock.Now()-g.req.Arrived)
+	g.after(helperGrace, func() { g.giveUpGroup(gr) })
+}
+
+// giveUpGroup ends the wait for a helper, so that the caller can try again
+// while it has time.
+func (g *gathering) giveUpGroup(gr *group) {
 	if !gr.open {
 		return
 	}
-	now := g.r.d.Clock.Now()
-	gr.helper.restUntil = now + helperRest
+	gr.open = false
+	g.ran = true
 	for _, p := range gr.parts {
-		if !p.service.Budget.Has(now) {
+		p.group = nil
+		g.giveUp(p, "no answer from a helper")
+		if g.ended {
 			return
 		}
 	}
-	gr.open = false
-	g.ran = true
-	klog.InfoS("helper is late; parts are asked for directly", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm,
-		"parts", len(gr.parts), "after-ms", g.r.d.Clock.Now()-g.req.Arrived)
-	g.release(gr)
 }
 
 // release asks for the parts directly that a helper has not brought.
