--- a/node/relay.go
+++ b/node/relay.go
@@ -349,7 +349,7 @@
 	// before: three lifetimes of an address answer.
 	moveAway = 3 * RelayAddressLifetime
 	// cutMargin is left at the end of a stop for closing.
-	cutMargin zinniatide.Millis = 400
+	cutMargin zinniatide.Millis = 900
 )
 
 // RelayAddressLifetime is how long callers may use an address answer.
