Share the connections of a server among the VMs of its zone

Change: where fewer than two connections fall to each VM, the VMs of the server's zone share three quarters of them; others connect for a repeat only and close after 2 s.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -22,7 +22,9 @@
 // Pool sends exchanges to one process of a backend server.
 type Pool interface {
 	Send(x *transporter.Exchange)
-	SetLimit(limit int)
+	// SetLimit bounds the connections and, unless 0, the time that one is kept
+	// without use.
+	SetLimit(limit int, idle zinniatide.Millis)
 	Warm(n int)
 	Conns() int
 	Close()
@@ -76,7 +78,8 @@
 	// spreads describe the answers to the parts of each gathering route.
 	spreads  map[zinniatide.RouteID]*selector.Spread
 	zonesOut map[zinniatide.ZoneID]bool
-	vms      int
+	vms      int // relay VMs in all
+	zoneVMs  int // relay VMs of this zone
 	// helpers are the relay VMs of other zones.
 	helpers map[zinniatide.ZoneID][]*helper
 	// delegated are the gatherings that run here for other VMs.
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -37,10 +37,13 @@
 			r.zonesOut[zone] = true
 		}
 	}
-	r.vms = 0
+	r.vms, r.zoneVMs = 0, 0
 	for _, m := range c.Members {
 		if m.Relay {
 			r.vms++
+			if m.Zone == r.config.Zone {
+				r.zoneVMs++
+			}
 		}
 	}
 	r.vms = max(r.vms, 1)
@@ -110,20 +113,54 @@
 }
 
 func (r *Relayer) updateServer(id processID, e *zinniatide.Enrollment, service *selector.Service) {
-	limit := max(1, service.MaxConnections/(r.vms+spareVMs))
+	share := r.share(service.MaxConnections, e.Zone == r.config.Zone)
 	s := r.servers[id]
 	if s == nil {
-		s = &server{pool: r.d.NewPool(e.Server, e.Address, limit)}
+		s = &server{pool: r.d.NewPool(e.Server, e.Address, share.limit)}
 		r.servers[id] = s
 	}
 	if s.ColdLeft != e.ColdLeft || s.Sequence == 0 {
 		s.Cold(e.ColdLeft, r.d.Clock.Now())
 	}
 	s.Enrollment, s.Service = *e, service
-	s.pool.SetLimit(limit)
+	s.pool.SetLimit(share.limit, share.idle)
 	if e.State == zinniatide.StateIn {
-		s.pool.Warm(warmConnections)
+		s.pool.Warm(share.warm)
+	}
+}
+
+// share is what one VM may hold of a server's connections.
+type share struct {
+	limit, warm int
+	// idle is how long a connection is kept without use, 0 for as long as the
+	// server allows.
+	idle zinniatide.Millis
+}
+
+const (
+	// fullShare is the number of connections for each VM from which on all VMs
+	// keep connections to a server. With fewer, those of the server's zone do,
+	// and the others connect only to send a repeat.
+	fullShare = 2
+	// zoneShare is the part of a server's connections for the VMs of its zone.
+	zoneShare = 0.75
+	// mostConnections bounds a share. More exchanges than that at once with one
+	// server only lengthen its queue.
+	mostConnections = 8
+	// visitIdle is how long a VM of another zone keeps a connection.
+	visitIdle zinniatide.Millis = 2000
+)
+
+// share divides the connections of a server among the relay VMs.
+func (r *Relayer) share(connections int, ownZone bool) share {
+	if each := connections / (r.vms + spareVMs); each >= fullShare {
+		return share{limit: min(each, mostConnections), warm: warmConnections}
+	}
+	if !ownZone {
+		return share{limit: 1, idle: visitIdle}
 	}
+	each := int(zoneShare*float64(connections)) / (r.zoneVMs + spareVMs)
+	return share{limit: min(max(each, 1), mostConnections), warm: warmConnections}
 }
 
 // rest leaves an unreachable server alone and looks after it until a
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -93,13 +93,15 @@
 	address string
 	server  zinniatide.BackendServerID
 	limit   int
-	idle    []*conn // used last at the end
-	conns   int
-	dialing int
-	waiting []*Exchange
-	// stale is the number of idle connections that were closed because an
-	// exclusive exchange could not use them.
-	closed bool
+	// idleLimit is how long a connection is kept without use, 0 for as long as
+	// the server allows.
+	idleLimit zinniatide.Millis
+	sweeping  bool
+	idle      []*conn // used last at the end
+	conns     int
+	dialing   int
+	waiting   []*Exchange
+	closed    bool
 }
 
 // Pool returns an empty pool of at most limit connections to a process.
@@ -107,9 +109,10 @@
 	return &Pool{t: t, address: address, server: server, limit: max(limit, 1)}
 }
 
-// SetLimit changes the number of connections. Those beyond it close when idle.
-func (p *Pool) SetLimit(limit int) {
-	p.limit = max(limit, 1)
+// SetLimit changes the number of connections and, unless idle is 0, how long
+// one is kept without use. Connections beyond the limit close when idle.
+func (p *Pool) SetLimit(limit int, idle zinniatide.Millis) {
+	p.limit, p.idleLimit = max(limit, 1), idle
 	for len(p.idle) > 0 && p.conns > p.limit {
 		p.idle[0].close()
 	}
@@ -231,6 +234,27 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	p.planSweep()
+}
+
+// planSweep has connections closed that are no longer used.
+func (p *Pool) planSweep() {
+	if p.idleLimit == 0 || p.sweeping {
+		return
+	}
+	p.sweeping = true
+	p.t.d.Timer.After(p.idleLimit, func() {
+		p.t.d.Lock.Lock()
+		defer p.t.d.Lock.Unlock()
+		p.sweeping = false
+		now := p.t.d.Clock.Now()
+		for len(p.idle) > 0 && p.idleLimit > 0 && now-p.idle[0].used >= p.idleLimit {
+			p.idle[0].close()
+		}
+		if len(p.idle) > 0 {
+			p.planSweep()
+		}
+	})
 }
 
 // remove takes a closed connection out of the pool.
