Test relaying under load without a network

Exchanges are marked as sent by whatever carries them, as the tests' first run took a sent exchange for one that waits.

--- /dev/null
+++ b/relayer/load_test.go
@@ -0,0 +1,147 @@
+package relayer
+
+import (
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/transporter"
+)
+
+const (
+	testShards = 20
+	testTarget = zinniatide.Millis(114) // the target of the route less the way to the caller
+)
+
+// pauses has each server stand still for length once in each period, at its
+// own time.
+func (w *world) pauses(length, period zinniatide.Millis) {
+	for _, e := range w.list {
+		s := w.servers[e.Server]
+		var pause func()
+		pause = func() {
+			s.pausedUntil = w.clock.Now() + length
+			w.After(period, pause)
+		}
+		w.After(zinniatide.Millis(w.random.Int64N(int64(period))), pause)
+	}
+}
+
+// checkBudget fails when the repeats of a window exceed what all VMs may send.
+// The one VM of the test has all of it.
+func (w *world) checkBudget(out *tally, seconds float64) {
+	w.t.Helper()
+	for i := range testShards {
+		service := w.relayer.table.Match("h", "/q/x").Shards[i]
+		extra := float64(w.arrivals(service) - out.asked)
+		if most := 0.2*float64(out.asked) + 52*max(1, seconds/10); extra > most {
+			w.t.Errorf("service %s: got %.0f repeats, want at most %.0f", service, extra, most)
+		}
+	}
+}
+
+// Pattern: pause wave. Each server stands still for 150 ms in each 3.6 s, so
+// more than half of all queries meet a paused server. Guards against queries
+// that wait for it.
+func TestPauseWave(t *testing.T) {
+	w := newWorld(t, testShards)
+	w.pauses(150, 3600)
+	out := w.load("/q/x", 60, 20_000, testTarget, testShards)
+	if got, want := out.worth, 0.97; got < want {
+		t.Errorf("got worth %.3f of %+v, want at least %.2f", got, *out, want)
+	}
+	w.checkBudget(out, 20)
+}
+
+// Pattern: half of the servers slow. One server of each second shard takes
+// eight times as long. Guards against work that goes on to slow servers while
+// others are free.
+func TestHalfOfTheServersSlow(t *testing.T) {
+	w := newWorld(t, testShards)
+	for i, e := range w.list {
+		if e.Service != "plain" && i%4 == 0 {
+			s := w.servers[e.Server]
+			s.work = func() zinniatide.Millis { return 120 }
+		}
+	}
+	out := w.load("/q/x", 50, 20_000, testTarget, testShards)
+	if got, want := out.worth, 0.93; got < want {
+		t.Errorf("got worth %.3f of %+v, want at least %.2f", got, *out, want)
+	}
+	w.checkBudget(out, 20)
+}
+
+// Pattern: one server of each shard dark. Guards against queries that wait for
+// connections to servers that are gone.
+func TestOneServerOfEachShardDark(t *testing.T) {
+	w := newWorld(t, testShards)
+	w.load("/q/x", 20, 2000, testTarget, testShards)
+	for _, e := range w.list {
+		if e.Zone == "a" && e.Service != "plain" {
+			w.servers[e.Server].dark = true
+		}
+	}
+	out := w.load("/q/x", 40, 10_000, testTarget, testShards)
+	if got, want := out.worth, 0.95; got < want {
+		t.Errorf("got worth %.3f of %+v, want at least %.2f", got, *out, want)
+	}
+}
+
+// Pattern: servers that fail or shed four of ten requests while they look
+// healthy. Guards against answers that lack parts which another server has.
+func TestGreyServers(t *testing.T) {
+	for name, fault := range map[string]transporter.Result{"errors": transporter.Answered, "lost": transporter.Lost, "shed": transporter.NotRun} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, testShards)
+			for i, e := range w.list {
+				if e.Service != "plain" && i%7 == 0 {
+					w.servers[e.Server].fault = func() (transporter.Result, int) {
+						if w.random.Float64() < 0.4 {
+							return fault, 500
+						}
+						return transporter.Answered, 200
+					}
+				}
+			}
+			out := w.load("/q/x", 40, 10_000, testTarget, testShards)
+			if got, want := out.worth, 0.95; got < want {
+				t.Errorf("got worth %.3f of %+v, want at least %.2f", got, *out, want)
+			}
+			w.checkBudget(out, 10)
+		})
+	}
+}
+
+// Pattern: burst of twice what the servers can do. Guards against servers that
+// are kept busy with requests nobody waits for any more: the completed work
+// stays at nine tenths of what the servers can do.
+func TestBurstOfTwiceTheCapacity(t *testing.T) {
+	w := newWorld(t, 0)
+	for i := range 4 {
+		w.servers[w.list[i].Server].work = func() zinniatide.Millis { return 100 }
+	}
+	const capacity = 4 * 3 * 10 // servers, slots, requests a second in each
+	out := w.load("/p/x", 2*capacity, 10_000, 500, 0)
+	if got, want := float64(out.inTarget+out.late), 0.9*capacity*10; got < want {
+		t.Errorf("got %.0f completed of %+v, want at least %.0f", got, *out, want)
+	}
+	if got, want := out.slowestRefusal, zinniatide.Millis(1000); got > want {
+		t.Errorf("got a refusal after %d ms, want it within %d ms", got, want)
+	}
+}
+
+// Pattern: every server of a service is lost. Guards against callers that wait
+// for their deadline when it is known that they cannot be served.
+func TestLostServiceIsRefusedAtOnce(t *testing.T) {
+	w := newWorld(t, testShards)
+	for _, e := range w.list {
+		w.servers[e.Server].dark = true
+	}
+	w.load("/q/x", 10, 1000, testTarget, testShards) // finds the servers lost
+	w.load("/p/x", 10, 1000, 500, 0)
+	for _, path := range []string{"/q/x", "/p/x"} {
+		out := w.load(path, 10, 2000, testTarget, testShards)
+		if out.refused != out.asked || out.slowestRefusal > 0 {
+			t.Errorf("%s: got %+v, want each request refused at once", path, *out)
+		}
+	}
+}
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -68,6 +68,7 @@
 		return false
 	}
 	x.conn = c
+	x.MarkSent()
 	if err != nil {
 		c.close()
 		return true
@@ -203,7 +204,7 @@
 	} else {
 		c.pool.ready(c)
 	}
-	x.finish(a)
+	x.Finish(a)
 }
 
 // check compares the answer with the request.
@@ -286,7 +287,7 @@
 	case errors.Is(err, errNotHTTP):
 		result = Garbled
 	}
-	x.finish(Answer{Result: result, Waiting: -1, Fresh: !c.carried})
+	x.Finish(Answer{Result: result, Waiting: -1, Fresh: !c.carried})
 }
 
 // close closes the socket and takes the connection out of the pool. The reader
--- a/transporter/exchange.go
+++ b/transporter/exchange.go
@@ -72,6 +72,7 @@
 
 	pool  *Pool
 	conn  *conn
+	sent  bool // a byte of it may have been written
 	ended bool
 }
 
@@ -86,11 +87,18 @@
 		x.conn.close()
 		return
 	}
-	x.pool.forget(x)
+	if x.pool != nil {
+		x.pool.forget(x)
+	}
 }
 
-// finish reports the end of the exchange once.
-func (x *Exchange) finish(a Answer) {
+// MarkSent tells that a byte of the exchange may have been written. It is for
+// whatever carries the exchange.
+func (x *Exchange) MarkSent() { x.sent = true }
+
+// Finish reports the end of the exchange once. It is for whatever carries the
+// exchange; the lock is held.
+func (x *Exchange) Finish(a Answer) {
 	if x.ended {
 		return
 	}
@@ -103,7 +111,7 @@
 // Withdraw gives up an exchange that no byte of has been written for, and
 // reports whether it was one. The lock is held.
 func (x *Exchange) Withdraw() bool {
-	if x.ended || x.conn != nil {
+	if x.ended || x.sent {
 		return false
 	}
 	x.Cancel()
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -157,7 +157,7 @@
 		}
 	}
 	if p.closed {
-		x.finish(Answer{Result: NotSent, Waiting: -1})
+		x.Finish(Answer{Result: NotSent, Waiting: -1})
 		return
 	}
 	p.waiting = append(p.waiting, x)
@@ -210,7 +210,7 @@
 	waiting := p.waiting
 	p.waiting = nil
 	for _, x := range waiting {
-		x.finish(Answer{Result: NotSent, Waiting: -1})
+		x.Finish(Answer{Result: NotSent, Waiting: -1})
 	}
 }
 
