--- /dev/null
+++ b/ranker/ranker_test.go
@@ -0,0 +1,34 @@
+package ranker
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// Guards against answers that are not the greatest records of their parts:
+// random parts with equal records and remainders are compared with a plain sort.
+func TestGreatestRecords(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4)) //nolint:gosec // fixed seed
+	for round := range 500 {
+		limit := 1 + random.IntN(25)
+		var all [][]byte
+		r := New(limit)
+		for range random.IntN(8) {
+			part := make([]byte, random.IntN(20*RecordSize))
+			for i := range part {
+				part[i] = byte(random.IntN(3)) * 0x7f // equal records are frequent
+			}
+			r.Add(part)
+			for p := part; len(p) >= RecordSize; p = p[RecordSize:] {
+				all = append(all, p[:RecordSize])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(limit, len(all))], nil)
+		if got := r.Append(nil); !bytes.Equal(got, want) {
+			t.Fatalf("round %d: got %x, want %x", round, got, want)
+		}
+	}
+}
