--- /dev/null
+++ b/registrar/routing_test.go
@@ -0,0 +1,87 @@
+package registrar
+
+import (
+	"bytes"
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/checker"
+)
+
+func fileRouting(t *testing.T, r *Registrar, number zinniatide.TicketNumber, document string) any {
+	t.Helper()
+	command := &Command{Ticket: &TicketEntry{
+		Ticket: zinniatide.Ticket{Number: number, Routing: &zinniatide.Routing{Services: []zinniatide.RelayService{{Service: zinniatide.ServiceID(document)}}}},
+		Digest: checker.DocumentDigest([]byte(document)), Document: []byte(document),
+	}}
+	data, err := command.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Apply(1, data)
+}
+
+// Guards against a routing table that an older or an equal number replaces, and
+// against one that a snapshot loses.
+func TestNewestRoutingTableHolds(t *testing.T) {
+	r := New()
+	for _, step := range []struct {
+		number   zinniatide.TicketNumber
+		document string
+		refused  zinniatide.Code
+	}{
+		{5, "five", ""}, {5, "five", ""}, {5, "other", zinniatide.CodeTicketConflict}, {3, "three", zinniatide.CodeSuperseded}, {9, "nine", ""},
+		{5, "five", ""}, {8, "eight", zinniatide.CodeSuperseded},
+	} {
+		result := fileRouting(t, r, step.number, step.document)
+		refusal, refused := result.(*zinniatide.Refusal)
+		if refused != (step.refused != "") || refused && refusal.Code != step.refused {
+			t.Errorf("ticket %d %s: got %v, want refusal %q", step.number, step.document, result, step.refused)
+		}
+	}
+	data, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for name, state := range map[string]*Registrar{"applied": r, "restored": restored} {
+		c := state.Configuration()
+		if got, want := c.RoutingNumber, zinniatide.TicketNumber(9); got != want {
+			t.Errorf("%s: got table %d, want %d", name, got, want)
+		}
+		if got, want := state.RoutingDocument(), []byte("nine"); !bytes.Equal(got, want) {
+			t.Errorf("%s: got document %q, want %q", name, got, want)
+		}
+		if got, want := c.Routing.Services[0].Service, zinniatide.ServiceID("nine"); got != want {
+			t.Errorf("%s: got service %s, want %s", name, got, want)
+		}
+	}
+}
+
+// Guards against zones that stay out, or go out by a malformed order.
+func TestZoneOrders(t *testing.T) {
+	r := New()
+	order := func(zone zinniatide.ZoneID, state zinniatide.ServingState) any {
+		data, err := (&Command{Zone: &ZoneOrder{Zone: zone, State: state}}).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Apply(1, data)
+	}
+	for _, step := range []struct {
+		state   zinniatide.ServingState
+		in      bool
+		refused bool
+	}{{zinniatide.StateOut, false, false}, {zinniatide.StateOut, false, false}, {"sideways", false, true}, {zinniatide.StateIn, true, false}} {
+		_, refused := order("a", step.state).(*zinniatide.Refusal)
+		if got := r.Configuration().ZoneIn("a"); got != step.in || refused != step.refused {
+			t.Errorf("after %s: got in %v, refused %v, want %v, %v", step.state, got, refused, step.in, step.refused)
+		}
+	}
+	if _, refused := order("", zinniatide.StateOut).(*zinniatide.Refusal); !refused {
+		t.Error("empty zone: got no refusal, want one")
+	}
+}
