Leave shedding servers; keep the last repeats for queries that need them

Test of the load: half of the servers shed.

Tried and not kept: leaving out shards whose expected wait is beyond the cutoff.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -74,6 +74,13 @@
 	r.tokens = min(r.tokens+r.config.Ratio*ratioShare, r.limit())
 }
 
+// Plenty reports whether half of what may be saved up is there, so that a send
+// which is merely useful leaves enough for those that are needed.
+func (r *Rationer) Plenty(now zinniatide.Millis) bool {
+	r.refill(now)
+	return r.tokens >= max(r.limit()/2, 1)
+}
+
 // Has reports whether one more send is allowed.
 func (r *Rationer) Has(now zinniatide.Millis) bool {
 	r.refill(now)
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -64,6 +64,10 @@
 	Parts   []int    `cbor:"1,keyasint"`
 	Stamps  []string `cbor:"2,keyasint"`
 	Records []byte   `cbor:"3,keyasint"`
+	// Missing are the other positions, Runs the servers that may have begun to
+	// run the request for each of them.
+	Missing []int `cbor:"5,keyasint,omitempty"`
+	Runs    []int `cbor:"6,keyasint,omitempty"`
 	// Ran is set when any server may have begun to run the request.
 	Ran bool `cbor:"4,keyasint,omitempty"`
 }
@@ -235,10 +239,9 @@
 		g.pending--
 	}
 	g.ranker.Add(answer.Records)
-	// What a helper has not brought it has asked all allowed servers for.
-	for _, p := range gr.parts {
-		if p.group == gr {
-			p.runs += g.route.MaxAttempts
+	for n, i := range answer.Missing {
+		if i >= 0 && i < len(gr.parts) && n < len(answer.Runs) {
+			gr.parts[i].runs += answer.Runs[n]
 		}
 	}
 	g.release(gr)
@@ -282,7 +285,7 @@
 			continue
 		}
 		p.group = nil
-		if g.ended || g.again(p) {
+		if g.ended || g.worthRepeating(p) && g.again(p) {
 			continue
 		}
 		g.giveUp(p, "helper brought no answer")
@@ -328,6 +331,9 @@
 			if g.parts[i].done {
 				answer.Parts = append(answer.Parts, i)
 				answer.Stamps = append(answer.Stamps, g.parts[i].stamp)
+			} else {
+				answer.Missing = append(answer.Missing, i)
+				answer.Runs = append(answer.Runs, g.parts[i].runs)
 			}
 		}
 		answer.Records = g.ranker.Append(nil)
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -161,12 +161,21 @@
 	if a.Result == transporter.NotRun {
 		p.sheds++
 	}
-	if p.sheds < maxSheds && g.again(p) {
+	if p.sheds < maxSheds && g.worthRepeating(p) && g.again(p) {
 		return
 	}
 	g.giveUp(p, a.Result.String())
 }
 
+// worthRepeating reports whether a part that failed should be asked for again.
+// While enough parts can arrive without it, that is so only if the budget has
+// plenty: the last repeats belong to queries that could not be answered
+// otherwise.
+func (g *gathering) worthRepeating(p *part) bool {
+	spare := g.got + g.pending - 1 - g.route.LeastShards
+	return spare < 0 || p.service.Budget.Plenty(g.r.d.Clock.Now())
+}
+
 // giveUp notes that a part will not arrive, unless an exchange for it is open.
 func (g *gathering) giveUp(p *part, reason string) {
 	if p.running == 0 && p.group == nil && !p.failed && !p.done {
--- a/relayer/load_test.go
+++ b/relayer/load_test.go
@@ -145,3 +145,47 @@
 		}
 	}
 }
+
+// Pattern: half of all servers shed six of ten requests. A quarter of the
+// shards has no other server, and repeats are bounded. Guards against repeats
+// spent on queries that have enough parts or cannot get them: nine of ten
+// queries are answered in time.
+func TestHalfOfTheServersShed(t *testing.T) {
+	w := newWorld(t, testShards)
+	for i, e := range w.list {
+		// Both servers of each fourth shard, one of each other second shard.
+		if e.Service != "plain" && (i/2%4 == 0 || i/2%2 == 1 && i%2 == 0) {
+			w.servers[e.Server].fault = func() (transporter.Result, int) {
+				if w.random.Float64() < 0.6 {
+					return transporter.NotRun, 503
+				}
+				return transporter.Answered, 200
+			}
+		}
+	}
+	out := w.load("/q/x", 60, 10_000, testTarget, testShards)
+	if got, want := float64(out.inTarget), 0.9*float64(out.asked); got < want {
+		t.Errorf("got %.0f of %d in time: %+v, want at least %.0f", got, out.asked, *out, want)
+	}
+	w.checkBudget(out, 10)
+}
+
+// Pattern: some shards have one server lost and the other eight times slower.
+// Guards against their queues holding up queries that are complete enough
+// without them.
+func TestLostAndSlowServersOfSomeShards(t *testing.T) {
+	w := newWorld(t, testShards)
+	w.load("/q/x", 20, 2000, testTarget, testShards)
+	for i, e := range w.list {
+		if e.Service == "plain" || i/2 >= 5 {
+			continue
+		}
+		s := w.servers[e.Server]
+		s.dark = i%2 == 0
+		s.work = func() zinniatide.Millis { return 120 }
+	}
+	out := w.load("/q/x", 60, 10_000, testTarget, testShards)
+	if got, want := float64(out.inTarget), 0.9*float64(out.asked); got < want {
+		t.Errorf("got %.0f of %d in time: %+v, want at least %.0f", got, out.asked, *out, want)
+	}
+}
--- a/selector/server.go
+++ b/selector/server.go
@@ -15,6 +15,9 @@
 	latencyGain = 0.125
 	// failureGain is the weight of a result in the share of failures.
 	failureGain = 0.2
+	// shedGain is the weight of a shed request in the share of failures. A full
+	// server is free again soon, so it weighs less than a failure.
+	shedGain = 0.1
 	// failureCost is what a server that fails always is set back.
 	failureCost = 200.0
 	// coldFactor scales the expected wait at a server that says it is cold.
@@ -110,7 +113,10 @@
 // Shed notes that the server was full.
 func (s *Server) Shed(start, now zinniatide.Millis) {
 	s.end(start)
+	s.resultAt = now
 	s.shedUntil = now + shedPause
+	// A server that sheds again and again is as good as one that fails.
+	s.failures += shedGain * (1 - s.failures)
 }
 
 // Unsent notes a request that was not sent.
