Compare routing tables by what differs

Ruled out: links (all up 0.25 s before the election), the disk (entries were read in 4 ms), enrollments (complete before the leader led).

Change: items are compared as values first; only differing ones are put into generic form. Test: the work follows what differs.

--- a/checker/difference.go
+++ b/checker/difference.go
@@ -35,7 +35,7 @@
 		out = append(out, compare(kindControlVMs, controlSet(c.ControlVMs), controlSet(t.ControlVMs))...)
 	}
 	if t.Routing != nil {
-		out = append(out, compare(kindRouting, routeSet(c.Routing), routeSet(t.Routing))...)
+		out = append(out, routingDifferences(c.Routing, t.Routing)...)
 	}
 	return out
 }
@@ -94,19 +94,54 @@
 	return out
 }
 
-// routeSet returns the routes by host and prefix, and the services by name.
-func routeSet(r *zinniatide.Routing) any {
-	out := map[string]any{}
-	if r == nil {
-		return out
+// routingDifferences compares two routing tables. Only what differs is put
+// into generic form: large tables differ in a few routes, and every control VM
+// does this for each ticket that it applies.
+func routingDifferences(current, wanted *zinniatide.Routing) []string {
+	if current == nil {
+		current = &zinniatide.Routing{}
 	}
-	for i := range r.Routes {
-		out["routes."+r.Routes[i].Host+r.Routes[i].PathPrefix] = generic(r.Routes[i])
+	out := differingItems("routes", current.Routes, wanted.Routes, func(r *zinniatide.Route) string { return r.Host + r.PathPrefix })
+	out = append(out, differingItems("services", current.Services, wanted.Services,
+		func(s *zinniatide.RelayService) string { return string(s.Service) })...)
+	if current.Limits != wanted.Limits {
+		out = append(out, compare(kindRouting+".limits", generic(current.Limits), generic(wanted.Limits))...)
+	}
+	return out
+}
+
+func differingItems[T any](list string, current, wanted []T, key func(*T) string) []string {
+	before, after := byKey(current, key), byKey(wanted, key)
+	keys := slices.Collect(maps.Keys(before))
+	for k := range after {
+		if before[k] == nil {
+			keys = append(keys, k)
+		}
 	}
-	for i := range r.Services {
-		out["services."+string(r.Services[i].Service)] = generic(r.Services[i])
+	slices.Sort(keys)
+	var out []string
+	for _, k := range keys {
+		old, now := before[k], after[k]
+		if old != nil && now != nil && reflect.DeepEqual(*old, *now) {
+			continue
+		}
+		var was, is any
+		if old != nil {
+			was = generic(*old)
+		}
+		if now != nil {
+			is = generic(*now)
+		}
+		out = append(out, compare(kindRouting+"."+list+"."+k, was, is)...)
+	}
+	return out
+}
+
+func byKey[T any](items []T, key func(*T) string) map[string]*T {
+	out := make(map[string]*T, len(items))
+	for i := range items {
+		out[key(&items[i])] = &items[i]
 	}
-	out["limits"] = generic(r.Limits)
 	return out
 }
 
