--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -200,6 +200,7 @@
 // arrived after the cutoff, or when too few parts can arrive.
 func (g *gathering) check(reason string) {
 	switch {
+	case g.ended:
 	case g.got+g.pending < g.route.LeastShards:
 		g.fail(reason, shortRetryAfter)
 	case g.pending == 0, g.got >= g.route.LeastShards && g.r.d.Clock.Now() >= g.cutoff:
--- a/relayer/task.go
+++ b/relayer/task.go
@@ -150,6 +150,9 @@
 // fail ends the task without success. Only a request that no server has begun
 // gets a status that promises so.
 func (t *task) fail(reason string, after zinniatide.Millis) {
+	if t.ended {
+		return
+	}
 	status := statusUnavailable
 	switch {
 	case t.ran && t.r.d.Clock.Now() >= t.end-endMargin:
