Explain a failed request from its id

Change: failures name the servers that were asked and what was known of them, refusals their inputs; zinniactl follow prints the lines of a request over several log files; docs/OPERATIONS.md goes from an id to a cause for partial answers, refusals and unknown outcomes, and its commands are checked by the test of the pages.

--- a/cmd/zinniactl/internal/commands/pages_test.go
+++ b/cmd/zinniactl/internal/commands/pages_test.go
@@ -16,7 +16,7 @@
 		t.Fatal(err)
 	}
 	var commands [][]string
-	for _, page := range append(pages, "../../../../docs/tickets.md") {
+	for _, page := range append(pages, "../../../../docs/tickets.md", "../../../../docs/OPERATIONS.md") {
 		text, err := os.ReadFile(page)
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/zinniactl/internal/commands/root.go
+++ b/cmd/zinniactl/internal/commands/root.go
@@ -103,7 +103,7 @@
 	flags.StringSliceVar(&e.control, "control", nil, "HTTP addresses of control VMs, tried in turn (environment: "+controlVariable+")")
 	flags.StringVar(&e.output, "output", "table", "table or json")
 	flags.DurationVar(&e.timeout, "timeout", 15*time.Second, "time after which the command gives up")
-	root.AddCommand(e.fileCommand(), e.checkCommand(), e.stateCommand(), e.historyCommand(), e.statusCommand(), e.waitCommand())
+	root.AddCommand(e.fileCommand(), e.checkCommand(), e.stateCommand(), e.historyCommand(), e.statusCommand(), e.waitCommand(), e.followCommand())
 	return root
 }
 
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -137,7 +137,17 @@
 		f.finish(*f.failure)
 		return
 	}
-	f.fail(reason, shortRetryAfter)
+	f.fail(reason, shortRetryAfter, "tried", f.triedServers())
+}
+
+// triedServers lists the servers that were asked.
+func (f *forwarding) triedServers() []string {
+	now := f.r.d.Clock.Now()
+	out := make([]string, 0, len(f.tried))
+	for _, s := range f.tried {
+		out = append(out, s.Describe(now))
+	}
+	return out
 }
 
 // timeout ends the request at its deadline.
@@ -153,7 +163,7 @@
 			f.ran = true
 		}
 	}
-	f.fail("timeout", 0)
+	f.fail("timeout", 0, "tried", f.triedServers())
 }
 
 // forwardedHeader returns the header lines of a server's answer that a caller
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -61,7 +61,7 @@
 	}
 	if available < g.route.LeastShards && g.deliver == nil {
 		g.r.refuse(g.req, g.route, g.respond, statusUnavailable,
-			"too few shards can be reached", lostRetryAfter)
+			"too few shards can be reached", lostRetryAfter, "reachable", available, "needed", g.route.LeastShards)
 		g.ended = true
 		return
 	}
@@ -202,7 +202,7 @@
 	switch {
 	case g.ended:
 	case g.got+g.pending < g.route.LeastShards:
-		g.fail(reason, shortRetryAfter)
+		g.fail(reason, shortRetryAfter, "got", g.got, "needed", g.route.LeastShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.got >= g.route.LeastShards && g.r.d.Clock.Now() >= g.cutoff:
 		g.reply()
 	}
@@ -225,7 +225,7 @@
 		return
 	}
 	g.ran = g.ran || len(g.open) > 0 || len(g.groups) > 0
-	g.fail("timeout", 0)
+	g.fail("timeout", 0, "got", g.got, "needed", g.route.LeastShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
 
 // stamps lists the stamps of the parts that have arrived.
@@ -253,7 +253,7 @@
 		g.r.metrics.partials.Inc()
 		g.r.metrics.missing.Add(float64(missing))
 		klog.InfoS("partial answer", "step", "gather", "request", g.req.ID, "route", g.route.ID, "missing", missing,
-			"shards", g.missingShards(), "after-ms", now-g.req.Arrived, "cutoff-ms", g.cutoff-g.req.Arrived, "table", g.r.number())
+			"shards", g.missingShards(), "tried", g.triedServers(), "after-ms", now-g.req.Arrived, "cutoff-ms", g.cutoff-g.req.Arrived, "table", g.r.number())
 	}
 	g.r.metrics.outcome(g.route, outcome, float64(now-g.req.Arrived))
 	names := &g.r.d.Names
@@ -273,6 +273,21 @@
 // maxNamedShards bounds the shards that a log line names.
 const maxNamedShards = 8
 
+// triedServers lists the servers that were asked for the missing shards, each
+// with its expected wait.
+func (g *gathering) triedServers() []string {
+	now := g.r.d.Clock.Now()
+	var out []string
+	for i := range g.parts {
+		for _, s := range g.parts[i].tried {
+			if !g.parts[i].done && len(out) < maxNamedShards {
+				out = append(out, s.Describe(now))
+			}
+		}
+	}
+	return out
+}
+
 func (g *gathering) missingShards() []zinniatide.ServiceID {
 	var out []zinniatide.ServiceID
 	for i := range g.parts {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -181,10 +181,11 @@
 	lostRetryAfter zinniatide.Millis = 500
 )
 
-// refuse answers a request that was sent to no server.
-func (r *Relayer) refuse(req *Request, route *router.Route, respond func(Reply), status int, reason string, after zinniatide.Millis) {
-	klog.InfoS("request refused", "step", "relay", "request", req.ID, "route", routeID(route), "status", status,
-		"reason", reason, "retry-after-ms", after, "wait-ms", req.Wait, "table", r.number())
+// refuse answers a request that was sent to no server. Inputs are further keys
+// and values of its log line.
+func (r *Relayer) refuse(req *Request, route *router.Route, respond func(Reply), status int, reason string, after zinniatide.Millis, inputs ...any) {
+	klog.InfoS("request refused", append([]any{"step", "relay", "request", req.ID, "route", routeID(route), "status", status,
+		"reason", reason, "retry-after-ms", after, "wait-ms", req.Wait, "table", r.number()}, inputs...)...)
 	r.metrics.refused(reason)
 	respond(Reply{Status: status, RetryAfter: after})
 }
--- a/relayer/task.go
+++ b/relayer/task.go
@@ -148,8 +148,9 @@
 }
 
 // fail ends the task without success. Only a request that no server has begun
-// gets a status that promises so.
-func (t *task) fail(reason string, after zinniatide.Millis) {
+// gets a status that promises so. Inputs are further keys and values of its log
+// line.
+func (t *task) fail(reason string, after zinniatide.Millis, inputs ...any) {
 	if t.ended {
 		return
 	}
@@ -164,8 +165,8 @@
 		after = 0
 	}
 	now := t.r.d.Clock.Now()
-	klog.InfoS("request failed", "step", "relay", "request", t.req.ID, "route", t.route.ID, "status", status, "reason", reason,
-		"after-ms", now-t.req.Arrived, "left-ms", t.end-now, "ran", t.ran, "table", t.r.number(), "retry-after-ms", after)
+	klog.InfoS("request failed", append([]any{"step", "relay", "request", t.req.ID, "route", t.route.ID, "status", status, "reason", reason,
+		"after-ms", now-t.req.Arrived, "left-ms", t.end-now, "ran", t.ran, "table", t.r.number(), "retry-after-ms", after}, inputs...)...)
 	t.r.metrics.outcome(t.route, reason, float64(now-t.req.Arrived))
 	t.finish(Reply{Status: status, RetryAfter: after})
 }
--- a/selector/server.go
+++ b/selector/server.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"fmt"
 	"math"
 
 	"zinniatide.example/zinniatide"
@@ -58,6 +59,16 @@
 	refused bool
 }
 
+// Describe tells in one word for a log line what is known of the server.
+func (s *Server) Describe(now zinniatide.Millis) string {
+	oldest := zinniatide.Millis(0)
+	if len(s.inFlight) > 0 {
+		oldest = now - s.inFlight[0]
+	}
+	return fmt.Sprintf("%s@%s/wait=%.0fms/in-flight=%d/oldest=%dms/failures=%.2f/seen=%dms-ago",
+		s.Enrollment.Server, s.Zone, s.latency, len(s.inFlight), oldest, s.failures, now-s.resultAt)
+}
+
 // InFlight is the number of requests that this VM has at the server.
 func (s *Server) InFlight() int { return len(s.inFlight) }
 
