Send callers to as many relay VMs as the load needs

Change: relay VMs report their load in heartbeats; the control leader sets the number of relay VMs of each zone that callers are sent to, at least four; it grows at once and falls after 15 s. The bound on repeats is shared among these. Also: linter findings, none with an effect.

--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -71,7 +71,7 @@
 	}
 	r, err := node.NewRelay(node.RelayConfig{
 		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
-		Seeds: s.Seeds, Voters: s.Voters, Budget: s.Budget, StopLimit: s.StopLimit,
+		Seeds: s.Seeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRate * s.Cores, StopLimit: s.StopLimit,
 		CallerNames: platform.CallerNames(), RelayNames: platform.RelayNames(), BackendNames: platform.BackendNames(),
 	}, clocks, registry)
 	if err != nil {
@@ -93,6 +93,11 @@
 	return nil
 }
 
+// relayRate is the requests a second to backend servers that a relay VM with
+// one core should have. At some 100 us each, processing then takes a seventh of
+// the core, which keeps the answers of many shards from waiting for each other.
+const relayRate = 1500
+
 // endpoints are the addresses that the process serves besides callers.
 func endpoints(r *node.Relay, s *platform.Settings) []node.Endpoint {
 	var out []node.Endpoint
--- a/configuration.go
+++ b/configuration.go
@@ -1,6 +1,11 @@
 package zinniatide
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // IndexVersionSetting describes one allowed index version of a service.
 // Exactly one of ShardCount and ShardBounds is set.
@@ -151,6 +156,9 @@
 	// number of the ticket that set it.
 	Routing       *Routing     `json:"routing,omitempty"`
 	RoutingNumber TicketNumber `json:"routing-number,omitempty"`
+	// ActiveRelays is the number of relay VMs of a zone to which callers are
+	// sent. A zone without an entry uses all.
+	ActiveRelays map[ZoneID]int `json:"active-relays,omitempty"`
 }
 
 // ZoneIn reports whether zone takes new work.
@@ -165,6 +173,37 @@
 		c.VMs[vm].State != StateLeaving && c.ZoneIn(m.Zone)
 }
 
+// Relays returns the relay VMs of a zone that callers are sent to, in the order
+// of their ids' hashes, so that a change of the number moves few callers.
+func (c *Configuration) Relays(zone ZoneID) []VMID {
+	var vms []VMID
+	for vm, m := range c.Members {
+		if m.Relay && m.Zone == zone && m.State == StateIn {
+			vms = append(vms, vm)
+		}
+	}
+	slices.SortFunc(vms, func(a, b VMID) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+	})
+	if n, bounded := c.ActiveRelays[zone]; bounded && n < len(vms) {
+		vms = vms[:n]
+	}
+	return vms
+}
+
+// RelayZones returns the zones that have relay VMs, in no order.
+func (c *Configuration) RelayZones() []ZoneID {
+	seen := map[ZoneID]bool{}
+	var zones []ZoneID
+	for _, m := range c.Members {
+		if m.Relay && !seen[m.Zone] {
+			seen[m.Zone] = true
+			zones = append(zones, m.Zone)
+		}
+	}
+	return zones
+}
+
 // BackendServerServing reports whether the server may get new work.
 func (c *Configuration) BackendServerServing(id BackendServerID, zone ZoneID) bool {
 	return c.ZoneIn(zone) && c.BackendServers[id].State != StateLeaving
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -44,6 +44,9 @@
 	// Voters is the wanted number of control VMs. The leader then adds and
 	// replaces them by itself; with 0 only tickets change them.
 	Voters int
+	// CountRelays has the leader follow the load with the number of relay VMs
+	// that callers are sent to.
+	CountRelays bool
 	// KnownLeader names the leader known to this VM while its log knows none,
 	// as on a control VM that is not in the set. It may be nil.
 	KnownLeader func() zinniatide.VMID
@@ -67,6 +70,7 @@
 	lastTick zinniatide.Millis
 	// nextControlSet is when the set of control VMs is checked again.
 	nextControlSet zinniatide.Millis
+	relays         relayCounter
 	// joins wait for the entry of the members before them.
 	joins     []joining
 	joinsOpen bool
@@ -198,6 +202,7 @@
 	}
 	c.removeExpired(now)
 	c.tendControlSet(now)
+	c.tendRelays(now)
 	c.pushAll()
 }
 
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -91,6 +91,7 @@
 	now := c.clock.Now()
 	answer.Granted = s.hear(h.Answered, now)
 	s.installed = max(s.installed, h.Epoch)
+	s.load = h.Load
 	if s.installed >= answer.Epoch {
 		return answer
 	}
--- a/controller/session.go
+++ b/controller/session.go
@@ -29,6 +29,8 @@
 	retryAt zinniatide.Millis
 	// removing is set while the removal of the member is proposed.
 	removing bool
+	// load is what the VM reported of itself, 1 for what it should have.
+	load float64
 }
 
 // sessionTable holds the sessions of all members.
--- a/controlproto/controlproto.go
+++ b/controlproto/controlproto.go
@@ -34,6 +34,9 @@
 	Gone bool `cbor:"5,keyasint,omitempty"`
 	// Control is set by a VM with the role control.
 	Control bool `cbor:"6,keyasint,omitempty"`
+	// Load is the requests a second that a relay VM sends to backend servers, as
+	// a share of what it should have.
+	Load float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // HeartbeatReply answers a Heartbeat.
--- a/node/relay.go
+++ b/node/relay.go
@@ -46,6 +46,9 @@
 	Seeds []zinniatide.ControlVM
 	// Voters is the wanted number of control VMs.
 	Voters int
+	// RelayCapacity is the requests a second to backend servers that one relay
+	// VM should have.
+	RelayCapacity float64
 	// Budget bounds repeated sends to one service over all VMs.
 	Budget rationer.Config
 	// StopLimit is how long a planned stop may take.
@@ -84,6 +87,10 @@
 	running sync.WaitGroup
 	mu      sync.Mutex
 	leaving bool
+	// loadAt, loadSends and lastLoad belong to load.
+	loadAt    zinniatide.Millis
+	loadSends uint64
+	lastLoad  float64
 }
 
 // Policy of relaying.
@@ -123,7 +130,7 @@
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
 		Control: control, ControlVMs: cfg.Seeds,
-		Peering: r.peering,
+		Peering: r.peering, Load: r.load,
 	}, r.linker, clock, newRandom(), registerer)
 	if control {
 		if err := r.assembleControl(registerer); err != nil {
@@ -154,6 +161,22 @@
 	return r.cfg.DataFolder != "" || m.Control || m.Zone != r.cfg.Zone
 }
 
+// load returns the requests sent to backend servers since the last call as a
+// share of what this VM should have. It is called by the subscriber only.
+func (r *Relay) load() float64 {
+	if r.relayer == nil || r.cfg.RelayCapacity <= 0 {
+		return 0
+	}
+	now, sends := r.clock.Now(), r.relayer.Sends()
+	passed := float64(now-r.loadAt) / 1000
+	if passed <= 0 {
+		return r.lastLoad
+	}
+	r.lastLoad = float64(sends-r.loadSends) / passed / r.cfg.RelayCapacity
+	r.loadAt, r.loadSends = now, sends
+	return r.lastLoad
+}
+
 // contacts are the control VMs to which one that knows no leader turns.
 func contacts(c *zinniatide.Configuration, seeds []zinniatide.ControlVM) []zinniatide.VMID {
 	var out []zinniatide.VMID
@@ -185,7 +208,7 @@
 		return zinniatide.WrapStep(err, "open data folder", cfg.DataFolder)
 	}
 	r.controller = controller.New(controller.Config{
-		VM: cfg.VM, ControlVMs: cfg.Seeds, Voters: cfg.Voters, KnownLeader: r.subscriber.KnownLeader,
+		VM: cfg.VM, ControlVMs: cfg.Seeds, Voters: cfg.Voters, CountRelays: true, KnownLeader: r.subscriber.KnownLeader,
 	}, r.keeper, r.linker, r.clock, machine, tickets, registerer)
 	return nil
 }
@@ -381,7 +404,10 @@
 	done := make(chan error, 1)
 	r.subscriber.Goodbye(func(err error) { done <- err })
 	select {
-	case <-done: // without an answer the leader removes this VM by its lease
+	case err := <-done:
+		if err != nil {
+			klog.InfoS("left without the leader's answer; its lease ends this VM's session", "step", "goodbye", "err", err.Error())
+		}
 	case <-time.After(goodbyeTimeout):
 	}
 	klog.InfoS("stopped", "step", "stop", "requests-cut", cut)
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -24,6 +24,7 @@
 	Bootstrap *Bootstrap                  `cbor:"8,keyasint,omitempty"`
 	Zone      *ZoneOrder                  `cbor:"9,keyasint,omitempty"`
 	Control   *ControlChange              `cbor:"10,keyasint,omitempty"`
+	Relays    *RelayCounts                `cbor:"11,keyasint,omitempty"`
 }
 
 // TicketEntry is a ticket that has passed the checker. The digest is taken
@@ -42,6 +43,11 @@
 	State zinniatide.ServingState `cbor:"2,keyasint"`
 }
 
+// RelayCounts sets the number of relay VMs that callers are sent to, by zone.
+type RelayCounts struct {
+	Zones map[zinniatide.ZoneID]int `cbor:"1,keyasint"`
+}
+
 // ControlChange replaces the set of control VMs. It takes effect only while
 // the set is Before, so that two leaders cannot undo each other.
 type ControlChange struct {
@@ -83,7 +89,7 @@
 	}
 	set := 0
 	for _, present := range []bool{c.Ticket != nil, c.Join != nil, c.Remove != nil, c.Release != nil,
-		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.Zone != nil, c.Control != nil} {
+		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.Zone != nil, c.Control != nil, c.Relays != nil} {
 		if present {
 			set++
 		}
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -19,6 +19,7 @@
 	Members           map[zinniatide.VMID]*zinniatide.Member                  `cbor:"7,keyasint,omitempty"`
 	Buckets           []BucketChange                                          `cbor:"8,keyasint,omitempty"`
 	Routing           *RoutingChange                                          `cbor:"9,keyasint,omitempty"`
+	ActiveRelays      map[zinniatide.ZoneID]int                               `cbor:"10,keyasint,omitempty"`
 }
 
 // RoutingChange replaces the routing table.
@@ -36,7 +37,7 @@
 
 func (d *Delta) empty() bool {
 	return len(d.Services)+len(d.AvailabilityZones)+len(d.VMs)+len(d.BackendServers)+
-		len(d.ControlVMs)+len(d.Members)+len(d.Buckets) == 0 && d.Routing == nil
+		len(d.ControlVMs)+len(d.Members)+len(d.Buckets)+len(d.ActiveRelays) == 0 && d.Routing == nil
 }
 
 // NewConfiguration returns the configuration of epoch 0, which has no
@@ -88,6 +89,10 @@
 	for i := range d.Buckets {
 		e.setBucket(&d.Buckets[i])
 	}
+	if len(d.ActiveRelays) > 0 {
+		e.next.ActiveRelays = maps.Clone(e.next.ActiveRelays)
+		merge(&e.next.ActiveRelays, d.ActiveRelays)
+	}
 	if d.Routing != nil {
 		e.next.Routing, e.next.RoutingNumber = d.Routing.Routing, d.Routing.Number
 	}
@@ -156,6 +161,7 @@
 		c.delta.ControlVMs = slices.Clone(d.ControlVMs)
 	}
 	c.delta.Buckets = append(c.delta.Buckets, d.Buckets...)
+	merge(&c.delta.ActiveRelays, d.ActiveRelays)
 	if d.Routing != nil {
 		c.delta.Routing = d.Routing
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -84,6 +84,10 @@
 		return r.configuration.Epoch
 	case c.Zone != nil:
 		return r.applyZone(c.Zone)
+	case c.Relays != nil:
+		change := newChange(r.configuration)
+		change.add(Delta{ActiveRelays: c.Relays.Zones})
+		return r.commit(change)
 	case c.Control != nil:
 		return r.applyControl(c.Control)
 	default:
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -44,7 +44,7 @@
 // trySend sends the request to s.
 func (f *forwarding) trySend(s *selector.Server, why string) {
 	if why != "" {
-		klog.InfoS("request sent again", "step", "relay", "request", f.req.ID, "route", f.route.ID, "server", s.Enrollment.Server,
+		klog.InfoS("request sent again", "step", "relay", "request", f.req.ID, "route", f.route.ID, "server", s.Server,
 			"reason", why, "sends", len(f.tried)+1)
 	}
 	f.tried = append(f.tried, s)
@@ -119,7 +119,7 @@
 	f.r.metrics.outcome(f.route, "answered", float64(now-f.req.Arrived))
 	if len(f.tried) > 1 {
 		klog.InfoS("request answered after several sends", "step", "relay", "request", f.req.ID, "route", f.route.ID,
-			"server", y.server.Enrollment.Server, "sends", len(f.tried), "after-ms", now-f.req.Arrived)
+			"server", y.server.Server, "sends", len(f.tried), "after-ms", now-f.req.Arrived)
 	}
 	f.finish(reply)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -80,6 +80,8 @@
 	zonesOut map[zinniatide.ZoneID]bool
 	vms      int // relay VMs in all
 	zoneVMs  int // relay VMs of this zone
+	active   int // relay VMs that callers are sent to
+	sends    uint64
 	// helpers are the relay VMs of other zones.
 	helpers map[zinniatide.ZoneID][]*helper
 	// delegated are the gatherings that run here for other VMs.
@@ -107,7 +109,7 @@
 		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processID]*server{},
 		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
-		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1,
+		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1, active: 1,
 		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{},
 	}
 	for _, name := range d.Names.Internal {
@@ -127,6 +129,13 @@
 	return r.table.Limits, true
 }
 
+// Sends returns how many exchanges this VM has begun.
+func (r *Relayer) Sends() uint64 {
+	r.d.Lock.Lock()
+	defer r.d.Lock.Unlock()
+	return r.sends
+}
+
 // Ready reports whether requests can be answered.
 func (r *Relayer) Ready() bool {
 	r.d.Lock.Lock()
--- a/relayer/task.go
+++ b/relayer/task.go
@@ -58,6 +58,7 @@
 			done(y, a)
 		}
 	}
+	t.r.sends++
 	s.Begin(now)
 	t.open = append(t.open, y)
 	t.r.poolOf(s).Send(y.exchange)
@@ -92,12 +93,12 @@
 		s.Unsent(y.start)
 		s.Refuse()
 		klog.InfoS("another process answers at the address of a backend server", "step", "relay", "request", t.req.ID,
-			"server", s.Enrollment.Server, "address", s.Address, "born", s.Born)
+			"server", s.Server, "address", s.Address, "born", s.Born)
 	case transporter.NotSent:
 		s.Unsent(y.start)
-		if pool := r.servers[processID{s.Enrollment.Server, s.Born}]; pool != nil && pool.pool.Conns() == 0 {
+		if pool := r.servers[processID{s.Server, s.Born}]; pool != nil && pool.pool.Conns() == 0 {
 			r.rest(s)
-			klog.InfoS("backend server cannot be reached", "step", "connect", "request", t.req.ID, "server", s.Enrollment.Server,
+			klog.InfoS("backend server cannot be reached", "step", "connect", "request", t.req.ID, "server", s.Server,
 				"service", s.Service.Service, "address", s.Address)
 		}
 	default:
@@ -166,7 +167,7 @@
 	}
 	now := t.r.d.Clock.Now()
 	klog.InfoS("request failed", append([]any{"step", "relay", "request", t.req.ID, "route", t.route.ID, "status", status, "reason", reason,
-		"after-ms", now-t.req.Arrived, "left-ms", t.end-now, "ran", t.ran, "table", t.r.number(), "retry-after-ms", after}, inputs...)...)
+		"after-ms", now - t.req.Arrived, "left-ms", t.end - now, "ran", t.ran, "table", t.r.number(), "retry-after-ms", after}, inputs...)...)
 	t.r.metrics.outcome(t.route, reason, float64(now-t.req.Arrived))
 	t.finish(Reply{Status: status, RetryAfter: after})
 }
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -46,7 +46,11 @@
 			}
 		}
 	}
-	r.vms = max(r.vms, 1)
+	r.active = 0
+	for _, zone := range c.RelayZones() {
+		r.active += len(c.Relays(zone))
+	}
+	r.vms, r.active = max(r.vms, 1), max(r.active, 1)
 	r.updateHelpers(c)
 	if r.table != nil {
 		r.updateServices()
@@ -59,11 +63,11 @@
 	for id, setting := range r.table.Services() {
 		s := r.services[id]
 		if s == nil {
-			s = &selector.Service{Budget: rationer.New(r.config.Budget, r.vms, now)}
+			s = &selector.Service{Budget: rationer.New(r.config.Budget, r.active, now)}
 			r.services[id] = s
 		}
 		s.RelayService = setting
-		s.Budget.Share(r.vms, now)
+		s.Budget.Share(r.active, now)
 	}
 	for id := range r.services {
 		if _, ok := r.table.Service(id); !ok {
@@ -104,7 +108,7 @@
 	}
 	for _, service := range r.services {
 		slices.SortFunc(service.Servers, func(a, b *selector.Server) int {
-			if a.Enrollment.Server < b.Enrollment.Server {
+			if a.Server < b.Server {
 				return -1
 			}
 			return 1
--- a/selector/server.go
+++ b/selector/server.go
@@ -33,8 +33,9 @@
 	reportLifetime zinniatide.Millis = 250
 	// memory is how long results count in full. After it, what they say fades
 	// with fadeTime, so that a server that did badly is tried again.
-	memory   zinniatide.Millis = 500
-	fadeTime                   = 700.0
+	memory zinniatide.Millis = 500
+	// fadeTime is in milliseconds.
+	fadeTime float64 = 700
 	// unknownLatency is assumed of a server that has not answered yet.
 	unknownLatency = 10.0
 )
@@ -66,7 +67,7 @@
 		oldest = now - s.inFlight[0]
 	}
 	return fmt.Sprintf("%s@%s/wait=%.0fms/in-flight=%d/oldest=%dms/failures=%.2f/seen=%dms-ago",
-		s.Enrollment.Server, s.Zone, s.latency, len(s.inFlight), oldest, s.failures, now-s.resultAt)
+		s.Server, s.Zone, s.latency, len(s.inFlight), oldest, s.failures, now-s.resultAt)
 }
 
 // InFlight is the number of requests that this VM has at the server.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -23,7 +23,7 @@
 	return &Steerer{self: self, c: c, servers: servers}
 }
 
-// Addresses returns the addresses of the relay VMs for callers in zone: those
+// Addresses returns the addresses of the active relay VMs for callers in zone: those
 // of the zone when searchable shards have servers there, else those of the zones
 // that have. Bytes then cross zones once for each answer instead of once for
 // each part. The list is empty while no relay VM is known.
@@ -34,14 +34,13 @@
 		near = map[zinniatide.ZoneID]bool{zone: true}
 	}
 	var chosen, others []string
-	for _, m := range c.Members {
-		if !m.Relay || m.State != zinniatide.StateIn {
-			continue
-		}
-		if near[m.Zone] {
-			chosen = append(chosen, m.HTTPAddress)
-		} else {
-			others = append(others, m.HTTPAddress)
+	for _, relayZone := range c.RelayZones() {
+		for _, vm := range c.Relays(relayZone) {
+			if near[relayZone] {
+				chosen = append(chosen, c.Members[vm].HTTPAddress)
+			} else {
+				others = append(others, c.Members[vm].HTTPAddress)
+			}
 		}
 	}
 	if len(chosen) < leastAddresses {
--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -48,6 +48,9 @@
 		Member: s.config.Member, Epoch: s.Configuration().Epoch, Sequence: s.lease.sequence,
 		Answered: s.lease.answered, Gone: s.gone, Control: s.config.Control,
 	}
+	if s.config.Load != nil {
+		h.Load = s.config.Load()
+	}
 	call(s, leader, zinniatide.KindControlHeartbeat, h, heartbeatTimeout, func(reply *controlproto.HeartbeatReply, err error) {
 		s.lease.waiting = false
 		s.heartbeatDone(leader, h, now, reply, err)
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -45,6 +45,9 @@
 	// Peering selects the members to which this VM keeps a link; nil selects
 	// all.
 	Peering func(*zinniatide.Member) bool
+	// Load returns the load of this VM as of controlproto.Heartbeat; nil reports
+	// none.
+	Load func() float64
 }
 
 // Subscriber implements zinniatide.ConfigurationProvider and
