Pace cold servers whose rate is bounded

Cause: the bound on a cold server's requests holds for all VMs together; deployments that state one would have broken it.

Change: one active relay VM, by rendezvous hash, sends to a cold server, evenly spaced at 0.9 of the rate; the others choose other servers.

--- a/node/relay.go
+++ b/node/relay.go
@@ -244,7 +244,7 @@
 		Lock: lock, Clock: r.clock, Timer: timers, Names: r.cfg.BackendNames, Dialled: dialled.Inc,
 	})
 	r.relayer = relayer.New(relayer.Config{
-		Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: remoteCost, ReplyMargin: replyMargin,
+		VM: r.cfg.VM, Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: remoteCost, ReplyMargin: replyMargin,
 		ConnectMargin: connectMargin,
 	}, relayer.Dependencies{
 		Lock: lock, Clock: r.clock, Timer: timers, Random: newRandom(), Names: r.cfg.RelayNames, Links: r.linker, Registerer: registerer,
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/rationer"
 	"zinniatide.example/zinniatide/router"
@@ -32,6 +33,7 @@
 
 // Config holds the policy of a Relayer.
 type Config struct {
+	VM   zinniatide.VMID
 	Zone zinniatide.ZoneID
 	// Budget is the bound on repeated sends to one service over all VMs.
 	Budget rationer.Config
@@ -78,9 +80,9 @@
 	// spreads describe the answers to the parts of each gathering route.
 	spreads  map[zinniatide.RouteID]*selector.Spread
 	zonesOut map[zinniatide.ZoneID]bool
-	vms      int // relay VMs in all
-	zoneVMs  int // relay VMs of this zone
-	active   int // relay VMs that callers are sent to
+	vms      int               // relay VMs in all
+	zoneVMs  int               // relay VMs of this zone
+	active   []zinniatide.VMID // relay VMs that callers are sent to, sorted
 	sends    uint64
 	// helpers are the relay VMs of other zones.
 	helpers map[zinniatide.ZoneID][]*helper
@@ -109,7 +111,7 @@
 		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processID]*server{},
 		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
-		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1, active: 1,
+		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1,
 		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{},
 	}
 	for _, name := range d.Names.Internal {
@@ -217,10 +219,17 @@
 func (r *Relayer) options(tried []*selector.Server) *selector.Options {
 	return &selector.Options{
 		Zone: r.config.Zone, RemoteCost: r.config.RemoteCost, Now: r.d.Clock.Now(), Tried: tried, Random: r.d.Random,
-		Out: func(zone zinniatide.ZoneID) bool { return r.zonesOut[zone] },
+		Out:   func(zone zinniatide.ZoneID) bool { return r.zonesOut[zone] },
+		Paces: r.paces,
 	}
 }
 
+// paces reports whether this VM is the one that sends to a cold server. The
+// bound on its rate holds for all VMs together, so one of them has all of it.
+func (r *Relayer) paces(s *selector.Server) bool {
+	return len(r.active) == 0 || picker.Pick(string(s.Enrollment.Server), r.active) == r.config.VM
+}
+
 // maxSpreads bounds the routes whose answers are described.
 const maxSpreads = 4096
 
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -46,11 +46,12 @@
 			}
 		}
 	}
-	r.active = 0
+	r.active = nil
 	for _, zone := range c.RelayZones() {
-		r.active += len(c.Relays(zone))
+		r.active = append(r.active, c.Relays(zone)...)
 	}
-	r.vms, r.active = max(r.vms, 1), max(r.active, 1)
+	slices.Sort(r.active)
+	r.vms = max(r.vms, 1)
 	r.updateHelpers(c)
 	if r.table != nil {
 		r.updateServices()
@@ -63,11 +64,11 @@
 	for id, setting := range r.table.Services() {
 		s := r.services[id]
 		if s == nil {
-			s = &selector.Service{Budget: rationer.New(r.config.Budget, r.active, now)}
+			s = &selector.Service{Budget: rationer.New(r.config.Budget, len(r.active), now)}
 			r.services[id] = s
 		}
 		s.RelayService = setting
-		s.Budget.Share(r.active, now)
+		s.Budget.Share(len(r.active), now)
 	}
 	for id := range r.services {
 		if _, ok := r.table.Service(id); !ok {
--- a/selector/server.go
+++ b/selector/server.go
@@ -36,6 +36,8 @@
 	memory zinniatide.Millis = 500
 	// fadeTime is in milliseconds.
 	fadeTime float64 = 700
+	// coldShare is the part of a cold server's rate that is used.
+	coldShare = 0.9
 	// unknownLatency is assumed of a server that has not answered yet.
 	unknownLatency = 10.0
 )
@@ -53,9 +55,12 @@
 	restUntil, rest zinniatide.Millis
 	shedUntil       zinniatide.Millis
 	coldUntil       zinniatide.Millis
-	resultAt        zinniatide.Millis // of the last result
-	waiting         int               // reported queue
-	reportedAt      zinniatide.Millis
+	// coldNext is when the next request may be sent to a cold server whose rate
+	// is bounded.
+	coldNext   zinniatide.Millis
+	resultAt   zinniatide.Millis // of the last result
+	waiting    int               // reported queue
+	reportedAt zinniatide.Millis
 	// refused is set once another process answered at the address.
 	refused bool
 }
@@ -74,7 +79,20 @@
 func (s *Server) InFlight() int { return len(s.inFlight) }
 
 // Begin notes a request that is sent.
-func (s *Server) Begin(now zinniatide.Millis) { s.inFlight = append(s.inFlight, now) }
+func (s *Server) Begin(now zinniatide.Millis) {
+	s.inFlight = append(s.inFlight, now)
+	if s.bounded(now) {
+		s.coldNext = max(s.coldNext, now) + zinniatide.Millis(math.Ceil(1000/(coldShare*s.Service.ColdRate)))
+	}
+}
+
+// bounded reports whether the server is cold and its rate bounded.
+func (s *Server) bounded(now zinniatide.Millis) bool {
+	return s.IsCold(now) && s.Service.ColdRate > 0
+}
+
+// paced reports whether a cold server may get a request now.
+func (s *Server) paced(now zinniatide.Millis) bool { return !s.bounded(now) || now >= s.coldNext }
 
 // end removes a request that began at start.
 func (s *Server) end(start zinniatide.Millis) {
--- a/selector/service.go
+++ b/selector/service.go
@@ -32,13 +32,16 @@
 	// Tried are servers that the request has reached before.
 	Tried  []*Server
 	Random *rand.Rand
+	// Paces reports whether this VM is the one that sends to a cold server whose
+	// rate is bounded; nil stands for yes.
+	Paces func(*Server) bool
 }
 
 // Available reports whether any server may get requests, resting ones not
 // counted.
 func (s *Service) Available(o *Options) bool {
 	for _, server := range s.Servers {
-		if o.allowed(server) && !server.Unreached() {
+		if o.allowed(server) && !server.Unreached() && o.mayPace(server) {
 			return true
 		}
 	}
@@ -58,6 +61,11 @@
 
 func (o *Options) allowed(s *Server) bool { return s.usable() && !o.Out(s.Zone) }
 
+// mayPace reports whether this VM may send to the server while it is cold.
+func (o *Options) mayPace(s *Server) bool {
+	return !s.bounded(o.Now) || o.Paces == nil || o.Paces(s)
+}
+
 func (o *Options) tried(s *Server) bool {
 	for _, t := range o.Tried {
 		if t == s {
@@ -73,7 +81,7 @@
 	var best *Server
 	bestScore := 0.0
 	for _, server := range s.Servers {
-		if !o.allowed(server) || server.Unreached() || o.tried(server) {
+		if !o.allowed(server) || server.Unreached() || o.tried(server) || !o.mayPace(server) || !server.paced(o.Now) {
 			continue
 		}
 		score := server.score(o.Now)
