Share connections among active relay VMs

Change: the connections of a server are shared among active VMs; others connect when they have a request.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -80,10 +80,10 @@
 	// spreads describe the answers to the parts of each gathering route.
 	spreads  map[zinniatide.RouteID]*selector.Spread
 	zonesOut map[zinniatide.ZoneID]bool
-	vms      int               // relay VMs in all
-	zoneVMs  int               // relay VMs of this zone
 	active   []zinniatide.VMID // relay VMs that callers are sent to, sorted
-	sends    uint64
+	// zoneActive is the number of those in this zone.
+	zoneActive int
+	sends      uint64
 	// helpers are the relay VMs of other zones.
 	helpers map[zinniatide.ZoneID][]*helper
 	// delegated are the gatherings that run here for other VMs.
@@ -111,7 +111,7 @@
 		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processID]*server{},
 		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
-		spreads: map[zinniatide.RouteID]*selector.Spread{}, vms: 1,
+		spreads: map[zinniatide.RouteID]*selector.Spread{},
 		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{},
 	}
 	for _, name := range d.Names.Internal {
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -37,21 +37,15 @@
 			r.zonesOut[zone] = true
 		}
 	}
-	r.vms, r.zoneVMs = 0, 0
-	for _, m := range c.Members {
-		if m.Relay {
-			r.vms++
-			if m.Zone == r.config.Zone {
-				r.zoneVMs++
-			}
-		}
-	}
-	r.active = nil
+	r.active, r.zoneActive = nil, 0
 	for _, zone := range c.RelayZones() {
-		r.active = append(r.active, c.Relays(zone)...)
+		relays := c.Relays(zone)
+		r.active = append(r.active, relays...)
+		if zone == r.config.Zone {
+			r.zoneActive = len(relays)
+		}
 	}
 	slices.Sort(r.active)
-	r.vms = max(r.vms, 1)
 	r.updateHelpers(c)
 	if r.table != nil {
 		r.updateServices()
@@ -143,28 +137,33 @@
 }
 
 const (
-	// fullShare is the number of connections for each VM from which on all VMs
-	// keep connections to a server. With fewer, those of the server's zone do,
-	// and the others connect only to send a repeat.
+	// fullShare is the number of connections for each active VM from which on
+	// all of them keep connections to a server. With fewer, those of the server's
+	// zone do, and the others connect only to send a repeat.
 	fullShare = 2
-	// zoneShare is the part of a server's connections for the VMs of its zone.
+	// zoneShare is the part of a server's connections for the active VMs of its
+	// zone.
 	zoneShare = 0.75
 	// mostConnections bounds a share. More exchanges than that at once with one
 	// server only lengthen its queue.
 	mostConnections = 8
-	// visitIdle is how long a VM of another zone keeps a connection.
+	// visitIdle is how long another VM keeps a connection.
 	visitIdle zinniatide.Millis = 2000
 )
 
-// share divides the connections of a server among the relay VMs.
+// share divides the connections of a server among the active relay VMs. Others
+// connect when they have a request.
 func (r *Relayer) share(connections int, ownZone bool) share {
-	if each := connections / (r.vms + spareVMs); each >= fullShare {
+	if !slices.Contains(r.active, r.config.VM) {
+		return share{limit: 1, idle: visitIdle}
+	}
+	if each := connections / (len(r.active) + spareVMs); each >= fullShare {
 		return share{limit: min(each, mostConnections), warm: warmConnections}
 	}
 	if !ownZone {
 		return share{limit: 1, idle: visitIdle}
 	}
-	each := int(zoneShare*float64(connections)) / (r.zoneVMs + spareVMs)
+	each := int(zoneShare*float64(connections)) / (r.zoneActive + spareVMs)
 	return share{limit: min(max(each, 1), mostConnections), warm: warmConnections}
 }
 
