Admit gathered requests by how late they end

Change: for each gathering route a VM bounds the queries that run at once; the bound falls while more than 0.15 of them end late or are turned away, and grows while it is used and nearly none do. Others are refused at once as not run, to come back after one target time. Ruled out: the concurrency of servers' reported queues, which each VM sees only for its own answers.

--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -9,6 +9,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/ranker"
 	"zinniatide.example/zinniatide/selector"
+	"zinniatide.example/zinniatide/throttler"
 	"zinniatide.example/zinniatide/transporter"
 )
 
@@ -27,8 +28,9 @@
 	pending int // parts that may still arrive
 	ranker  *ranker.Ranker
 	// cutoff is when an answer with enough parts goes out without the others.
-	cutoff zinniatide.Millis
-	groups []*group
+	cutoff    zinniatide.Millis
+	groups    []*group
+	throttler *throttler.Throttler // nil once the gathering has ended, or runs for another VM
 	// deliver ends a gathering that runs for another VM; nil for a caller's.
 	deliver func()
 }
@@ -65,6 +67,15 @@
 		g.ended = true
 		return
 	}
+	if g.deliver == nil {
+		g.throttler = g.r.throttlerOf(g.route.ID)
+		if !g.throttler.Admit() {
+			g.throttler = nil
+			g.r.refuse(g.req, g.route, g.respond, statusUnavailable, "overloaded", g.route.TargetLatency)
+			g.ended = true
+			return
+		}
+	}
 	g.pending = available
 	g.ranker = ranker.New(g.route.TopRecords)
 	if g.deliver == nil {
@@ -202,6 +213,7 @@
 	switch {
 	case g.ended:
 	case g.got+g.pending < g.route.LeastShards:
+		g.leave(true)
 		g.fail(reason, shortRetryAfter, "got", g.got, "needed", g.route.LeastShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.got >= g.route.LeastShards && g.r.d.Clock.Now() >= g.cutoff:
 		g.reply()
@@ -215,6 +227,10 @@
 	g.r.d.Lock.Lock()
 	defer g.r.d.Lock.Unlock()
 	g.cancelGroups()
+	if g.throttler != nil {
+		g.throttler.Forget()
+		g.throttler = nil
+	}
 	g.cancelLocked()
 }
 
@@ -224,6 +240,7 @@
 		g.reply()
 		return
 	}
+	g.leave(true)
 	g.ran = g.ran || len(g.open) > 0 || len(g.groups) > 0
 	g.fail("timeout", 0, "got", g.got, "needed", g.route.LeastShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
@@ -239,12 +256,23 @@
 	return out
 }
 
+// leave ends the hold on the throttler. Late tells that the parts did not
+// arrive in time, or were turned away.
+func (g *gathering) leave(late bool) {
+	if g.throttler == nil {
+		return
+	}
+	g.throttler.Done(late, g.route.TargetLatency, g.r.d.Clock.Now())
+	g.throttler = nil
+}
+
 // reply answers with the parts that have arrived.
 func (g *gathering) reply() {
 	if g.deliver != nil {
 		g.deliver()
 		return
 	}
+	g.leave(g.r.d.Clock.Now() > g.cutoff)
 	missing := len(g.parts) - g.got
 	now := g.r.d.Clock.Now()
 	outcome := "answered"
--- a/relayer/load_test.go
+++ b/relayer/load_test.go
@@ -189,3 +189,26 @@
 		t.Errorf("got %.0f of %d in time: %+v, want at least %.0f", got, out.asked, *out, want)
 	}
 }
+
+// Pattern: burst on shards of which each has lost a server. Queries come at
+// twice the rate that the other servers can do. Guards against a collapse in
+// which every query waits in each queue and none is answered: nine tenths of what
+// the servers can do is completed, and the others are refused at once.
+func TestBurstOnHalfOfTheServers(t *testing.T) {
+	w := newWorld(t, testShards)
+	w.load("/q/x", 20, 2000, testTarget, testShards)
+	for _, e := range w.list {
+		if e.Zone == "b" {
+			w.servers[e.Server].dark = true
+		}
+	}
+	w.load("/q/x", 20, 2000, testTarget, testShards) // finds the servers lost
+	const capacity = 2 * 1000 / 14.5                 // slots of a shard, mean work
+	out := w.load("/q/x", 2*capacity, 10_000, testTarget, testShards)
+	if got, want := float64(out.inTarget+out.late), 0.9*capacity*10; got < want {
+		t.Errorf("got %.0f completed of %+v, want at least %.0f", got, *out, want)
+	}
+	if got, want := float64(out.inTarget), 0.9*float64(out.inTarget+out.late); got < want {
+		t.Errorf("got %.0f in time of %+v, want nine tenths of the completed", got, *out)
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"zinniatide.example/zinniatide/rationer"
 	"zinniatide.example/zinniatide/router"
 	"zinniatide.example/zinniatide/selector"
+	"zinniatide.example/zinniatide/throttler"
 	"zinniatide.example/zinniatide/transporter"
 )
 
@@ -78,9 +79,11 @@
 	services map[zinniatide.ServiceID]*selector.Service
 	servers  map[processID]*server
 	// spreads describe the answers to the parts of each gathering route.
-	spreads  map[zinniatide.RouteID]*selector.Spread
-	zonesOut map[zinniatide.ZoneID]bool
-	active   []zinniatide.VMID // relay VMs that callers are sent to, sorted
+	spreads map[zinniatide.RouteID]*selector.Spread
+	// throttlers bound the gatherings of each route.
+	throttlers map[zinniatide.RouteID]*throttler.Throttler
+	zonesOut   map[zinniatide.ZoneID]bool
+	active     []zinniatide.VMID // relay VMs that callers are sent to, sorted
 	// zoneActive is the number of those in this zone.
 	zoneActive int
 	sends      uint64
@@ -111,7 +114,7 @@
 		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processID]*server{},
 		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
-		spreads: map[zinniatide.RouteID]*selector.Spread{},
+		spreads: map[zinniatide.RouteID]*selector.Spread{}, throttlers: map[zinniatide.RouteID]*throttler.Throttler{},
 		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{},
 	}
 	for _, name := range d.Names.Internal {
@@ -233,6 +236,19 @@
 // maxSpreads bounds the routes whose answers are described.
 const maxSpreads = 4096
 
+// throttlerOf returns the bound on a route's gatherings.
+func (r *Relayer) throttlerOf(id zinniatide.RouteID) *throttler.Throttler {
+	t := r.throttlers[id]
+	if t == nil {
+		if len(r.throttlers) >= maxSpreads {
+			clear(r.throttlers)
+		}
+		t = throttler.New()
+		r.throttlers[id] = t
+	}
+	return t
+}
+
 // spreadOf returns the description of a route's answers.
 func (r *Relayer) spreadOf(id zinniatide.RouteID) *selector.Spread {
 	s := r.spreads[id]
