--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project. README.md describes them.
 
-MODULES := . ./cmd/zinniabench ./cmd/zinniactl ./cmd/zinniastand ./cmd/zinniatide
+MODULES := . ./cmd/zinniabench ./cmd/zinniactl ./cmd/zinniasoak ./cmd/zinniastand ./cmd/zinniatide
 PACKAGES := ./... $(foreach m,$(filter-out .,$(MODULES)),$(m)/...)
 GOBIN := $(shell go env GOPATH)/bin
 GOLANGCI_VERSION := v2.15.0
@@ -9,11 +9,11 @@
 SCENARIO ?=
 export CGO_ENABLED := 1
 
-.PHONY: build test lint model bench demo clean
+.PHONY: build test lint model bench demo soak clean
 
 build:
 	@mkdir -p bin
-	go build -o bin/ ./cmd/zinniatide ./cmd/zinniactl ./cmd/zinniastand ./cmd/zinniabench
+	go build -o bin/ ./cmd/zinniatide ./cmd/zinniactl ./cmd/zinniastand ./cmd/zinniabench ./cmd/zinniasoak
 
 test:
 	go test -count=1 -timeout 9m $(PACKAGES)
@@ -34,5 +34,8 @@
 demo: build
 	@SEED=$(SEED) ./scripts/demo
 
+soak: build
+	@bin/zinniasoak --seed $(SEED)
+
 clean:
 	rm -rf bin out
