--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/headerline"
 	"zinniatide.example/zinniatide/common/trywriter"
 	"zinniatide.example/zinniatide/relayer"
 )
@@ -134,9 +135,7 @@
 	req.Head = c.forwardedHead(h, uri)
 	if body := r.Body(); len(body) > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
 		req.Body = append([]byte(nil), body...)
-		req.Head = append(req.Head, "Content-Length: "...)
-		req.Head = strconv.AppendInt(req.Head, int64(len(body)), 10)
-		req.Head = append(req.Head, "\r\n"...)
+		req.Head = headerline.Append(req.Head, "Content-Length", strconv.Itoa(len(body)))
 	}
 	c.mu.Lock()
 	c.head = req.HeadOnly
@@ -153,18 +152,14 @@
 	out = append(out, h.Method()...)
 	out = append(out, ' ')
 	out = append(out, uri...)
-	out = append(out, " HTTP/1.1\r\nHost: "...)
-	out = append(out, h.Host()...)
-	out = append(out, "\r\n"...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = headerline.Append(out, "Host", h.Host())
 	for key, value := range h.All() {
 		name := string(key)
 		if c.acceptor.dropped[name] || named != "" && listed(named, strings.ToLower(name)) {
 			continue
 		}
-		out = append(out, key...)
-		out = append(out, ": "...)
-		out = append(out, value...)
-		out = append(out, "\r\n"...)
+		out = headerline.Append(out, key, value)
 	}
 	return out
 }
@@ -294,15 +289,11 @@
 	out = append(out, "\r\n"...)
 	out = append(out, reply.Header...)
 	if reply.RetryAfter > 0 {
-		out = append(out, "Retry-After: "...)
-		out = strconv.AppendFloat(out, float64(reply.RetryAfter)/1000, 'f', -1, 64)
-		out = append(out, "\r\n"...)
+		out = headerline.Append(out, "Retry-After", strconv.FormatFloat(float64(reply.RetryAfter)/1000, 'f', -1, 64))
 	}
-	out = append(out, "Content-Length: "...)
-	out = strconv.AppendInt(out, int64(len(reply.Body)), 10)
-	out = append(out, "\r\n"...)
+	out = headerline.Append(out, "Content-Length", strconv.Itoa(len(reply.Body)))
 	if c.last {
-		out = append(out, "Connection: close\r\n"...)
+		out = headerline.Append(out, "Connection", "close")
 	}
 	out = append(out, "\r\n"...)
 	if !c.head {
--- a/node/relay.go
+++ b/node/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/acceptor"
 	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/controller"
 	"zinniatide.example/zinniatide/enroller"
@@ -155,10 +157,35 @@
 	return r, nil
 }
 
-// peering reports whether this VM keeps a link to a member: control VMs to all,
-// relays to control VMs and to relays of other zones.
-func (r *Relay) peering(m *zinniatide.Member) bool {
-	return r.cfg.DataFolder != "" || m.Control || m.Zone != r.cfg.Zone
+// helpersPerZone are linked to in each other zone. Links cost a ping twice a
+// second, so a VM does not keep them to all.
+const helpersPerZone = 3
+
+// peering returns the members to which this VM keeps links: a control VM to
+// all, an active relay to control VMs and to a few active relays of each other
+// zone.
+func (r *Relay) peering(c *zinniatide.Configuration) []zinniatide.VMID {
+	var out []zinniatide.VMID
+	for vm, m := range c.Members {
+		if m.Control || r.cfg.DataFolder != "" {
+			out = append(out, vm)
+		}
+	}
+	if r.cfg.DataFolder != "" || !slices.Contains(c.Relays(r.cfg.Zone), r.cfg.VM) {
+		return out
+	}
+	for _, zone := range c.RelayZones() {
+		if zone == r.cfg.Zone {
+			continue
+		}
+		candidates := c.Relays(zone)
+		for range min(helpersPerZone, len(candidates)) {
+			best := picker.Pick(string(r.cfg.VM), candidates)
+			out = append(out, best)
+			candidates = slices.DeleteFunc(candidates, func(vm zinniatide.VMID) bool { return vm == best })
+		}
+	}
+	return out
 }
 
 // load returns the requests sent to backend servers since the last call as a
@@ -367,63 +394,3 @@
 		r.keeper.Post(func() { r.keeper.SetContacts(contacts(r.subscriber.Configuration(), seeds)) })
 	}
 }
-
-// Stages of a planned stop of a relay VM, counted from its begin.
-const (
-	// moveAway is how long callers may go on with addresses that they were given
-	// before. Those that keep an answer for longer are refused and go elsewhere.
-	moveAway = RelayAddressLifetime + 200
-	// cutMargin is left at the end of a stop for closing.
-	cutMargin zinniatide.Millis = 900
-)
-
-// RelayAddressLifetime is how long callers may use an address answer. Each new
-// one costs a caller a connection and a way there and back before its request.
-const RelayAddressLifetime zinniatide.Millis = 4000
-
-// Stop ends the process by plan: callers are sent elsewhere, open requests are
-// finished, and leadership is handed over.
-func (r *Relay) Stop() {
-	r.mu.Lock()
-	r.leaving = true
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), (r.cfg.StopLimit - cutMargin).Duration())
-	defer cancel()
-	r.subscriber.Leave()
-	if r.keeper != nil {
-		r.keeper.Post(r.keeper.TransferLeadership)
-	}
-	cut := 0
-	if r.acceptor != nil {
-		r.acceptor.Leave()
-		sleep(ctx, moveAway)
-		r.acceptor.Refuse()
-		cut = r.acceptor.Close(ctx)
-	} else {
-		sleep(ctx, handOver)
-	}
-	done := make(chan error, 1)
-	r.subscriber.Goodbye(func(err error) { done <- err })
-	select {
-	case err := <-done:
-		if err != nil {
-			klog.InfoS("left without the leader's answer; its lease ends this VM's session", "step", "goodbye", "err", err.Error())
-		}
-	case <-time.After(goodbyeTimeout):
-	}
-	klog.InfoS("stopped", "step", "stop", "requests-cut", cut)
-}
-
-const (
-	// handOver is the time for a transfer of leadership.
-	handOver zinniatide.Millis = 600
-	// goodbyeTimeout bounds the wait for the leader's answer.
-	goodbyeTimeout = 300 * time.Millisecond
-)
-
-func sleep(ctx context.Context, d zinniatide.Millis) {
-	select {
-	case <-time.After(d.Duration()):
-	case <-ctx.Done():
-	}
-}
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -5,6 +5,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/headerline"
 	"zinniatide.example/zinniatide/selector"
 	"zinniatide.example/zinniatide/transporter"
 )
@@ -174,10 +175,7 @@
 		if r.internal[string(key)] {
 			continue
 		}
-		out = append(out, key...)
-		out = append(out, ": "...)
-		out = append(out, value...)
-		out = append(out, "\r\n"...)
+		out = headerline.Append(out, key, value)
 	}
 	return out
 }
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/headerline"
 	"zinniatide.example/zinniatide/ranker"
 	"zinniatide.example/zinniatide/selector"
 	"zinniatide.example/zinniatide/throttler"
@@ -286,15 +287,8 @@
 	g.r.metrics.outcome(g.route, outcome, float64(now-g.req.Arrived))
 	names := &g.r.d.Names
 	stamps := g.stamps()
-	header := make([]byte, 0, 64+len(stamps)*40)
-	header = append(header, names.PartStamps...)
-	header = append(header, ": "...)
-	header = append(header, strings.Join(stamps, ", ")...)
-	header = append(header, "\r\n"...)
-	header = append(header, names.MissingParts...)
-	header = append(header, ": "...)
-	header = strconv.AppendInt(header, int64(missing), 10)
-	header = append(header, "\r\n"...)
+	header := headerline.Append(make([]byte, 0, 64+len(stamps)*40), names.PartStamps, strings.Join(stamps, ", "))
+	header = headerline.Append(header, names.MissingParts, strconv.Itoa(missing))
 	g.finish(Reply{Status: 200, Header: header, Body: g.ranker.Append(nil)})
 }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -42,9 +42,8 @@
 	// ControlVMs is the set from the settings. The set of the configuration
 	// replaces it once one is installed.
 	ControlVMs []zinniatide.ControlVM
-	// Peering selects the members to which this VM keeps a link; nil selects
-	// all.
-	Peering func(*zinniatide.Member) bool
+	// Peering returns the members to which this VM keeps links; nil selects all.
+	Peering func(*zinniatide.Configuration) []zinniatide.VMID
 	// Load returns the load of this VM as of controlproto.Heartbeat; nil reports
 	// none.
 	Load func() float64
@@ -139,8 +138,12 @@
 	for vm, address := range s.hints {
 		peers[vm] = address
 	}
-	for vm, m := range c.Members {
-		if s.config.Peering == nil || s.config.Peering(&m) {
+	if s.config.Peering != nil {
+		for _, vm := range s.config.Peering(c) {
+			peers[vm] = c.Members[vm].PeerAddress
+		}
+	} else {
+		for vm, m := range c.Members {
 			peers[vm] = m.PeerAddress
 		}
 	}
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/headerline"
 	"zinniatide.example/zinniatide/common/trywriter"
 )
 
@@ -54,8 +55,8 @@
 func (c *conn) start(x *Exchange, now zinniatide.Millis) bool {
 	names := &c.pool.t.d.Names
 	out := append(c.out[:0], x.Head...)
-	out = appendHeader(out, names.Deadline, strconv.FormatInt(int64(max(x.Deadline-now, 1)), 10))
-	out = appendHeader(out, names.ExpectServer, string(c.pool.server))
+	out = headerline.Append(out, names.Deadline, strconv.FormatInt(int64(max(x.Deadline-now, 1)), 10))
+	out = headerline.Append(out, names.ExpectServer, c.pool.server)
 	out = append(out, "\r\n"...)
 	out = append(out, x.Body...)
 	c.out = out
@@ -81,16 +82,6 @@
 	return true
 }
 
-func appendHeader(out []byte, name, value string) []byte {
-	if name == "" {
-		return out
-	}
-	out = append(out, name...)
-	out = append(out, ": "...)
-	out = append(out, value...)
-	return append(out, "\r\n"...)
-}
-
 // expire ends an exchange whose time has passed.
 func (c *conn) expire(x *Exchange) {
 	lock := c.pool.t.d.Lock
--- a/transporter/names.go
+++ b/transporter/names.go
@@ -1,7 +1,6 @@
 package transporter
 
-// Names are the HTTP headers spoken with backend servers. The zero value of a
-// name switches off what it serves.
+// Names are the HTTP headers spoken with backend servers. All are set.
 type Names struct {
 	// RequestID carries the caller's id of a request; answers repeat it.
 	RequestID string
