--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -230,7 +230,7 @@
 // paces reports whether this VM is the one that sends to a cold server. The
 // bound on its rate holds for all VMs together, so one of them has all of it.
 func (r *Relayer) paces(s *selector.Server) bool {
-	return len(r.active) == 0 || picker.Pick(string(s.Enrollment.Server), r.active) == r.config.VM
+	return len(r.active) == 0 || picker.Pick(string(s.Server), r.active) == r.config.VM
 }
 
 // maxSpreads bounds the routes whose answers are described.
--- a/selector/cold_test.go
+++ b/selector/cold_test.go
@@ -29,7 +29,7 @@
 			}
 			switch s := service.Pick(o); {
 			case s == nil:
-			case s.Enrollment.Server == "cold":
+			case s.Server == "cold":
 				s.Begin(now)
 				s.Answered(now, now+1)
 				sent[now/1000]++
