Spread the parts of large queries over the zone

Change: above 32 local parts, each active relay of the zone gathers the shards that it wins by rendezvous hash. Parts of a group that never left are sent directly without drawing on the bound on repeats.

--- a/cmd/zinniasoak/soak/proxy.go
+++ b/cmd/zinniasoak/soak/proxy.go
@@ -72,7 +72,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !(answers && p.silent.Load()) {
+		if n > 0 && (!answers || !p.silent.Load()) {
 			time.Sleep(time.Duration(p.delay.Load()))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
--- a/node/relay.go
+++ b/node/relay.go
@@ -162,8 +162,8 @@
 const helpersPerZone = 3
 
 // peering returns the members to which this VM keeps links: a control VM to
-// all, an active relay to control VMs and to a few active relays of each other
-// zone.
+// all, an active relay to control VMs, to those of its zone that share the parts
+// of queries, and to a few active relays of each other zone.
 func (r *Relay) peering(c *zinniatide.Configuration) []zinniatide.VMID {
 	var out []zinniatide.VMID
 	for vm, m := range c.Members {
@@ -175,10 +175,11 @@
 		return out
 	}
 	for _, zone := range c.RelayZones() {
+		candidates := c.Relays(zone)
 		if zone == r.cfg.Zone {
+			out = append(out, candidates[:min(len(candidates), relayer.MaxSiblings)]...)
 			continue
 		}
-		candidates := c.Relays(zone)
 		for range min(helpersPerZone, len(candidates)) {
 			best := picker.Pick(string(r.cfg.VM), candidates)
 			out = append(out, best)
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/relayer"
 )
 
 // Guards against links that grow with the square of the VMs, and against
@@ -38,8 +39,8 @@
 				switch p := c.Members[peer]; {
 				case p.Control:
 					control++
-				case !m.Control && (!allowed[peer] || p.Zone == m.Zone):
-					t.Errorf("relay %s has a link to %s of zone %s", vm, peer, p.Zone)
+				case !m.Control && !allowed[peer]:
+					t.Errorf("relay %s has a link to %s, to which no caller is sent", vm, peer)
 				default:
 					byZone[p.Zone]++
 				}
@@ -49,14 +50,14 @@
 			}
 			want := 0
 			if !m.Control && allowed[vm] {
-				want = 2 * helpersPerZone
+				want = 2*helpersPerZone + min(relayer.MaxSiblings, len(c.Relays(m.Zone)))
 			}
 			got := 0
 			for _, n := range byZone {
 				got += n
 			}
 			if !m.Control && got != want {
-				t.Errorf("%s: got %d links to relays of other zones, want %d", vm, got, want)
+				t.Errorf("%s: got %d links to relays, want %d", vm, got, want)
 			}
 		}
 	}
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/router"
 	"zinniatide.example/zinniatide/selector"
@@ -16,12 +17,22 @@
 // there are gathered by a helper, a relay VM of a zone that has one: the request
 // crosses zones once instead of once for each shard, and so do the greatest
 // records of all of them.
+//
+// The parts of a query with many shards are spread over helpers of the own zone
+// as well, each of which gathers the shards that it wins by rendezvous hash. One
+// small VM would take longer to send them all than the servers to answer, and
+// each helper sees all requests of the zone for its shards.
 
 const (
 	// leastDelegated is the number of parts from which on a helper saves bytes.
 	leastDelegated = 2
-	// helperWay is about the way to a helper and back. It answers so much sooner.
-	helperWay zinniatide.Millis = 6
+	// helperWay is about the way to a helper of another zone and back, siblingWay
+	// to one of the own zone. It answers so much sooner.
+	helperWay  zinniatide.Millis = 6
+	siblingWay zinniatide.Millis = 2
+	// spreadAbove is the number of parts that one VM sends itself at most when
+	// others of its zone can take some.
+	spreadAbove = 32
 	// helperRest keeps requests from a helper that did not answer in time.
 	helperRest zinniatide.Millis = 1000
 	// helperGrace is how long after the cutoff a helper's answer is waited for.
@@ -95,7 +106,7 @@
 	}
 	r.helpers = map[zinniatide.ZoneID][]*helper{}
 	for vm, m := range c.Members {
-		if !m.Relay || m.State != zinniatide.StateIn || m.Zone == r.config.Zone {
+		if !m.Relay || m.State != zinniatide.StateIn || vm == r.config.VM {
 			continue
 		}
 		h := known[vm]
@@ -128,6 +139,7 @@
 		return
 	}
 	byZone := map[zinniatide.ZoneID][]int{}
+	var local []int
 	for i := range g.parts {
 		p := &g.parts[i]
 		if p.failed {
@@ -135,6 +147,7 @@
 		}
 		zones := p.service.Zones(o)
 		if slices.Contains(zones, o.Zone) {
+			local = append(local, i)
 			continue
 		}
 		for _, zone := range zones {
@@ -149,7 +162,25 @@
 			continue
 		}
 		if h := g.r.helperIn(zone, o.Now); h != nil {
-			g.hand(h, list, o.Now)
+			g.hand(h, list, helperWay, o.Now)
+		}
+	}
+	if len(local) > spreadAbove {
+		g.spread(local, o.Now)
+	}
+}
+
+// spread hands local parts to helpers of the own zone.
+func (g *gathering) spread(local []int, now zinniatide.Millis) {
+	byVM := map[zinniatide.VMID][]int{}
+	for _, i := range local {
+		vm := picker.Pick(string(g.route.Shards[i]), g.r.siblings)
+		byVM[vm] = append(byVM[vm], i)
+	}
+	for _, h := range g.r.helpers[g.r.config.Zone] {
+		list := byVM[h.vm]
+		if len(list) >= leastDelegated && now >= h.restUntil && g.r.d.Links.Connected(h.vm) {
+			g.hand(h, list, siblingWay, now)
 		}
 	}
 }
@@ -175,13 +206,13 @@
 }
 
 // hand sends parts to a helper.
-func (g *gathering) hand(h *helper, list []int, now zinniatide.Millis) {
+func (g *gathering) hand(h *helper, list []int, way, now zinniatide.Millis) {
 	r := g.r
 	r.lastCall++
 	gr := &group{helper: h, call: r.lastCall, open: true}
 	d := &delegation{
 		Call: gr.call, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
-		Attempts: g.route.MaxAttempts, Target: g.route.TargetLatency, Cutoff: max(g.cutoff-now-helperWay, 1), Left: g.end - now,
+		Attempts: g.route.MaxAttempts, Target: g.route.TargetLatency, Cutoff: max(g.cutoff-now-way, 1), Left: g.end - now,
 	}
 	for _, i := range list {
 		p := &g.parts[i]
@@ -200,11 +231,11 @@
 			err = encoder.Unmarshal(body, &answer)
 		}
 		// An error may come within the call, under the lock.
-		go func() {
+		r.d.Timer.After(0, func() {
 			r.d.Lock.Lock()
 			defer r.d.Lock.Unlock()
 			g.handed(gr, &answer, err)
-		}()
+		})
 	})
 }
 
@@ -218,12 +249,14 @@
 		klog.InfoS("helper failed; parts are asked for directly", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm,
 			"parts", len(gr.parts), "err", err.Error())
 		gr.helper.restUntil = g.r.d.Clock.Now() + helperRest
-		if !errors.Is(err, zinniatide.ErrNotSent) {
-			// The helper may have sent each part once.
-			g.ran = true
-			for _, p := range gr.parts {
-				p.runs++
-			}
+		if errors.Is(err, zinniatide.ErrNotSent) {
+			g.sendDirectly(gr)
+			return
+		}
+		// The helper may have sent each part once.
+		g.ran = true
+		for _, p := range gr.parts {
+			p.runs++
 		}
 		g.release(gr)
 		return
@@ -278,6 +311,24 @@
 	}
 }
 
+// sendDirectly sends the parts of a group that never reached its helper.
+func (g *gathering) sendDirectly(gr *group) {
+	for _, p := range gr.parts {
+		p.group = nil
+		o := g.r.options(p.tried)
+		s := p.service.Pick(o)
+		if s == nil {
+			g.giveUp(p, "no server can be reached")
+		} else {
+			p.service.Budget.Request(o.Now)
+			g.sendPart(p, s)
+		}
+		if g.ended {
+			return
+		}
+	}
+}
+
 // release asks for the parts directly that a helper has not brought.
 func (g *gathering) release(gr *group) {
 	for _, p := range gr.parts {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -87,8 +87,10 @@
 	// zoneActive is the number of those in this zone.
 	zoneActive int
 	sends      uint64
-	// helpers are the relay VMs of other zones.
-	helpers map[zinniatide.ZoneID][]*helper
+	// helpers are the other relay VMs by zone, siblings the active ones of this
+	// zone, this VM included, that share the parts of large queries.
+	siblings []zinniatide.VMID
+	helpers  map[zinniatide.ZoneID][]*helper
 	// delegated are the gatherings that run here for other VMs.
 	delegated map[delegationID]*gathering
 	lastCall  uint64
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -21,6 +21,10 @@
 	restTick zinniatide.Millis = 100
 )
 
+// MaxSiblings bounds the relay VMs of a zone that share the parts of a query.
+// With more, a part costs less than its share of a message.
+const MaxSiblings = 8
+
 // Update puts a configuration and a table of backend servers in force. An
 // older routing table never replaces a newer one.
 func (r *Relayer) Update(c *zinniatide.Configuration, enrollments []zinniatide.Enrollment) {
@@ -43,6 +47,7 @@
 		r.active = append(r.active, relays...)
 		if zone == r.config.Zone {
 			r.zoneActive = len(relays)
+			r.siblings = relays[:min(len(relays), MaxSiblings)]
 		}
 	}
 	slices.Sort(r.active)
