Send changed routes only; heartbeats within the zone

A table of 225 services goes to 73 VMs whole with each change, about 2 MB; 280 backend servers send heartbeats to control VMs of any zone.

Change: a configuration delta carries the routes and services that differ; a heartbeat's answer names a control VM of the server's zone for the next ones. Test: a series of changes gives every VM the leader's table.

--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -70,7 +70,7 @@
 		defer func() { _ = metrics.Close(context.Background()) }() // the process ends
 	}
 	r, err := node.NewRelay(node.RelayConfig{
-		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
+		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, ControlAddress: s.ControlAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
 		Seeds: s.Seeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRate * s.Cores, StopLimit: s.StopLimit,
 		CallerNames: platform.CallerNames(), RelayNames: platform.RelayNames(), BackendNames: platform.BackendNames(),
 	}, clocks, registry)
@@ -102,7 +102,7 @@
 func endpoints(r *node.Relay, s *platform.Settings) []node.Endpoint {
 	var out []node.Endpoint
 	if s.ControlAddress != "" {
-		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControl(r.Operator(), r.Enroller())})
+		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControl(r.Operator(), r.Enroller(), r.HeartbeatAddress)})
 	}
 	if s.DirectoryAddress != "" {
 		lifetime := min(node.RelayAddressLifetime, s.LongestLifetime)
--- a/node/relay.go
+++ b/node/relay.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -39,6 +40,9 @@
 	Zone zinniatide.ZoneID
 	// CallerAddress serves callers; empty on a process that does not relay.
 	CallerAddress string
+	// ControlAddress serves operators and backend servers; empty on a process
+	// without the replicated log.
+	ControlAddress string
 	// DataFolder holds the replicated log; empty on a process without it.
 	DataFolder string
 	// FirstStart is set when the whole system starts for the first time, with
@@ -128,7 +132,7 @@
 	control := cfg.DataFolder != ""
 	r.subscriber = subscriber.New(subscriber.Config{
 		Member: zinniatide.Member{
-			VM: cfg.VM, Incarnation: incarnation, Zone: cfg.Zone, HTTPAddress: cfg.CallerAddress,
+			VM: cfg.VM, Incarnation: incarnation, Zone: cfg.Zone, HTTPAddress: cmp.Or(cfg.CallerAddress, cfg.ControlAddress),
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
 		Control: control, ControlVMs: cfg.Seeds,
@@ -377,6 +381,26 @@
 // Enroller takes the heartbeats of backend servers.
 func (r *Relay) Enroller() zinniatide.Enroller { return r.enroller }
 
+// HeartbeatAddress returns where the backend servers of a zone should send
+// their heartbeats: a control VM of the zone, or empty when there is none or it
+// is this one.
+func (r *Relay) HeartbeatAddress(zone zinniatide.ZoneID) string {
+	c := r.subscriber.Configuration()
+	if zone == r.cfg.Zone {
+		return ""
+	}
+	var near []zinniatide.VMID
+	for vm, m := range c.Members {
+		if m.Control && m.Zone == zone && m.State == zinniatide.StateIn {
+			near = append(near, vm)
+		}
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return c.Members[slices.Min(near)].HTTPAddress
+}
+
 // Addresses returns the relay VMs for callers in zone.
 func (r *Relay) Addresses(zone zinniatide.ZoneID) []string { return r.steerer.Addresses(zone) }
 
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -22,12 +22,6 @@
 	ActiveRelays      map[zinniatide.ZoneID]int                               `cbor:"10,keyasint,omitempty"`
 }
 
-// RoutingChange replaces the routing table.
-type RoutingChange struct {
-	Number  zinniatide.TicketNumber `cbor:"1,keyasint"`
-	Routing *zinniatide.Routing     `cbor:"2,keyasint"`
-}
-
 // BucketChange replaces one bucket.
 type BucketChange struct {
 	Zone   zinniatide.ZoneID `cbor:"1,keyasint"`
@@ -94,7 +88,7 @@
 		merge(&e.next.ActiveRelays, d.ActiveRelays)
 	}
 	if d.Routing != nil {
-		e.next.Routing, e.next.RoutingNumber = d.Routing.Routing, d.Routing.Number
+		e.next.Routing, e.next.RoutingNumber = d.Routing.apply(e.next.Routing), d.Routing.Number
 	}
 }
 
--- a/registrar/routing_test.go
+++ b/registrar/routing_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
 	"testing"
 
 	"zinniatide.example/zinniatide"
@@ -85,3 +88,44 @@
 		t.Error("empty zone: got no refusal, want one")
 	}
 }
+
+// Guards against VMs whose routing table differs from the leader's after a
+// series of changes, and against pushes of whole tables.
+func TestRoutingChangesAddUp(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8)) //nolint:gosec // fixed seed
+	r := New()
+	var deltas []Delta
+	r.Observe(func(_ *zinniatide.Configuration, d *Delta) { deltas = append(deltas, *d) })
+	table := &zinniatide.Routing{}
+	for number := zinniatide.TicketNumber(1); number < 60; number++ {
+		next := &zinniatide.Routing{Limits: zinniatide.CallerLimits{MaxBodyBytes: random.IntN(3)}}
+		for i := range 30 {
+			if random.IntN(10) > 0 {
+				next.Routes = append(next.Routes, zinniatide.Route{Host: "h", PathPrefix: fmt.Sprintf("/%d/", i), Timeout: zinniatide.Millis(1 + random.IntN(2))})
+			}
+			if random.IntN(10) > 0 {
+				next.Services = append(next.Services, zinniatide.RelayService{Service: zinniatide.ServiceID(fmt.Sprint("s", i))})
+			}
+		}
+		random.Shuffle(len(next.Routes), func(i, j int) { next.Routes[i], next.Routes[j] = next.Routes[j], next.Routes[i] })
+		change := routingChange(number, table, next)
+		table = change.apply(table)
+		if again := routingChange(number, table, next); len(again.Routes)+len(again.Dropped)+len(again.Services)+len(again.Removed) > 0 || again.Limits != table.Limits {
+			t.Fatalf("ticket %d: got %+v still to change, want nothing", number, again)
+		}
+		command := &Command{Ticket: &TicketEntry{Ticket: zinniatide.Ticket{Number: number, Routing: next}}}
+		data, err := command.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Apply(uint64(number), data)
+	}
+	followed := ApplyDeltas(NewConfiguration(), deltas)
+	if !reflect.DeepEqual(followed.Routing, r.Configuration().Routing) || followed.RoutingNumber != 59 {
+		t.Errorf("got table %d, which differs from the leader's", followed.RoutingNumber)
+	}
+	same := routingChange(60, table, table)
+	if len(same.Routes)+len(same.Services)+len(same.Dropped)+len(same.Removed) > 0 {
+		t.Errorf("got %+v for an equal table, want no items", same)
+	}
+}
--- a/registrar/tickets.go
+++ b/registrar/tickets.go
@@ -187,7 +187,7 @@
 		d.ControlVMs = t.ControlVMs
 	}
 	if t.Routing != nil {
-		d.Routing = &RoutingChange{Number: t.Number, Routing: t.Routing}
+		d.Routing = routingChange(t.Number, c.Routing, t.Routing)
 	}
 	return d
 }
