--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -66,6 +66,10 @@
 	// arrived and to the caller's deadline.
 	Cutoff zinniatide.Millis `cbor:"10,keyasint"`
 	Left   zinniatide.Millis `cbor:"11,keyasint"`
+	// Repeat marks parts that have been sent to another server before. The sender
+	// has counted them, and wants the records of each part by itself, as the first
+	// server may answer after all.
+	Repeat bool `cbor:"12,keyasint,omitempty"`
 }
 
 // delegated answers a delegation.
@@ -75,6 +79,9 @@
 	Parts   []int    `cbor:"1,keyasint"`
 	Stamps  []string `cbor:"2,keyasint"`
 	Records []byte   `cbor:"3,keyasint"`
+	// Bodies are the answers to Parts, for a delegation of repeats; Records is
+	// empty then.
+	Bodies [][]byte `cbor:"7,keyasint,omitempty"`
 	// Missing are the other positions, Runs the servers that may have begun to
 	// run the request for each of them.
 	Missing []int `cbor:"5,keyasint,omitempty"`
@@ -373,7 +380,7 @@
 		ID: d.Route, Idempotent: true, Shards: d.Shards, TopRecords: d.TopRecords, MaxAttempts: d.Attempts, TargetLatency: d.Target,
 	}}
 	g := &gathering{task: task{
-		r: r, req: &Request{ID: d.RequestID, Head: d.Head, Body: d.Body, Arrived: now}, route: route,
+		r: r, repeat: d.Repeat, req: &Request{ID: d.RequestID, Head: d.Head, Body: d.Body, Arrived: now}, route: route,
 		respond: func(Reply) {}, begun: now, end: now + d.Left,
 	}, cutoff: now + d.Cutoff}
 	g.deliver = func() {
@@ -382,12 +389,17 @@
 			if g.parts[i].done {
 				answer.Parts = append(answer.Parts, i)
 				answer.Stamps = append(answer.Stamps, g.parts[i].stamp)
+				if d.Repeat {
+					answer.Bodies = append(answer.Bodies, g.parts[i].body)
+				}
 			} else {
 				answer.Missing = append(answer.Missing, i)
 				answer.Runs = append(answer.Runs, g.parts[i].runs)
 			}
 		}
-		answer.Records = g.ranker.Append(nil)
+		if !d.Repeat {
+			answer.Records = g.ranker.Append(nil)
+		}
 		delete(r.delegated, id)
 		g.finish(Reply{})
 		reply(answer, nil)
--- a/relayer/delegation_test.go
+++ b/relayer/delegation_test.go
@@ -181,3 +181,28 @@
 		t.Errorf("got %d gatherings at the helper, want 0", got)
 	}
 }
+
+// Guards against records that count twice when both the first server and the
+// helper that repeats a part answer, and against repeats beyond the bound.
+func TestRepeatsThroughAHelper(t *testing.T) {
+	w, links := newWorldOfZones(t, testShards)
+	for i := range w.list {
+		if w.list[i].Service != "plain" && i%2 == 0 {
+			w.list[i].Zone = "a" // one server of each shard in each zone
+		}
+	}
+	links.peer.Update(w.config, w.list)
+	w.update()
+	w.pauses(150, 2000)
+	out := w.load("/q/x", 40, 10_000, testTarget, testShards)
+	if got, want := out.worth, 0.95; got < want {
+		t.Errorf("got worth %.3f of %+v, want at least %.2f", got, *out, want)
+	}
+	if links.calls == 0 {
+		t.Error("got no call to the helper, want repeats through it")
+	}
+	w.checkBudget(out, 10)
+	if out.doubled > 0 {
+		t.Errorf("got %d answers with a record twice, want none", out.doubled)
+	}
+}
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -46,6 +46,7 @@
 	done    bool
 	failed  bool
 	stamp   string
+	body    []byte            // kept for a gathering of repeats
 	begun   zinniatide.Millis // of the first send
 	group   *group            // set while another VM gathers the part
 }
@@ -94,7 +95,9 @@
 		if p.failed || p.group != nil || g.ended {
 			continue
 		}
-		p.service.Budget.Request(o.Now)
+		if !g.repeat {
+			p.service.Budget.Request(o.Now)
+		}
 		g.sendPart(p, p.service.Pick(o))
 	}
 	if !g.ended {
@@ -126,17 +129,26 @@
 // hedge asks a second server for each part that is late.
 func (g *gathering) hedge() {
 	sent, denied := 0, 0
+	remote := map[zinniatide.ZoneID][]int{}
 	for i := range g.parts {
 		p := &g.parts[i]
 		if g.ended || p.done || p.failed || p.running != 1 || p.group != nil {
 			continue
 		}
+		if zone := g.repeatZone(p); zone != "" {
+			remote[zone] = append(remote[zone], i)
+			continue
+		}
 		if g.again(p) {
 			sent++
 		} else {
 			denied++
 		}
 	}
+	for zone, list := range remote {
+		s, d := g.repeatRemotely(zone, list)
+		sent, denied = sent+s, denied+d
+	}
 	if sent+denied > 0 {
 		g.r.metrics.hedges.Add(float64(sent))
 		klog.InfoS("late parts asked for again", "step", "gather", "request", g.req.ID, "route", g.route.ID, "sent", sent,
@@ -203,6 +215,9 @@
 	g.got++
 	g.ranker.Add(a.Body)
 	p.stamp = a.Stamp
+	if g.repeat {
+		p.body = append([]byte(nil), a.Body...)
+	}
 	// Counted from the first send: a part that was asked for again is a late one.
 	g.r.spreadOf(g.route.ID).Add(float64(g.r.d.Clock.Now() - p.begun))
 	g.check("")
--- a/relayer/task.go
+++ b/relayer/task.go
@@ -18,6 +18,8 @@
 	begun   zinniatide.Millis
 	end     zinniatide.Millis // the caller's deadline or the route's timeout
 	ended   bool
+	// repeat is set on a gathering of repeats for another VM.
+	repeat bool
 	// ran is set once a server may have begun to run the request.
 	ran   bool
 	stops []func() // of timers
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -138,12 +138,39 @@
 		answer := transporter.Answer{Result: result, Status: status, Waiting: len(s.waiting), Header: &fasthttp.ResponseHeader{}}
 		if result == transporter.Answered {
 			answer.Stamp = fmt.Sprintf("%s.%s", s.id, x.RequestID)
-			answer.Body = binary.BigEndian.AppendUint64(make([]byte, 8), uint64(s.arrived))
+			// The first half names the shard, so that records are unique.
+			var shard, slot int
+			_, _ = fmt.Sscanf(string(s.id), "shard-%d", &shard) // plain servers have number 0
+			for slot = range 3 {
+				answer.Body = binary.BigEndian.AppendUint64(answer.Body, uint64(s.hash(x.RequestID))+uint64(slot))
+				answer.Body = binary.BigEndian.AppendUint64(answer.Body, uint64(shard))
+			}
 		}
 		s.finish(x, answer)
 	})
 }
 
+// hash spreads the records of a request.
+func (s *simServer) hash(id string) uint32 {
+	h := uint32(2166136261)
+	for _, c := range id {
+		h = (h ^ uint32(c)) * 16777619
+	}
+	return h
+}
+
+// twice reports whether a gathered answer holds a record twice.
+func twice(body []byte) bool {
+	seen := map[string]bool{}
+	for ; len(body) >= 16; body = body[16:] {
+		if seen[string(body[:16])] {
+			return true
+		}
+		seen[string(body[:16])] = true
+	}
+	return false
+}
+
 func (s *simServer) finish(x *transporter.Exchange, a transporter.Answer) {
 	s.w.lock.Lock()
 	defer s.w.lock.Unlock()
@@ -214,6 +241,9 @@
 // tally counts how requests ended.
 type tally struct {
 	asked, inTarget, complete, late, refused, failed int
+	// doubled counts answers that hold a record twice. Records of the world are
+	// unique.
+	doubled int
 	// worth is the mean of the squared coverage of answers in the target time.
 	worth float64
 	// slowestRefusal is the longest time to a 503.
@@ -242,6 +272,9 @@
 	req := &Request{ID: fmt.Sprintf("r%d", w.ids), Host: "h", Path: path, Head: []byte("GET " + path + " HTTP/1.1\r\n"), Arrived: begun}
 	w.relayer.Serve(req, func(reply Reply) {
 		took := w.clock.Now() - begun
+		if twice(reply.Body) {
+			out.doubled++
+		}
 		switch {
 		case reply.Status == 503:
 			out.refused++
