--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -54,6 +54,8 @@
 	log := asyncwriter.New(os.Stdout, clocks)
 	defer log.Close()
 	logger.Install(log, slog.LevelInfo, s.VM, s.Zone)
+	klog.InfoS("settings read", "step", "start", "machine", s.Name, "caller-address", s.CallerAddress, "control-address", s.ControlAddress,
+		"directory-address", s.DirectoryAddress, "cores", s.Cores, "memory-bytes", s.MemoryBytes)
 	tuneRelay(s.MemoryBytes)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -36,8 +36,6 @@
 	PartStamps string
 	// MissingParts is the number of shards that are left out.
 	MissingParts string
-	// Stamp is the stamp of a backend server's answer.
-	Stamp string
 	// Internal are headers of backend servers that callers do not get.
 	Internal []string
 }
--- a/relayer/world_test.go
+++ b/relayer/world_test.go
@@ -219,7 +219,7 @@
 	w.relayer = New(Config{VM: "self", Zone: "a", Budget: rationer.Config{Ratio: 0.2, Slack: 52, Window: 10_000}, RemoteCost: 25, ReplyMargin: 12},
 		Dependencies{
 			Lock: &w.lock, Clock: w.clock, Timer: w, Random: w.random,
-			Names: Names{PartStamps: "X-Parts", MissingParts: "X-Missing", Stamp: "X-Stamp"},
+			Names: Names{PartStamps: "X-Parts", MissingParts: "X-Missing"},
 			NewPool: func(id zinniatide.BackendServerID, _ string, _ int) Pool {
 				return w.servers[id]
 			},
--- a/routing.go
+++ b/routing.go
@@ -50,8 +50,10 @@
 
 // RelayService configures a service that routes name.
 type RelayService struct {
-	Service    ServiceID `json:"service"`
-	HealthPath string    `json:"health-path"`
+	Service ServiceID `json:"service"`
+	// HealthPath answers health checks. Relay VMs judge servers by their answers
+	// to requests and do not probe it.
+	HealthPath string `json:"health-path"`
 	// MaxConnections bounds the connections of one backend server from all
 	// entry VMs together.
 	MaxConnections int `json:"max-connections"`
--- a/transporter/names.go
+++ b/transporter/names.go
@@ -15,9 +15,4 @@
 	NotRun string
 	// Load states running requests, waiting requests and slots.
 	Load string
-	// Server names the process that answers a health check.
-	Server string
-	// ColdLeft states in a health answer how many milliseconds the server stays
-	// cold.
-	ColdLeft string
 }
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -7,10 +7,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-	"syscall"
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/timer"
