Refuse when cold servers have used their rate

Cause: found by reading: a service whose servers are all cold and paced is available, but no server may get a request at this moment; the relay took the missing choice for a server and its process ended.

Test: all servers cold with a bound; it fails with the former code (panic). Measured: go test ./relayer passes.

--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -36,9 +36,15 @@
 		f.ended = true
 		return
 	}
+	s := f.service.Pick(o)
+	if s == nil {
+		f.r.refuse(f.req, f.route, f.respond, statusUnavailable, "cold servers have their rate", shortRetryAfter)
+		f.ended = true
+		return
+	}
 	f.service.Budget.Request(o.Now)
 	f.after(f.end-endMargin-o.Now, f.timeout)
-	f.trySend(f.service.Pick(o), "")
+	f.trySend(s, "")
 	f.planHedge()
 }
 
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -95,10 +95,15 @@
 		if p.failed || p.group != nil || g.ended {
 			continue
 		}
+		s := p.service.Pick(o)
+		if s == nil {
+			g.giveUp(p, "cold servers have their rate")
+			continue
+		}
 		if !g.repeat {
 			p.service.Budget.Request(o.Now)
 		}
-		g.sendPart(p, p.service.Pick(o))
+		g.sendPart(p, s)
 	}
 	if !g.ended {
 		g.after(g.hedgeDelay(), g.hedge)
--- a/relayer/load_test.go
+++ b/relayer/load_test.go
@@ -212,3 +212,34 @@
 		t.Errorf("got %.0f in time of %+v, want nine tenths of the completed", got, *out)
 	}
 }
+
+// Pattern: all servers return cold, with a bound on their rate. Guards against a
+// process that ends because no server may get a request now, and against more
+// requests than cold servers bear.
+func TestAllServersColdWithABound(t *testing.T) {
+	w := newWorld(t, testShards)
+	const rate = 10.0
+	for i := range w.config.Routing.Services {
+		w.config.Routing.Services[i].ColdRate = rate
+	}
+	w.config.RoutingNumber++
+	for i := range w.list {
+		w.list[i].ColdLeft = 4000
+		w.list[i].Sequence++
+	}
+	w.update()
+	for _, path := range []string{"/q/x", "/p/x"} {
+		w.load(path, 200, 3000, testTarget, testShards)
+		for id, s := range w.servers {
+			if most := 4 * rate * 1.5; float64(s.arrived) > most {
+				t.Errorf("%s: got %d requests at cold server %s, want at most %.0f", path, s.arrived, id, most)
+			}
+			s.arrived = 0
+		}
+		for i := range w.list {
+			w.list[i].ColdLeft += 4000 // cold again
+			w.list[i].Sequence++
+		}
+		w.update()
+	}
+}
