Keep the platform's names of stand-ins in the adapter

Cause: the soak spoke the platform's headers, paths and bodies by itself, a second copy outside the one folder.

--- a/cmd/zinniasoak/soak/backend.go
+++ b/cmd/zinniasoak/soak/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -11,6 +10,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/platform"
 )
 
 // Behaviour of backend servers.
@@ -68,8 +70,8 @@
 
 // ServeHTTP answers as a searcher does.
 func (b *backend) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Request-Id")
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != b.id {
+	id := r.Header.Get(platform.HeaderRequestID)
+	if want := r.Header.Get(platform.HeaderExpect); want != "" && want != b.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -98,14 +100,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	stamp, records := partOf(b.service, id)
-	rw.Header().Set("X-Request-Id", id)
-	rw.Header().Set("X-Server-Stamp", stamp)
-	rw.Header().Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", len(b.busy), max(b.waiting.Load()-slots, 0), slots))
+	rw.Header().Set(platform.HeaderRequestID, id)
+	rw.Header().Set(platform.HeaderStamp, stamp)
+	rw.Header().Set(platform.HeaderLoad, fmt.Sprintf("%d,%d,%d", len(b.busy), max(b.waiting.Load()-slots, 0), slots))
 	_, _ = rw.Write(records) // the caller may have left
 }
 
 func (b *backend) shed(rw http.ResponseWriter) {
-	rw.Header().Set("X-Not-Run", "1")
+	rw.Header().Set(platform.HeaderNotRun, "1")
 	rw.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -130,20 +132,23 @@
 		case <-time.After(beatInterval):
 		}
 		if !b.gone.Load() {
-			b.say(client, "ready", n)
+			b.say(client, zinniatide.StateIn, n)
 		}
 	}
 }
 
 // say sends one heartbeat and reports whether it was acknowledged.
-func (b *backend) say(client *http.Client, state string, n int) bool {
-	raw, err := json.Marshal(map[string]any{"service": b.service, "addr": b.address, "zone": b.zone, "version": "v1", "slots": slots,
-		"state": state, "cold_left_ms": 0, "seq": b.seq.Add(1), "born": b.born})
+func (b *backend) say(client *http.Client, state zinniatide.ServingState, n int) bool {
+	e := zinniatide.Enrollment{
+		Server: zinniatide.BackendServerID(b.id), Born: zinniatide.Millis(b.born), Sequence: uint64(b.seq.Add(1)),
+		Service: zinniatide.ServiceID(b.service), Address: b.address, Zone: zinniatide.ZoneID(b.zone), Slots: slots, State: state,
+	}
+	raw, err := platform.EncodeHeartbeat(e)
 	if err != nil {
 		return false
 	}
 	controls := b.w.fleet.controls()
-	resp, err := client.Post(fmt.Sprintf("http://%s:%d/v1/instances/%s/heartbeat", controls[n%len(controls)].ip, controlPort, b.id),
+	resp, err := client.Post(fmt.Sprintf("http://%s:%d%s", controls[n%len(controls)].ip, controlPort, platform.HeartbeatPath(e.Server)),
 		"application/json", bytes.NewReader(raw))
 	if err != nil {
 		return false
@@ -157,7 +162,7 @@
 	b.gone.Store(true)
 	client := &http.Client{Timeout: time.Second}
 	for n := 0; n < 20; n++ {
-		if b.say(client, "draining", n) {
+		if b.say(client, zinniatide.StateLeaving, n) {
 			b.mu.Lock()
 			b.drained = time.Now()
 			b.mu.Unlock()
--- a/cmd/zinniasoak/soak/fleet.go
+++ b/cmd/zinniasoak/soak/fleet.go
@@ -5,10 +5,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/platform"
 )
 
 // Ports of every process; each has a loopback address of its own.
@@ -68,30 +70,19 @@
 func (f *fleet) controls() []*process { return f.all[:3] }
 func (f *fleet) relays() []*process   { return f.all[3:] }
 
-// settings writes the settings file of the platform.
+// settings writes the settings file of the process.
 func (p *process) settings(first bool) error {
-	var b strings.Builder
-	serves, listen := `"front", "directory"`, fmt.Sprintf("front = \"%s:%d\"\nready = \"%s:%d\"\ndirectory = \"%s:%d\"\n",
-		p.ip, callerPort, p.ip, readyPort, p.ip, directoryPort)
-	if p.control {
-		serves, listen = `"control"`, fmt.Sprintf("control = \"%s:%d\"\n", p.ip, controlPort)
+	m := &platform.Machine{
+		Name: p.name, IP: p.ip, Zone: zinniatide.ZoneID(p.zone), Control: p.control, DataFolder: filepath.Join(p.folder, "data"), FirstStart: first,
+		PeerPort: peerPort, FrontPort: callerPort, ReadyPort: readyPort, ControlPort: controlPort, DirectoryPort: directoryPort,
 	}
-	fmt.Fprintf(&b, "node_name = %q\nserves = [%s]\nip = %q\nzone = %q\ninternal_port_range = [%d, %d]\nbootstrap = %v\n",
-		p.name, serves, p.ip, p.zone, peerPort, peerPort+9, first)
-	var seeds []string
 	for _, c := range p.fleet.controls() {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", c.ip, controlPort)))
-	}
-	fmt.Fprintf(&b, "seeds = [%s]\n", strings.Join(seeds, ", "))
-	if p.control {
-		fmt.Fprintf(&b, "data_dir = %q\n", filepath.Join(p.folder, "data"))
+		m.Seeds = append(m.Seeds, c.ip)
 	}
-	fmt.Fprintf(&b, "[listen]\n%s[limits]\ncpu_share = 1.0\nmemory_mb = 280\n[tolerate]\nmachines = 1\n"+
-		"[bounds]\ngrace_s = 6\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 52\nttl_max_s = 5\n", listen)
 	if err := os.MkdirAll(p.folder, 0o755); err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(p.folder, "settings.toml"), []byte(b.String()), 0o600)
+	return os.WriteFile(filepath.Join(p.folder, "settings.toml"), []byte(platform.EncodeSettings(m)), 0o600)
 }
 
 // run keeps the process running until the fleet closes.
@@ -119,7 +110,7 @@
 	}
 	defer func() { _ = log.Close() }() // only appended to
 	command := exec.Command(p.fleet.program, "platform")
-	command.Env = append(os.Environ(), "ZINNIATIDE_NODE_FILE="+filepath.Join(p.folder, "settings.toml"))
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(p.folder, "settings.toml"))
 	command.Stdout, command.Stderr = log, log
 	p.mu.Lock()
 	err = command.Start()
--- a/cmd/zinniasoak/soak/world.go
+++ b/cmd/zinniasoak/soak/world.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -12,6 +11,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/platform"
 )
 
 // The index of the soak: shards with two servers each, and a plain service.
@@ -112,8 +114,8 @@
 		return false
 	}
 	req.Host = soakHost
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "1500")
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, "1500")
 	resp, err := client.Do(req)
 	if err != nil {
 		w.count("no answer")
@@ -152,8 +154,8 @@
 	case kind <= 1:
 		w.checkGathered(id, resp, body)
 	default:
-		if stamp, want := partOf("plain", id); resp.Header.Get("X-Server-Stamp") != stamp || !bytes.Equal(body, want) {
-			w.violate("MIXED: request %s got stamp %q with %d bytes", id, resp.Header.Get("X-Server-Stamp"), len(body))
+		if stamp, want := partOf("plain", id); resp.Header.Get(platform.HeaderStamp) != stamp || !bytes.Equal(body, want) {
+			w.violate("MIXED: request %s got stamp %q with %d bytes", id, resp.Header.Get(platform.HeaderStamp), len(body))
 		}
 	}
 }
@@ -161,7 +163,7 @@
 func (w *world) checkGathered(id string, resp *http.Response, body []byte) {
 	var records [][]byte
 	seen := map[string]bool{}
-	stamps := strings.Split(resp.Header.Get("X-Part-Stamps"), ",")
+	stamps := strings.Split(resp.Header.Get(platform.HeaderParts), ",")
 	for _, stamp := range stamps {
 		service, of, ok := strings.Cut(strings.TrimSpace(stamp), ".")
 		if !ok || of != id || seen[service] || !strings.HasPrefix(service, "shard") {
@@ -179,8 +181,8 @@
 	if !bytes.Equal(body, want) {
 		w.violate("MIXED: request %s got %d bytes that are not the greatest records of its %d parts", id, len(body), len(stamps))
 	}
-	if missing := fmt.Sprint(shardCount - len(stamps)); resp.Header.Get("X-Missing-Parts") != missing {
-		w.violate("MIXED: request %s states %s missing parts, want %s", id, resp.Header.Get("X-Missing-Parts"), missing)
+	if missing := fmt.Sprint(shardCount - len(stamps)); resp.Header.Get(platform.HeaderMissing) != missing {
+		w.violate("MIXED: request %s states %s missing parts, want %s", id, resp.Header.Get(platform.HeaderMissing), missing)
 	}
 	if float64(len(stamps)) < leastShare*shardCount {
 		w.violate("MIXED: request %s got %d parts of %d", id, len(stamps), shardCount)
@@ -217,17 +219,17 @@
 	client := &http.Client{Timeout: time.Second}
 	relays := w.fleet.relays()
 	for range 3 {
-		resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/resolve?name=%s&zone=%s", relays[w.intN(len(relays))].ip, directoryPort, soakHost, zone))
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", relays[w.intN(len(relays))].ip, directoryPort, platform.ResolvePath(soakHost, zinniatide.ZoneID(zone))))
 		if err != nil {
 			continue
 		}
-		var answer struct {
-			Addrs []string `json:"addrs"`
-		}
-		err = json.NewDecoder(resp.Body).Decode(&answer)
+		raw, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
-		if err == nil && len(answer.Addrs) > 0 {
-			return answer.Addrs
+		if err != nil {
+			continue
+		}
+		if addresses, err := platform.DecodeResolved(raw); err == nil && len(addresses) > 0 {
+			return addresses
 		}
 	}
 	return nil
@@ -235,28 +237,29 @@
 
 // document is the operator's configuration.
 func document(version int) []byte {
-	services := []map[string]any{{"name": "plain", "health_path": "/healthz", "max_conns": 40}}
-	var shards []string
+	r := &zinniatide.Routing{
+		Services: []zinniatide.RelayService{{Service: "plain", HealthPath: "/healthz", MaxConnections: 40}},
+		Limits:   zinniatide.CallerLimits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 10, HeaderTimeout: 3000, IdleTimeout: 10_000},
+	}
+	var shards []zinniatide.ServiceID
 	for i := range shardCount {
-		name := fmt.Sprintf("shard%d", i)
+		name := zinniatide.ServiceID(fmt.Sprintf("shard%d", i))
 		shards = append(shards, name)
-		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_conns": 40})
-	}
-	route := func(name, prefix, kind string, more map[string]any) map[string]any {
-		more["name"], more["host"], more["path_prefix"], more["kind"] = name, soakHost, prefix, kind
-		more["timeout_ms"], more["target_latency_ms"], more["max_attempts"] = 1500, 200, 2
-		return more
+		r.Services = append(r.Services, zinniatide.RelayService{Service: name, HealthPath: "/healthz", MaxConnections: 40})
 	}
-	routes := []map[string]any{
-		route("gather", gatherPath, "idempotent", map[string]any{"gather": shards, "top_k": topRecords, "min_version": leastShare}),
-		route("plain", plainPath, "idempotent", map[string]any{"service": "plain"}),
-		route("once", oncePath, "non_idempotent", map[string]any{"service": "plain"}),
-		route(fmt.Sprintf("idle-%d", version), fmt.Sprintf("/idle%d/", version), "idempotent", map[string]any{"service": "plain"}),
+	add := func(id zinniatide.RouteID, prefix string, idempotent bool) *zinniatide.Route {
+		r.Routes = append(r.Routes, zinniatide.Route{ID: id, Host: soakHost, PathPrefix: prefix, Idempotent: idempotent, Timeout: 1500,
+			TargetLatency: 200, MaxAttempts: 2, Targets: []zinniatide.WeightedService{{Service: "plain", Weight: 1}}})
+		return &r.Routes[len(r.Routes)-1]
 	}
-	raw, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 10000}})
+	gather := add("gather", gatherPath, true)
+	gather.Targets, gather.Shards, gather.TopRecords, gather.MinCoverage = nil, shards, topRecords, leastShare
+	add("plain", plainPath, true)
+	add("once", oncePath, false)
+	add(zinniatide.RouteID(fmt.Sprint("idle-", version)), fmt.Sprintf("/idle%d/", version), true)
+	raw, err := platform.EncodeRouting(zinniatide.TicketNumber(version), r)
 	if err != nil {
-		panic(err) // maps of strings and numbers
+		panic(err) // a fixed table
 	}
 	return raw
 }
@@ -265,7 +268,7 @@
 func (w *world) put(version int) int {
 	client := &http.Client{Timeout: 1200 * time.Millisecond}
 	controls := w.fleet.controls()
-	resp, err := client.Post(fmt.Sprintf("http://%s:%d/v1/config/put", controls[w.intN(len(controls))].ip, controlPort),
+	resp, err := client.Post(fmt.Sprintf("http://%s:%d%s", controls[w.intN(len(controls))].ip, controlPort, platform.PathConfigPut),
 		"application/json", bytes.NewReader(document(version)))
 	if err != nil {
 		return 0
@@ -315,7 +318,7 @@
 	w.mu.Unlock()
 	client := &http.Client{Timeout: 1200 * time.Millisecond}
 	controls := w.fleet.controls()
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/config/get", controls[w.intN(len(controls))].ip, controlPort))
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", controls[w.intN(len(controls))].ip, controlPort, platform.PathConfigGet))
 	if err != nil {
 		return false
 	}
@@ -323,14 +326,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return false
 	}
-	var got struct {
-		Version int `json:"version"`
-	}
-	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return false
 	}
-	if got.Version < acked || got.Version > sent {
-		w.violate("CONFIG: read version %d, acknowledged is %d, sent is %d", got.Version, acked, sent)
+	number, err := platform.DecodeNumber(raw)
+	if err != nil || int(number) < acked || int(number) > sent {
+		w.violate("CONFIG: read version %d, error %v, acknowledged is %d, sent is %d", number, err, acked, sent)
 	}
 	return true
 }
