--- a/cmd/zinniatide/commands/commands_test.go
+++ b/cmd/zinniatide/commands/commands_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"zinniatide.example/zinniatide/cmd/zinniatide/settings"
+	"zinniatide.example/zinniatide/platform"
 )
 
 // Guards against pages that show settings that the process refuses.
@@ -41,8 +42,16 @@
 // checkSettings parses a command line and checks its settings, without running it.
 func checkSettings(args []string) error {
 	command, load := newRun().command, settings.Load
-	if args[0] == "init" {
+	switch args[0] {
+	case "init":
 		command, load = newInit().command, settings.LoadInit
+	case "platform":
+		// Its settings come from a file; the page shows flags and arguments.
+		command = newPlatform().command
+		if err := command.ParseFlags(args[1:]); err != nil {
+			return err
+		}
+		return command.ValidateArgs(command.Flags().Args())
 	}
 	if err := command.ParseFlags(args[1:]); err != nil {
 		return err
@@ -54,7 +63,8 @@
 // Guards against a wrong setting that ends with the exit code of a failure, or
 // that starts the process.
 func TestWrongSettingExitsWithTwo(t *testing.T) {
-	for _, args := range [][]string{{"run"}, {"run", "--no-such-flag"}, {"init", "--vm", "e1"}} {
+	t.Setenv(platform.SettingsVariable, "")
+	for _, args := range [][]string{{"run"}, {"run", "--no-such-flag"}, {"init", "--vm", "e1"}, {"platform"}, {"platform", "--metrics-port", "x"}} {
 		if got, want := Execute(args), exitSettings; got != want {
 			t.Errorf("Execute(%q) = %d, want %d", args, got, want)
 		}
