Order the answers of TestOldAnswer

Cause: when the test lets the server go on, the answer to the slow request and the answer to its cancellation on the fresh connection arrive in either order. If the fresh connection answers first, the pool closes the old one, as it should: it has yielded nothing past its deadline. The test took that allowed case for a fault.

Change: the fake answers the cancellation after the slow request, so the test again asks for the slow request's own answer, in the one order in which it must come.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -294,8 +294,15 @@
 // TestOldAnswer guards against calling a connection silent because one that
 // is as old answers: the request may simply take long.
 func TestOldAnswer(t *testing.T) {
-	hold := make(chan struct{})
+	// The cancellation is answered after the slow request. An answer of the fresh
+	// connection before it would rightly have the old connection closed.
+	hold, holdCancel := make(chan struct{}), make(chan struct{})
+	defer close(holdCancel)
 	f := newFake(t, func(_ int, req *fasthttp.Request) (string, bool) {
+		if string(req.URI().Path()) == "/v1/cancel" {
+			<-holdCancel
+			return goodAnswer, false
+		}
 		if string(req.Header.Peek("X-Request-Id")) == "slow" {
 			<-hold
 			return strings.Replace(goodAnswer, "r1", "slow", 1), false
