Tell restarted control VMs their voters

Five control VMs have three seeds; after a restart each knew only the seeds until a leader pushed a configuration, so the two others had no link to each other. With two disks lost, the remaining voters may need just that link: the one with the newest entry gets no quorum, and the others may not lead without that entry.

Change: a control VM takes its first peers from the seeds and from the voters in its own log. Test: it fails without the change (no address of the fourth VM).

--- a/node/relay.go
+++ b/node/relay.go
@@ -78,6 +78,7 @@
 
 	linker      *linker.Linker
 	keeper      *logkeeper.Keeper
+	machine     *registrar.Registrar
 	controller  *controller.Controller
 	subscriber  *subscriber.Subscriber
 	enroller    *enroller.Enroller
@@ -130,12 +131,17 @@
 		return nil, err
 	}
 	control := cfg.DataFolder != ""
+	if control {
+		if err := r.openLog(registerer); err != nil {
+			return nil, err
+		}
+	}
 	r.subscriber = subscriber.New(subscriber.Config{
 		Member: zinniatide.Member{
 			VM: cfg.VM, Incarnation: incarnation, Zone: cfg.Zone, HTTPAddress: cmp.Or(cfg.CallerAddress, cfg.ControlAddress),
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
-		Control: control, ControlVMs: cfg.Seeds,
+		Control: control, ControlVMs: r.knownControlVMs(),
 		Peering: r.peering, Load: r.load,
 	}, r.linker, clock, newRandom(), registerer)
 	if control {
@@ -220,28 +226,57 @@
 	return out
 }
 
-func (r *Relay) assembleControl(registerer prometheus.Registerer) error {
+// openLog opens the replicated log.
+func (r *Relay) openLog(registerer prometheus.Registerer) error {
 	cfg := &r.cfg
 	if err := r.initialise(); err != nil {
 		return err
 	}
-	tickets, err := checker.New()
-	if err != nil {
-		return err
-	}
-	machine := registrar.New()
+	r.machine = registrar.New()
 	seeds := contacts(registrar.NewConfiguration(), cfg.Seeds)
+	var err error
 	r.keeper, err = logkeeper.New(logkeeper.Config{
 		VM: cfg.VM, Folder: cfg.DataFolder, ControlVMs: seeds, Linker: r.linker, Clock: r.clock,
-		Machine: machine, Rand: newRandom(), DiskRetry: diskRetry,
+		Machine: r.machine, Rand: newRandom(), DiskRetry: diskRetry,
 		ElectionTimeout: electionTimeout, HeartbeatInterval: logHeartbeat, Registerer: registerer,
 	})
 	if err != nil {
 		return zinniatide.WrapStep(err, "open data folder", cfg.DataFolder)
 	}
+	return nil
+}
+
+// knownControlVMs are the seeds and, on a control VM, those that its log names:
+// after a restart of all processes its voters must find each other before any of
+// them leads, also those that are no seeds.
+func (r *Relay) knownControlVMs() []zinniatide.ControlVM {
+	known := slices.Clone(r.cfg.Seeds)
+	if r.keeper == nil {
+		return known
+	}
+	add := func(vm zinniatide.VMID) {
+		if !slices.ContainsFunc(known, func(c zinniatide.ControlVM) bool { return c.VM == vm }) {
+			known = append(known, zinniatide.ControlVM{VM: vm, PeerAddress: string(vm)})
+		}
+	}
+	for _, vm := range r.keeper.ControlVMs() {
+		add(vm.VM)
+	}
+	for _, voter := range r.keeper.Status().Voters {
+		add(voter.VM)
+	}
+	return known
+}
+
+func (r *Relay) assembleControl(registerer prometheus.Registerer) error {
+	cfg := &r.cfg
+	tickets, err := checker.New()
+	if err != nil {
+		return err
+	}
 	r.controller = controller.New(controller.Config{
 		VM: cfg.VM, ControlVMs: cfg.Seeds, Voters: cfg.Voters, CountRelays: true, KnownLeader: r.subscriber.KnownLeader,
-	}, r.keeper, r.linker, r.clock, machine, tickets, registerer)
+	}, r.keeper, r.linker, r.clock, r.machine, tickets, registerer)
 	return nil
 }
 
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -4,7 +4,12 @@
 	"fmt"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/journal"
+	"zinniatide.example/zinniatide/logkeeper"
 	"zinniatide.example/zinniatide/relayer"
 )
 
@@ -62,3 +67,30 @@
 		}
 	}
 }
+
+// Guards against control VMs that cannot elect a leader after a restart of all
+// processes, because voters that are no seeds do not know each other: with two of
+// five disks lost, the only voters with the newest entry may be these.
+func TestRestartedControlVMKnowsItsVoters(t *testing.T) {
+	folder := t.TempDir()
+	var all []zinniatide.ControlVM
+	for i := range 5 {
+		address := fmt.Sprintf("127.0.0.1:%d", 7001+i)
+		all = append(all, zinniatide.ControlVM{VM: zinniatide.VMID(address), PeerAddress: address})
+	}
+	self := all[4].VM
+	if err := logkeeper.Init(journal.Disk{}, folder, self, all); err != nil {
+		t.Fatal(err)
+	}
+	r, err := NewRelay(RelayConfig{VM: self, Zone: "a", ControlAddress: "127.0.0.1:7100", DataFolder: folder, Seeds: all[:3], Voters: 5},
+		clock.New(), prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	peers := r.subscriber.Peers()
+	for _, vm := range all[:4] {
+		if got, want := peers[vm.VM], vm.PeerAddress; got != want {
+			t.Errorf("got address %q of %s, want %q", got, vm.VM, want)
+		}
+	}
+}
