Remove voters by the wanted set only, and count answers only

With two of five disks lost, two live voters of four are no quorum, for good.

Change: nobody is removed before the state machine has given the wanted set; a peer counts as present for a change of voters only once it has answered this leader. Test: a restart of five with two disks lost and an initial list of three; it fails without the change in the state that was seen.

--- a/logkeeper/harness_test.go
+++ b/logkeeper/harness_test.go
@@ -85,7 +85,10 @@
 	return cbor.Unmarshal(parts[1], &r.Applied)
 }
 
-func newCluster(t *testing.T, seed uint64, vms int) *cluster {
+func newCluster(t *testing.T, seed uint64, vms int) *cluster { return newClusterOf(t, seed, vms, vms) }
+
+// newClusterOf initialises the log with the first VMs only.
+func newClusterOf(t *testing.T, seed uint64, vms, initial int) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(1000, 1_700_000_000_000),
 		cut: map[[2]zinniatide.VMID]bool{}, events: map[zinniatide.Millis][]func(){}, every: 50, maxDelay: 10, maxSync: 8,
@@ -97,7 +100,7 @@
 		wanted = append(wanted, zinniatide.ControlVM{VM: vm, PeerAddress: "127.0.0.1:1"})
 		c.nodes = append(c.nodes, &node{c: c, vm: vm, disk: journaltest.NewDisk()})
 	}
-	if err := Init(c.nodes[0].disk, "data", c.nodes[0].vm, wanted); err != nil {
+	if err := Init(c.nodes[0].disk, "data", c.nodes[0].vm, wanted[:initial]); err != nil {
 		t.Fatal(err)
 	}
 	for _, n := range c.nodes {
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -34,6 +34,7 @@
 	// ackedAt is when it was sent.
 	ackedRound uint64
 	ackedAt    zinniatide.Millis
+	answered   bool // has answered this leader
 	heard      zinniatide.Millis
 }
 
@@ -221,7 +222,7 @@
 	}
 	p.ackedRound = max(p.ackedRound, m.Round)
 	p.ackedAt = max(p.ackedAt, m.SentAt)
-	p.heard = r.now
+	p.heard, p.answered = r.now, true
 	return p
 }
 
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -111,6 +111,11 @@
 			return
 		}
 	}
+	// The list of the initial membership may be outdated. Until the state machine
+	// has given the wanted set, as after a restart, nobody is removed by it.
+	if len(r.wanted) == 0 {
+		return
+	}
 	for _, v := range current.Voters {
 		if r.isWanted(v.VM) {
 			continue
@@ -161,7 +166,9 @@
 func (r *Replicator) quorumActive(voters []zinniatide.Voter) bool {
 	n := 0
 	for _, v := range voters {
-		if p := r.findPeer(v); v == r.self || (p != nil && r.active(p)) {
+		// A new leader counts every peer as heard at its election; only an answer
+		// shows that a voter is there.
+		if p := r.findPeer(v); v == r.self || (p != nil && p.answered && r.active(p)) {
 			n++
 		}
 	}
