Spread enrollments through the control VMs of each zone

A control VM now tells the other control VMs and its own zone, each of these its zone; zones without a reachable control VM hear directly. Digests to other zones take turns, so that a silent control VM leaves nobody behind. Ruled out: one control VM for a zone's digests, which a freeze would silence.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -5,6 +5,7 @@
 package enroller
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -50,6 +51,7 @@
 	stop    chan struct{}
 	done    sync.WaitGroup
 	metrics *metrics
+	ticks   uint64 // used by the ticker only
 
 	mu      sync.Mutex
 	table   table
@@ -176,36 +178,33 @@
 // majority of the control VMs, this one included, has recorded them.
 func (e *Enroller) spread(list []zinniatide.Enrollment, done func(error)) {
 	c := e.d.Configurations.Configuration()
-	control := map[zinniatide.VMID]bool{}
-	for _, vm := range c.ControlVMs {
-		control[vm.VM] = true
-	}
-	q := newQuorum(len(control)/2+1, done)
-	if control[e.d.VM] || len(control) == 0 {
+	a := newAudience(e.d.VM, c, e.d.Linker.Connected)
+	q := newQuorum(len(c.ControlVMs)/2+1, done)
+	if a.control || len(c.ControlVMs) == 0 {
 		q.granted()
 	}
-	for vm := range c.Members {
-		if vm != e.d.VM && !control[vm] {
-			_ = e.d.Linker.Send(vm, zinniatide.KindEnroll, list) // the digest finds what is lost
-		}
-	}
-	for vm := range control {
-		if vm == e.d.VM {
-			continue
-		}
+	e.send(a.near, list)
+	for _, vm := range a.peers {
 		q.asked()
 		e.d.Linker.Call(vm, zinniatide.KindEnroll, list, spreadTimeout, func(_ []byte, err error) { q.answered(err) })
 	}
 	q.closed()
 }
 
+// send passes enrollments on. The digest finds what is lost.
+func (e *Enroller) send(to []zinniatide.VMID, list []zinniatide.Enrollment) {
+	for _, vm := range to {
+		_ = e.d.Linker.Send(vm, zinniatide.KindEnroll, list)
+	}
+}
+
 func (e *Enroller) handleEnroll(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var list []zinniatide.Enrollment
 	err := encoder.Unmarshal(body, &list)
 	if err != nil {
 		klog.ErrorS(err, "enrollments dropped", "step", "decode enrollments", "peer", from)
-	} else {
-		e.merge(list, from)
+	} else if changed := e.merge(list, from); len(changed) > 0 && e.d.Control {
+		e.send(newAudience(e.d.VM, e.d.Configurations.Configuration(), e.d.Linker.Connected).near, changed)
 	}
 	if reply != nil {
 		reply(struct{}{}, err)
@@ -260,17 +259,19 @@
 	return d
 }
 
-// tick sends the digest to all members.
+// tick sends the digest to the other control VMs and to members nearby, and at
+// every few ticks to a member that has a control VM of its own zone. Such a
+// member still hears from all of them, as its own may be cut off or suspended.
 func (e *Enroller) tick() zinniatide.Millis {
 	now := e.d.Clock.Now()
 	e.mu.Lock()
 	e.table.dropGone(now - goneRetention)
 	d := e.digest()
 	e.mu.Unlock()
-	for vm := range e.d.Configurations.Configuration().Members {
-		if vm != e.d.VM {
-			_ = e.d.Linker.Send(vm, zinniatide.KindEnrollDigest, d) // sent again at the next tick
-		}
+	a := newAudience(e.d.VM, e.d.Configurations.Configuration(), e.d.Linker.Connected)
+	for _, vm := range slices.Concat(a.peers, a.near, a.farAt(e.ticks)) {
+		_ = e.d.Linker.Send(vm, zinniatide.KindEnrollDigest, d) // sent again at a later tick
 	}
+	e.ticks++
 	return now + digestInterval
 }
