Repeat the first queries of a relay VM sooner

A VM that has not seen answers yet asks a second server only after 0.45 of the target, which is too late when a server pauses. Until answers are known the delay is a quarter of the target, about what it becomes.

--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -19,6 +19,9 @@
 const (
 	leastHedgeShare = 0.15
 	mostHedgeShare  = 0.45
+	// firstHedgeShare holds until the VM has seen how long answers take. It
+	// leaves time for a second server whose connection has to be set up.
+	firstHedgeShare = 0.25
 )
 
 // shardsPerMilli is the number of shards whose stamps take a millisecond to
@@ -118,7 +121,7 @@
 // hedgeDelay is when the parts that have not arrived are asked for again.
 func (g *gathering) hedgeDelay() zinniatide.Millis {
 	target := float64(g.route.TargetLatency)
-	delay := mostHedgeShare * target
+	delay := firstHedgeShare * target
 	if spread := g.r.spreadOf(g.route.ID); spread.Known() {
 		delay = spread.High
 	}
--- a/relayer/load_test.go
+++ b/relayer/load_test.go
@@ -263,3 +263,16 @@
 		t.Errorf("got %d late and %d failed of %d, want none", out.late, out.failed, out.asked)
 	}
 }
+
+// Pattern: the first query of a VM meets a server that pauses. Guards against
+// repeats that come late only because the VM has not seen any answers yet.
+func TestFirstQueryIsRepeatedInTime(t *testing.T) {
+	w := newWorld(t, testShards)
+	w.servers["shard-03a"].pausedUntil = w.clock.Now() + 150
+	out := &tally{}
+	w.ask("/q/x", testTarget/2, testShards, out)
+	w.run(w.clock.Now() + 1000)
+	if out.complete != 1 {
+		t.Errorf("got %+v, want a complete answer within half of the target", *out)
+	}
+}
