--- a/interfaces.go
+++ b/interfaces.go
@@ -36,6 +36,7 @@
 	KindEnrollPull       MessageKind = 72 // ask a control VM for its enrollments
 	KindGather           MessageKind = 80 // relay VM to one of another zone: parts of a query
 	KindGatherCancel     MessageKind = 81
+	KindGatherRest       MessageKind = 82 // back to the asking VM: parts that came later
 	KindClaimQuery       MessageKind = 60 // to the VM that holds a claim
 )
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -321,6 +321,7 @@
 	})
 	r.linker.Handle(zinniatide.KindGather, r.relayer.HandleGather)
 	r.linker.Handle(zinniatide.KindGatherCancel, r.relayer.HandleGatherCancel)
+	r.linker.Handle(zinniatide.KindGatherRest, r.relayer.HandleGatherRest)
 	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
 }
 
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"errors"
 	"slices"
 
 	"k8s.io/klog/v2"
@@ -92,19 +91,23 @@
 	Runs    []int `cbor:"6,keyasint,omitempty"`
 	// Ran is set when any server may have begun to run the request.
 	Ran bool `cbor:"4,keyasint,omitempty"`
+	// More is set when other parts are still awaited. They follow in
+	// delegatedRest messages.
+	More bool `cbor:"8,keyasint,omitempty"`
 }
 
-// delegationCancel ends a delegation whose caller has left.
-type delegationCancel struct {
-	Call uint64 `cbor:"1,keyasint"`
+// delegatedRest carries parts that arrived after the answer to a delegation.
+type delegatedRest struct {
+	Call uint64    `cbor:"1,keyasint"`
+	Rest delegated `cbor:"2,keyasint"`
 }
 
-// group is the parts that one helper gathers.
-type group struct {
-	helper *helper
-	call   uint64
-	parts  []*part
-	open   bool
+// delegationCancel ends a delegation.
+type delegationCancel struct {
+	Call uint64 `cbor:"1,keyasint"`
+	// Answered is set when the caller has got an answer without the parts that
+	// are still awaited. Otherwise the caller has left, and the servers stop.
+	Answered bool `cbor:"2,keyasint,omitempty"`
 }
 
 // updateHelpers follows the members.
@@ -220,7 +223,7 @@
 func (g *gathering) hand(h *helper, list []int, way, now zinniatide.Millis) {
 	r := g.r
 	r.lastCall++
-	gr := &group{helper: h, call: r.lastCall, open: true}
+	gr := &group{gathering: g, helper: h, call: r.lastCall, open: true}
 	d := &delegation{
 		Call: gr.call, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
 		Attempts: g.route.MaxAttempts, Target: g.route.TargetLatency, Cutoff: max(g.cutoff-now-way, 1), Left: g.end - now,
@@ -232,6 +235,7 @@
 		d.Shards = append(d.Shards, g.route.Shards[i])
 	}
 	g.groups = append(g.groups, gr)
+	r.groups[gr.call] = gr
 	r.metrics.delegations.Inc()
 	// A helper answers before the cutoff with what it has, so one that has not
 	// is lost.
@@ -250,122 +254,6 @@
 	})
 }
 
-// handed takes a helper's answer.
-func (g *gathering) handed(gr *group, answer *delegated, err error) {
-	if g.ended || !gr.open {
-		return
-	}
-	gr.open = false
-	if err != nil {
-		klog.InfoS("helper failed; parts are asked for directly", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm,
-			"parts", len(gr.parts), "err", err.Error())
-		gr.helper.restUntil = g.r.d.Clock.Now() + helperRest
-		if errors.Is(err, zinniatide.ErrNotSent) {
-			g.sendDirectly(gr)
-			return
-		}
-		// The helper may have sent each part once.
-		g.ran = true
-		for _, p := range gr.parts {
-			p.runs++
-		}
-		g.release(gr)
-		return
-	}
-	g.ran = g.ran || answer.Ran
-	for n, i := range answer.Parts {
-		if i < 0 || i >= len(gr.parts) || n >= len(answer.Stamps) || gr.parts[i].done {
-			continue
-		}
-		p := gr.parts[i]
-		p.done, p.stamp, p.group = true, answer.Stamps[n], nil
-		g.got++
-		g.pending--
-	}
-	g.ranker.Add(answer.Records)
-	for n, i := range answer.Missing {
-		if i >= 0 && i < len(gr.parts) && n < len(answer.Runs) {
-			gr.parts[i].runs += answer.Runs[n]
-		}
-	}
-	g.release(gr)
-	g.check("parts failed")
-}
-
-// suspect leaves a helper alone that has not answered by the cutoff. Its parts
-// are not asked for directly: it may have sent each to as many servers as the
-// route allows.
-func (g *gathering) suspect(gr *group) {
-	if !gr.open {
-		return
-	}
-	gr.helper.restUntil = g.r.d.Clock.Now() + helperRest
-	klog.InfoS("helper is late", "step", "gather", "request", g.req.ID, "peer", gr.helper.vm, "parts", len(gr.parts),
-		"after-ms", g.r.d.Clock.Now()-g.req.Arrived)
-	g.after(helperGrace, func() { g.giveUpGroup(gr) })
-}
-
-// giveUpGroup ends the wait for a helper, so that the caller can try again
-// while it has time.
-func (g *gathering) giveUpGroup(gr *group) {
-	if !gr.open {
-		return
-	}
-	gr.open = false
-	g.ran = true
-	for _, p := range gr.parts {
-		p.group = nil
-		g.giveUp(p, "no answer from a helper")
-		if g.ended {
-			return
-		}
-	}
-}
-
-// sendDirectly sends the parts of a group that never reached its helper.
-func (g *gathering) sendDirectly(gr *group) {
-	for _, p := range gr.parts {
-		p.group = nil
-		o := g.r.options(p.tried)
-		s := p.service.Pick(o)
-		if s == nil {
-			g.giveUp(p, "no server can be reached")
-		} else {
-			p.service.Budget.Request(o.Now)
-			g.sendPart(p, s)
-		}
-		if g.ended {
-			return
-		}
-	}
-}
-
-// release asks for the parts directly that a helper has not brought.
-func (g *gathering) release(gr *group) {
-	for _, p := range gr.parts {
-		if p.done || p.group != gr {
-			continue
-		}
-		p.group = nil
-		if g.ended || g.worthRepeating(p) && g.again(p) {
-			continue
-		}
-		g.giveUp(p, "helper brought no answer")
-	}
-}
-
-// cancelGroups tells helpers that the caller has left. The lock is held.
-func (g *gathering) cancelGroups() {
-	if g.ended {
-		return
-	}
-	for _, gr := range g.groups {
-		if gr.open {
-			_ = g.r.d.Links.Send(gr.helper.vm, zinniatide.KindGatherCancel, &delegationCancel{Call: gr.call}) // servers stop at the deadline
-		}
-	}
-}
-
 // HandleGather serves a delegation. It is a zinniatide.LinkHandler.
 func (r *Relayer) HandleGather(from zinniatide.VMID, body []byte, reply func(any, error)) {
 	var d delegation
@@ -387,27 +275,7 @@
 		r: r, repeat: d.Repeat, req: &Request{ID: d.RequestID, Head: d.Head, Body: d.Body, Arrived: now}, route: route,
 		respond: func(Reply) {}, begun: now, end: now + d.Left,
 	}, cutoff: now + d.Cutoff}
-	g.deliver = func() {
-		answer := &delegated{Ran: g.ran || len(g.open) > 0}
-		for i := range g.parts {
-			if g.parts[i].done {
-				answer.Parts = append(answer.Parts, i)
-				answer.Stamps = append(answer.Stamps, g.parts[i].stamp)
-				if d.Repeat {
-					answer.Bodies = append(answer.Bodies, ranker.Above([]byte{}, g.parts[i].body, d.Floor))
-				}
-			} else {
-				answer.Missing = append(answer.Missing, i)
-				answer.Runs = append(answer.Runs, g.parts[i].runs)
-			}
-		}
-		if !d.Repeat {
-			answer.Records = g.ranker.Append(nil)
-		}
-		delete(r.delegated, id)
-		g.finish(Reply{})
-		reply(answer, nil)
-	}
+	g.deliver = func() { g.deliverParts(id, &d, reply) }
 	r.delegated[id] = g
 	r.metrics.helped.Inc()
 	g.begin()
@@ -423,8 +291,55 @@
 	r.d.Lock.Lock()
 	defer r.d.Lock.Unlock()
 	id := delegationID{from, c.Call}
-	if g := r.delegated[id]; g != nil {
-		delete(r.delegated, id)
+	g := r.delegated[id]
+	delete(r.delegated, id)
+	switch {
+	case g == nil:
+	case c.Answered:
+		g.finish(Reply{})
+	default:
 		g.cancelLocked()
 	}
 }
+
+// deliverParts answers a delegation with the parts that have arrived since the
+// last time. Those that are still awaited follow, so that a query which needs
+// them is answered late instead of not at all. Repeats are answered once, as
+// their first servers may still answer.
+func (g *gathering) deliverParts(id delegationID, d *delegation, reply func(any, error)) {
+	last := d.Repeat || g.pending == 0 || g.r.d.Clock.Now() >= g.end-endMargin
+	answer := &delegated{Ran: g.ran || len(g.open) > 0, More: !last}
+	for i := range g.parts {
+		p := &g.parts[i]
+		switch {
+		case p.told:
+		case p.done:
+			p.told = true
+			answer.Parts = append(answer.Parts, i)
+			answer.Stamps = append(answer.Stamps, p.stamp)
+			if d.Repeat {
+				answer.Bodies = append(answer.Bodies, ranker.Above([]byte{}, p.body, d.Floor))
+			}
+		case p.failed || last:
+			p.told = true
+			answer.Missing = append(answer.Missing, i)
+			answer.Runs = append(answer.Runs, p.runs)
+		}
+	}
+	if !d.Repeat {
+		answer.Records = g.ranker.Append(nil)
+		g.ranker = ranker.New(g.route.TopRecords)
+	}
+	if last {
+		delete(g.r.delegated, id)
+		g.finish(Reply{})
+	}
+	switch {
+	case !g.delivered:
+		g.delivered = true
+		reply(answer, nil)
+	case last || len(answer.Parts)+len(answer.Missing) > 0:
+		// Without a link the asking VM gives the parts up by itself.
+		_ = g.r.d.Links.Send(id.from, zinniatide.KindGatherRest, &delegatedRest{Call: id.call, Rest: *answer})
+	}
+}
--- a/relayer/delegation_test.go
+++ b/relayer/delegation_test.go
@@ -19,15 +19,21 @@
 	fault error
 	// silent drops calls without an answer.
 	silent bool
-	calls  int
+	// cut drops what the peer sends by itself.
+	cut   bool
+	calls int
 }
 
-func (l *simLinks) Connected(zinniatide.VMID) bool { return true }
+func (l *simLinks) Connected(zinniatide.VMID) bool { return !l.cut }
 
 func (l *simLinks) Send(_ zinniatide.VMID, kind zinniatide.MessageKind, body any) error {
 	raw, err := encoder.Marshal(body)
-	if err == nil && kind == zinniatide.KindGatherCancel {
+	switch {
+	case err != nil:
+	case kind == zinniatide.KindGatherCancel:
 		l.w.After(1, func() { l.peer.HandleGatherCancel("self", raw, nil) })
+	case kind == zinniatide.KindGatherRest && !l.cut:
+		l.w.After(1, func() { l.w.relayer.HandleGatherRest("peer", raw, nil) })
 	}
 	return err
 }
@@ -206,3 +212,55 @@
 		t.Errorf("got %d answers with a record twice, want none", out.doubled)
 	}
 }
+
+// slowShards makes the servers of the first n shards so slow that their parts
+// arrive after the cutoff.
+func (w *world) slowShards(n int) {
+	for i, e := range w.list {
+		if e.Service != "plain" && i/2 < n {
+			w.servers[e.Server].work = func() zinniatide.Millis { return 200 }
+		}
+	}
+}
+
+// Pattern: more shards than an answer may lack are slow. Guards against queries
+// that fail at the cutoff, after nearly all work has been done, because a helper
+// stops waiting for its parts, and against gatherings that stay behind.
+func TestHelperSendsLateParts(t *testing.T) {
+	w, links := newWorldOfZones(t, testShards)
+	w.slowShards(testShards / 2)
+	out := w.load("/q/x", 4, 3000, testTarget, testShards)
+	if out.late != out.asked {
+		t.Errorf("got %+v, want all answered late", *out)
+	}
+	if got := len(links.peer.delegated) + len(w.relayer.groups); got != 0 {
+		t.Errorf("got %d gatherings left, want 0", got)
+	}
+}
+
+// Guards against work for queries that have been answered without the last
+// parts.
+func TestHelperStopsAfterTheAnswer(t *testing.T) {
+	w, links := newWorldOfZones(t, testShards)
+	w.slowShards(1)
+	out := &tally{}
+	w.ask("/q/x", testTarget, testShards, out)
+	w.run(w.clock.Now() + testTarget + 10)
+	if got := len(links.peer.delegated); got != 0 || out.inTarget != 1 {
+		t.Errorf("got %d gatherings at the helper and %+v, want 0 and an answer in the target time", got, *out)
+	}
+}
+
+// Guards against queries that wait until their deadline for a helper that is
+// lost between its first answer and its last.
+func TestHelperLostBeforeItsLateParts(t *testing.T) {
+	w, links := newWorldOfZones(t, testShards)
+	w.slowShards(testShards / 2)
+	out := &tally{}
+	w.ask("/q/x", testTarget, testShards, out)
+	w.After(150, func() { links.cut = true })
+	w.run(w.clock.Now() + 300)
+	if out.failed != 1 {
+		t.Errorf("got %+v after 300 ms, want a failure", *out)
+	}
+}
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -41,6 +41,8 @@
 	throttler *throttler.Throttler // nil once the gathering has ended, or runs for another VM
 	// deliver ends a gathering that runs for another VM; nil for a caller's.
 	deliver func()
+	// delivered is set once a first answer has gone to that VM.
+	delivered bool
 }
 
 // part is the share of one shard in the answer.
@@ -52,6 +54,7 @@
 	sheds   int
 	done    bool
 	failed  bool
+	told    bool // the VM that the gathering runs for knows how the part ended
 	stamp   string
 	body    []byte            // kept for a gathering of repeats
 	begun   zinniatide.Millis // of the first send
@@ -242,6 +245,7 @@
 	case g.ended:
 	case g.got+g.pending < g.route.LeastShards:
 		g.leave(true)
+		g.cancelGroups(true)
 		g.fail(reason, shortRetryAfter, "got", g.got, "needed", g.route.LeastShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.got >= g.route.LeastShards && g.r.d.Clock.Now() >= g.cutoff:
 		g.reply()
@@ -254,7 +258,7 @@
 func (g *gathering) cancel() {
 	g.r.d.Lock.Lock()
 	defer g.r.d.Lock.Unlock()
-	g.cancelGroups()
+	g.cancelGroups(false)
 	if g.throttler != nil {
 		g.throttler.Forget()
 		g.throttler = nil
@@ -269,6 +273,7 @@
 		return
 	}
 	g.leave(true)
+	g.cancelGroups(true)
 	g.ran = g.ran || len(g.open) > 0 || len(g.groups) > 0
 	g.fail("timeout", 0, "got", g.got, "needed", g.route.LeastShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
@@ -301,6 +306,7 @@
 		return
 	}
 	g.leave(g.r.d.Clock.Now() > g.cutoff)
+	g.cancelGroups(true)
 	missing := len(g.parts) - g.got
 	now := g.r.d.Clock.Now()
 	outcome := "answered"
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -94,8 +94,10 @@
 	helpers  map[zinniatide.ZoneID][]*helper
 	// delegated are the gatherings that run here for other VMs.
 	delegated map[delegationID]*gathering
-	lastCall  uint64
-	resting   bool // a tick for resting servers is due
+	// groups are the parts that helpers gather for this VM, by call.
+	groups   map[uint64]*group
+	lastCall uint64
+	resting  bool // a tick for resting servers is due
 }
 
 // processID names one process of a backend server.
@@ -118,7 +120,7 @@
 		internal: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		spreads: map[zinniatide.RouteID]*selector.Spread{}, throttlers: map[zinniatide.RouteID]*throttler.Throttler{},
-		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{},
+		helpers: map[zinniatide.ZoneID][]*helper{}, delegated: map[delegationID]*gathering{}, groups: map[uint64]*group{},
 	}
 	for _, name := range d.Names.Internal {
 		r.internal[name] = true
