--- a/cmd/zinniabench/reporter/day.go
+++ b/cmd/zinniabench/reporter/day.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	area.LineStyle.Width = 0
+	area.Width = 0
 	area.Color = faultColor
 	if d.Planned {
 		area.Color = plannedColor
