Ping only peers that have been silent, and send fewer heartbeats to control VMs

A ping is sent only when nothing has been received for the interval, which a ping of the peer answers as well. Relay VMs that have a configuration send heartbeats each 800 ms: a lease, by which the control leader notices their loss, still holds for five. Ruled out: a longer silence timeout, which notices lost peers later.

--- a/linker/peers.go
+++ b/linker/peers.go
@@ -189,18 +189,20 @@
 	return min(next, l.dialDue(now))
 }
 
-// tickLink does the timed work of one link.
+// tickLink does the timed work of one link. It pings a peer of which nothing has
+// been received for a while. The ping spares the peer its own.
 func (l *Linker) tickLink(k *link, now zinniatide.Millis) zinniatide.Millis {
-	silent := zinniatide.Millis(k.received.Load()) + zinniatide.LinkSilenceTimeout
+	received := zinniatide.Millis(k.received.Load())
+	silent := received + zinniatide.LinkSilenceTimeout
 	switch {
 	case now >= silent:
 		l.drop(k, "no byte received in time", nil)
 		return now
-	case now >= k.pinged+zinniatide.LinkPingInterval-pingSlack:
+	case now >= max(k.pinged, received)+zinniatide.LinkPingInterval-pingSlack:
 		k.pinged = now
 		k.ping()
 	}
-	next := min(silent, k.pinged+zinniatide.LinkPingInterval, k.expire(now))
+	next := min(silent, max(k.pinged, received)+zinniatide.LinkPingInterval, k.expire(now))
 	if k.stalled() {
 		k.transport.wake()
 		next = min(next, now+zinniatide.TickInterval)
--- a/node/relay.go
+++ b/node/relay.go
@@ -114,6 +114,9 @@
 	// all processes nothing is served before a leader is elected.
 	electionTimeout zinniatide.Millis = 400
 	logHeartbeat    zinniatide.Millis = 120
+	// heartbeatInterval leaves five heartbeats in a lease. Relay VMs serve without
+	// one, and each heartbeat costs bytes between zones.
+	heartbeatInterval zinniatide.Millis = 800
 	// diskRetry spaces attempts to write after a failure.
 	diskRetry zinniatide.Millis = 200
 )
@@ -142,7 +145,7 @@
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
 		Control: control, ControlVMs: r.knownControlVMs(),
-		Peering: r.peering, Load: r.load,
+		Peering: r.peering, Load: r.load, HeartbeatInterval: heartbeatInterval,
 	}, r.linker, clock, newRandom(), registerer)
 	if control {
 		if err := r.assembleControl(registerer); err != nil {
--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -43,7 +43,7 @@
 	}
 	s.lease.waiting = true
 	s.lease.sequence++
-	s.lease.nextAt = now + zinniatide.HeartbeatInterval
+	s.lease.nextAt = now + s.heartbeatInterval()
 	h := &controlproto.Heartbeat{
 		Member: s.config.Member, Epoch: s.Configuration().Epoch, Sequence: s.lease.sequence,
 		Answered: s.lease.answered, Gone: s.gone, Control: s.config.Control,
@@ -57,6 +57,13 @@
 	})
 }
 
+func (s *Subscriber) heartbeatInterval() zinniatide.Millis {
+	if s.config.HeartbeatInterval == 0 || s.Configuration().Epoch == 0 {
+		return zinniatide.HeartbeatInterval
+	}
+	return s.config.HeartbeatInterval
+}
+
 // heartbeatDone takes the answer to h, which was sent at sentAt.
 func (s *Subscriber) heartbeatDone(leader zinniatide.VMID, h *controlproto.Heartbeat, sentAt zinniatide.Millis, reply *controlproto.HeartbeatReply, err error) {
 	if err != nil {
--- a/subscriber/schedule_test.go
+++ b/subscriber/schedule_test.go
@@ -37,3 +37,32 @@
 	s.releases[1] = []bucketID{{Zone: "a", Index: 1}}
 	want("release that was not sent", releaseRetry)
 }
+
+// Guards against a VM that waits for its first configuration for longer than it
+// needs to, and against heartbeats more often than its configuration says.
+func TestHeartbeatInterval(t *testing.T) {
+	s, links, manual := newScripted(t)
+	s.config.HeartbeatInterval = 3 * zinniatide.HeartbeatInterval
+	beats := 0
+	links.answer = func(_ zinniatide.VMID, kind zinniatide.MessageKind, _ any) (any, error) {
+		if kind == zinniatide.KindControlHeartbeat {
+			beats++
+		}
+		return controlproto.HeartbeatReply{Leadership: controlproto.Leadership{Leading: true, Leader: "c1"}, Granted: true}, nil
+	}
+	for _, row := range []struct {
+		name string
+		want int
+	}{{"without a configuration", 6}, {"with one", 2}} {
+		beats = 0
+		for range 6 {
+			s.Step()
+			s.Step()
+			manual.Advance(zinniatide.HeartbeatInterval)
+		}
+		if beats != row.want {
+			t.Errorf("%s: got %d heartbeats in six intervals, want %d", row.name, beats, row.want)
+		}
+		s.install(full(t, 5))
+	}
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -47,6 +47,9 @@
 	// Load returns the load of this VM as of controlproto.Heartbeat; nil reports
 	// none.
 	Load func() float64
+	// HeartbeatInterval is used once a configuration is installed. The default
+	// is zinniatide.HeartbeatInterval, which holds before.
+	HeartbeatInterval zinniatide.Millis
 }
 
 // Subscriber implements zinniatide.ConfigurationProvider and
