--- a/cmd/zinniabench/reporter/day.go
+++ b/cmd/zinniabench/reporter/day.go
@@ -17,10 +17,10 @@
 //go:embed day.html
 var daySource string
 
-var dayPage = template.Must(template.New("day").Funcs(template.FuncMap{
+var dayPage = parsePage("day", daySource, template.FuncMap{
 	"share": func(v float64) string { return fmt.Sprintf("%.3f", v) },
 	"ms":    func(v float64) string { return fmt.Sprintf("%.1f", v) },
-}).Parse(daySource))
+})
 
 var (
 	lateColor    = color.RGBA{R: 220, G: 160, B: 40, A: 255}
--- a/cmd/zinniabench/reporter/reporter.go
+++ b/cmd/zinniabench/reporter/reporter.go
@@ -14,7 +14,16 @@
 //go:embed page.html
 var pageSource string
 
-var page = template.Must(template.New("page").Parse(pageSource))
+//go:embed head.html
+var headSource string
+
+var page = parsePage("page", pageSource, nil)
+
+// parsePage parses a page that starts with the common head.
+func parsePage(name, source string, functions template.FuncMap) *template.Template {
+	t := template.Must(template.New(name).Funcs(functions).Parse(source))
+	return template.Must(t.Parse(headSource))
+}
 
 // Reporter renders a page from metrics and, optionally, a time series.
 type Reporter struct {
