--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -317,6 +317,10 @@
 		klog.InfoS("partial answer", "step", "gather", "request", g.req.ID, "route", g.route.ID, "missing", missing,
 			"shards", g.missingShards(), "tried", g.triedServers(), "after-ms", now-g.req.Arrived, "cutoff-ms", g.cutoff-g.req.Arrived, "table", g.r.number())
 	}
+	if took := now - g.req.Arrived; missing == 0 && took > g.route.TargetLatency {
+		klog.InfoS("late answer", "step", "gather", "request", g.req.ID, "route", g.route.ID, "after-ms", took,
+			"cutoff-ms", g.cutoff-g.req.Arrived, "helpers", len(g.groups), "table", g.r.number())
+	}
 	g.r.metrics.outcome(g.route, outcome, float64(now-g.req.Arrived))
 	names := &g.r.d.Names
 	stamps := g.stamps()
