--- a/enroller/audience.go
+++ b/enroller/audience.go
@@ -49,8 +49,9 @@
 	return a
 }
 
-// farAt returns the far members that get a digest at a tick. Each gets one in as
-// many ticks as there are control VMs, from each of them in turn.
+// farAt returns the far members that get a digest from this VM at a tick: each
+// one in as many ticks as there are control VMs. With all control VMs of other
+// zones doing so, a member hears about once a tick.
 func (a *audience) farAt(tick uint64) []zinniatide.VMID {
 	turns := uint64(len(a.peers) + 1)
 	var due []zinniatide.VMID
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -81,15 +81,14 @@
 // Linker carries messages between this VM and its peers. It is safe for
 // concurrent use.
 type Linker struct {
-	config   Config
-	clock    zinniatide.Clock
-	metrics  *metrics
-	handlers map[zinniatide.MessageKind]zinniatide.LinkHandler
-	server   *server
-	local    *link
-	ticker   *ticker.Ticker
-	// compressor is shared by all links.
-	compressor *compressor.Compressor
+	config     Config
+	clock      zinniatide.Clock
+	metrics    *metrics
+	handlers   map[zinniatide.MessageKind]zinniatide.LinkHandler
+	server     *server
+	local      *link
+	ticker     *ticker.Ticker
+	compressor *compressor.Compressor // shared by all links
 	lastCall   atomic.Uint64
 	started    atomic.Bool
 	ctx        context.Context
