--- a/review/stand/evacuate.go
+++ b/review/stand/evacuate.go
@@ -39,7 +39,7 @@
 	return &wg
 }
 
-// playEvacuate freezes a core machine that doesn't lead for 4.5 s. The operator takes
+// playEvacuate freezes a core machine that doesn't lead for 1.25 s. The operator takes
 // an evacuation back, first at that machine, then at another one, and evacuates the
 // zone again. The machine wakes and finds the old order on its socket.
 func playEvacuate(rec *recorder, trouble bool) bool {
@@ -94,10 +94,10 @@
 	}
 	frozenAt := time.Now()
 	c.order("end of the evacuation", end, nil, []*machine{followers[0], followers[1], leader})
-	time.Sleep(time.Second)
+	time.Sleep(50 * time.Millisecond)
 	rec.say("requests that reached %s after its evacuation had ended: %d", zones[1], reached(frozenAt, time.Now()))
 	again := c.order("second start of the evacuation", start, nil, []*machine{followers[1], leader})
-	time.Sleep(time.Until(frozenAt.Add(4500 * time.Millisecond)))
+	time.Sleep(time.Until(frozenAt.Add(1250 * time.Millisecond)))
 	if trouble {
 		followers[0].signal(syscall.SIGCONT)
 	}
