Answer the requests of the last seconds of a stop

Cause: requests were accepted until 4.2 s whatever their deadline; at the limit the acceptor closed their connections; and the leaving VM kept one connection to each backend server, so its last requests queued. Ruled out: the close of idle connections, and the exit of the process.

Evidence: TestStopAnswersRequestsOfItsLastSeconds on the code before: 6 of about 42 accepted requests got no answer, requests-cut=6.

Change: a request that may still run at the end of the stop is refused with 503 at once; what is open at the end gets an answer; connections are kept until then. This removes each of the three: no request is begun that cannot end, and none ends in silence.

--- a/node/relaystop.go
+++ b/node/relaystop.go
@@ -15,10 +15,13 @@
 	// use an address answer from before the shutdown. Callers that use an answer
 	// for longer are refused and retry on another VM.
 	staleAddressWait = RelayAddressLifetime + 200
-	// closeMargin is the part of RelayConfig.StopLimit that remains for
-	// deregistering, which takes at most deregisterTimeout, and for the exit of
-	// the process.
+	// closeMargin is the part of RelayConfig.StopLimit that remains after the last
+	// requests have been ended: for writing their answers, for deregistering, which
+	// takes at most deregisterTimeout, and for the exit of the process.
 	closeMargin zinniatide.Millis = 900
+	// lastAnswersWait is the part of closeMargin in which callers can still read
+	// the answers to the last requests.
+	lastAnswersWait zinniatide.Millis = 200
 )
 
 // RelayAddressLifetime is how long callers may use an address answer. A shorter
@@ -34,8 +37,14 @@
 	r.mu.Lock()
 	r.leaving = true
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), (r.cfg.StopLimit - closeMargin).Duration())
-	defer cancel()
+	serving, stopServing := context.WithTimeout(context.Background(), (r.cfg.StopLimit - closeMargin).Duration())
+	defer stopServing()
+	closing, stopClosing := context.WithTimeout(context.Background(), (r.cfg.StopLimit - closeMargin + lastAnswersWait).Duration())
+	defer stopClosing()
+	if r.relayer != nil {
+		r.relayer.StopBy(r.clock.Now() + r.cfg.StopLimit - closeMargin)
+		context.AfterFunc(serving, r.relayer.EndRequests)
+	}
 	r.subscriber.StartLeave()
 	if r.replicatedLog != nil {
 		r.replicatedLog.Post(r.replicatedLog.TransferLeadership)
@@ -43,11 +52,11 @@
 	aborted := 0
 	if r.acceptor != nil {
 		r.acceptor.CloseAfterReply()
-		sleepContext(ctx, staleAddressWait)
+		sleepContext(serving, staleAddressWait)
 		r.acceptor.RefuseRequests()
-		aborted = r.acceptor.Close(ctx)
+		aborted = r.acceptor.Close(closing)
 	} else {
-		sleepContext(ctx, leadershipTransferWait)
+		sleepContext(serving, leadershipTransferWait)
 	}
 	done := make(chan error, 1)
 	r.subscriber.Deregister(func(err error) { done <- err })
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -128,6 +128,7 @@
 		return
 	}
 	ar.finished = true
+	delete(ar.r.openRequests, ar)
 	ar.stopTimers()
 	ar.respond(reply)
 	ar.reportIfUnanswered()
@@ -153,6 +154,7 @@
 		return
 	}
 	ar.finished = true
+	delete(ar.r.openRequests, ar)
 	ar.stopTimers()
 	now := ar.r.deps.Clock.Now()
 	for _, att := range ar.openAttempts {
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -160,10 +160,14 @@
 }
 
 // timeout ends the request at its deadline.
-func (f *forwardRequest) timeout() {
+func (f *forwardRequest) timeout() { f.end("timeout", 0) }
+
+// end ends the request before a server has answered it. retryAfter applies if no
+// server has received it.
+func (f *forwardRequest) end(reason string, retryAfter zinniatide.Millis) {
 	if f.errorReply != nil {
 		f.inFlight = 0
-		f.failUnlessInFlight("timeout")
+		f.failUnlessInFlight(reason)
 		return
 	}
 	// An attempt that still waits for a connection has not run, and is withdrawn
@@ -173,7 +177,7 @@
 			f.mayHaveRun = true
 		}
 	}
-	f.fail("timeout", 0, "tried", f.triedServers())
+	f.fail(reason, retryAfter, "tried", f.triedServers())
 }
 
 // callerHeader returns the header lines of a server's response that are passed
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -283,7 +283,11 @@
 }
 
 // timeout ends the request at its deadline.
-func (g *gatherRequest) timeout() {
+func (g *gatherRequest) timeout() { g.end("timeout", 0) }
+
+// end ends the request with the parts that have arrived. retryAfter applies if no
+// server has received any part.
+func (g *gatherRequest) end(reason string, retryAfter zinniatide.Millis) {
 	if g.received >= g.route.MinShards {
 		g.replyWithReceived()
 		return
@@ -291,7 +295,7 @@
 	g.releaseLimiter(true)
 	g.cancelDelegations(true)
 	g.mayHaveRun = g.mayHaveRun || len(g.openAttempts) > 0 || len(g.delegations) > 0
-	g.fail("timeout", 0, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
+	g.fail(reason, retryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
 
 // stamps returns the stamps of the parts that have arrived.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -122,6 +122,10 @@
 	delegations        map[uint64]*delegation
 	lastCallID         uint64
 	reconnectScheduled bool // a reconnect timer is pending
+	stopping           stopping
+	// openRequests holds, for each request of a caller in progress, a function that
+	// ends it early.
+	openRequests map[*activeRequest]func(reason string, retryAfter zinniatide.Millis)
 }
 
 // processKey identifies one process of a backend server.
@@ -147,6 +151,7 @@
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, limiters: map[zinniatide.RouteID]*limiter.Limiter{},
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegations: map[uint64]*delegation{},
+		openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
 	for _, name := range d.Names.Stripped {
 		r.strippedHeaders[name] = true
@@ -205,6 +210,10 @@
 		r.refuse(req, route, respond, fasthttp.StatusServiceUnavailable, "deadline has passed", 0)
 		return noop
 	}
+	if !r.endsInTime(route, base.deadline, base.startedAt) {
+		r.refuse(req, route, respond, statusUnavailable, "this VM is stopping", stoppingRetryAfter, "stop-in-ms", r.stopping.endsAt-base.startedAt)
+		return noop
+	}
 	if q := r.deps.Quarantine; q != nil && !q.Empty() {
 		if left := q.QuarantineLeft(req.fingerprint(r.deps.Names.RequestID)); left > 0 {
 			r.refuse(req, route, respond, statusUnavailable, "request crashed backend servers", left)
@@ -214,13 +223,23 @@
 	if route.Gathers() {
 		g := &gatherRequest{activeRequest: base}
 		g.start()
+		r.trackRequest(&g.activeRequest, g.end)
 		return g.cancel
 	}
 	f := &forwardRequest{activeRequest: base}
 	f.start()
+	r.trackRequest(&f.activeRequest, f.end)
 	return f.cancel
 }
 
+// trackRequest registers a request that has not finished yet with the function
+// that ends it early.
+func (r *Relayer) trackRequest(ar *activeRequest, end func(reason string, retryAfter zinniatide.Millis)) {
+	if !ar.finished {
+		r.openRequests[ar] = end
+	}
+}
+
 // Retry-After values of refusals.
 const (
 	// startupRetryAfter applies while a VM that has just started loads its
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -136,7 +136,10 @@
 		s.SetColdFor(e.ColdRemaining, now)
 	}
 	s.Enrollment, s.Service = *e, service
-	s.pool.SetLimit(share.limit, share.idleTimeout)
+	// The other VMs leave enough connections for this one until it has stopped.
+	if !r.isStopping() {
+		s.pool.SetLimit(share.limit, share.idleTimeout)
+	}
 	if keepsOpen && e.State == zinniatide.StateIn {
 		s.pool.EnsureOpen(share.preopened)
 	}
