Count requests that are lost together as one strike

Cause: each attempt that lost its server and was not answered was a strike. One crash ends all equal requests that the server runs, so it made all three strikes; answers to equal requests never took one back. Ruled out: a fingerprint that is too coarse (the requests were equal).

Evidence: with the new condition taken out, TestRequestsLostTogetherAreNotRefused has the request refused for 599,999 ms on all VMs.

Change: reports carry the age of the attempt and the time since its first loss; an attempt that arrived before the last counted loss does not count. An answer at a VM that suspects the request clears it, also on the control VMs, and ends a quarantine. A request that crashes each server never gets an answer, and its attempts follow each other, so it still makes three strikes.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -10,7 +10,9 @@
 // Relay VMs send no canaries, because most of their requests come once. They
 // report attempts of callers that lost servers and that no server answered to all
 // control VMs. Each control VM counts them, and at the limit sends the quarantine
-// to the relay VMs.
+// to the relay VMs. Attempts that were in progress together count once, because
+// they may have lost the same server, or several to one cause. An answer to an
+// equal request clears the count and ends the quarantine.
 package quarantiner
 
 import (
@@ -118,11 +120,13 @@
 }
 
 // quarantineNotice is the body of KindQuarantine. Remaining is zero if the
-// fingerprint has strikes but is not quarantined.
+// fingerprint has strikes but is not quarantined. Cleared is set if it is no longer
+// suspected.
 type quarantineNotice struct {
 	Fingerprint zinniatide.Fingerprint `json:"fingerprint"`
 	Strikes     int                    `json:"strikes"`
 	Remaining   zinniatide.Millis      `json:"remaining-ms"`
+	Cleared     bool                   `json:"cleared,omitempty"`
 }
 
 // newToken returns a random token that is not zero.
@@ -224,6 +228,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if n.Cleared {
+		q.table.clear(n.Fingerprint)
+		return
+	}
 	q.table.mergeNotice(q.Clock.Now(), n.Fingerprint, n.Strikes, n.Remaining)
 }
 
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -218,15 +218,17 @@
 	return true
 }
 
-// recordUnanswered counts an attempt of a caller that lost servers while they ran
-// it and that no server answered. It reports whether that quarantines the
-// fingerprint. Reports of one attempt by several VMs count once.
-func (t *table) recordUnanswered(now zinniatide.Millis, f zinniatide.Fingerprint, attempt uint64) (quarantined bool) {
+// recordUnanswered counts an attempt of a caller that arrived at startedAt, lost its
+// first server at lostAt, and that no server answered. It reports whether that
+// quarantines the fingerprint. Reports of one attempt by several VMs count once. An
+// attempt that arrived before the loss that was counted last does not count: one
+// crashed server, or several that fail together, end many equal requests at once.
+func (t *table) recordUnanswered(now zinniatide.Millis, f zinniatide.Fingerprint, attempt uint64, startedAt, lostAt zinniatide.Millis) (quarantined bool) {
 	s := t.getOrCreate(now, f)
-	if s.quarantinedUntil != 0 || slices.Contains(s.attempts, attempt) {
+	if s.quarantinedUntil != 0 || slices.Contains(s.attempts, attempt) || s.strikes > 0 && startedAt < s.lastStrikeAt {
 		return false
 	}
-	s.strikes, s.lastStrikeAt = s.strikes+1, now
+	s.strikes, s.lastStrikeAt = s.strikes+1, lostAt
 	if s.strikes < t.config.StrikeLimit {
 		s.attempts = append(s.attempts, attempt)
 		return false
@@ -235,6 +237,17 @@
 	return true
 }
 
+// clear removes the suspicion against a fingerprint. It reports whether there was
+// one, and whether the fingerprint was quarantined.
+func (t *table) clear(f zinniatide.Fingerprint) (cleared, wasQuarantined bool) {
+	s := t.suspects[f]
+	if s == nil {
+		return false, false
+	}
+	delete(t.suspects, f)
+	return true, s.quarantinedUntil != 0
+}
+
 // endCanary ends the canary with the given token. A completed canary clears the
 // strikes and marks the fingerprint as completed.
 func (t *table) endCanary(now zinniatide.Millis, f zinniatide.Fingerprint, token uint64, completed bool) {
--- a/quarantiner/unanswered.go
+++ b/quarantiner/unanswered.go
@@ -38,6 +38,11 @@
 	// SendQuarantines asks for the notices of all quarantines; the report names no
 	// request then.
 	SendQuarantines bool `cbor:"3,keyasint,omitempty"`
+	// Age and SinceLoss are those of zinniatide.UnansweredAttempt.
+	Age       zinniatide.Millis `cbor:"4,keyasint,omitempty"`
+	SinceLoss zinniatide.Millis `cbor:"5,keyasint,omitempty"`
+	// Answered reports instead that a server has answered the request.
+	Answered bool `cbor:"6,keyasint,omitempty"`
 }
 
 // RequestQuarantines asks the control VMs for the quarantines in force. A relay VM
@@ -76,15 +81,33 @@
 
 // ReportUnanswered reports an attempt of a caller that lost servers while they ran
 // it and that no server answered.
-func (q *Quarantiner) ReportUnanswered(f zinniatide.Fingerprint, attempt string) {
-	report := unansweredReport{Fingerprint: f, Attempt: xxhash.Sum64String(attempt)}
+func (q *Quarantiner) ReportUnanswered(f zinniatide.Fingerprint, attempt zinniatide.UnansweredAttempt) {
+	report := unansweredReport{Fingerprint: f, Attempt: xxhash.Sum64String(attempt.ID), Age: attempt.Age, SinceLoss: attempt.SinceLoss}
 	q.lostServers.Inc()
 	q.countUnanswered(&report)
+	q.sendLimited(&report)
+}
+
+// ReportAnswered reports that a server has answered a request. It does nothing
+// unless this VM suspects the request.
+func (q *Quarantiner) ReportAnswered(f zinniatide.Fingerprint) {
+	q.mu.Lock()
+	cleared, _ := q.table.clear(f)
+	q.mu.Unlock()
+	if cleared {
+		klog.InfoS("a suspected request was answered", "step", "quarantine", "fingerprint", uint64(f))
+		q.sendLimited(&unansweredReport{Fingerprint: f, Answered: true})
+	}
+}
+
+// sendLimited sends a report to all control VMs, unless this VM has sent too many
+// of them.
+func (q *Quarantiner) sendLimited(report *unansweredReport) {
 	q.mu.Lock()
 	allowed := q.reports.allow(q.Clock.Now())
 	q.mu.Unlock()
 	if allowed {
-		q.sendReport(&report)
+		q.sendReport(report)
 	}
 }
 
@@ -93,7 +116,7 @@
 func (q *Quarantiner) countUnanswered(report *unansweredReport) bool {
 	now := q.Clock.Now()
 	q.mu.Lock()
-	quarantined := q.table.recordUnanswered(now, report.Fingerprint, report.Attempt)
+	quarantined := q.table.recordUnanswered(now, report.Fingerprint, report.Attempt, now-max(report.Age, 0), now-max(report.SinceLoss, 0))
 	q.mu.Unlock()
 	if quarantined {
 		klog.InfoS("quarantining a request that lost its servers", "step", "quarantine", "fingerprint", uint64(report.Fingerprint),
@@ -113,6 +136,8 @@
 	switch {
 	case report.SendQuarantines:
 		q.sendQuarantines(from, q.suspects()...)
+	case report.Answered:
+		q.acquit(report.Fingerprint)
 	case q.countUnanswered(&report):
 		q.broadcastNotice(q.Clock.Now(), report.Fingerprint)
 	default:
@@ -120,6 +145,19 @@
 	}
 }
 
+// acquit clears a request that a server has answered, and ends its quarantine on
+// all relay VMs.
+func (q *Quarantiner) acquit(f zinniatide.Fingerprint) {
+	q.mu.Lock()
+	_, wasQuarantined := q.table.clear(f)
+	q.mu.Unlock()
+	if !wasQuarantined {
+		return
+	}
+	klog.InfoS("ending the quarantine of a request that was answered", "step", "quarantine", "fingerprint", uint64(f))
+	q.sendNotice(q.ServingVMs(), &quarantineNotice{Fingerprint: f, Cleared: true})
+}
+
 // suspects returns the fingerprints in the table.
 func (q *Quarantiner) suspects() []zinniatide.Fingerprint {
 	q.mu.Lock()
--- a/quarantiner/unanswered_test.go
+++ b/quarantiner/unanswered_test.go
@@ -81,13 +81,17 @@
 func TestCrashingRequestIsRefusedOnAllVMs(t *testing.T) {
 	const crashing, relays = zinniatide.Fingerprint(7), 200
 	for name, disturb := range map[string]func(f *fleet, attempt int){
-		"calm":                    func(*fleet, int) {},
-		"control VMs cut off":     func(f *fleet, _ int) { f.cutOff["control-0"], f.cutOff["control-1"] = true, true },
-		"a control VM restarts":   func(f *fleet, attempt int) { f.restart(f.control[attempt%5]) },
-		"relay VMs restart":       func(f *fleet, attempt int) { f.restart(f.relays[(attempt+1)%relays]) },
-		"a relay VM is cut off":   func(f *fleet, attempt int) { f.cutOff["relay-000"] = attempt < 100 },
-		"reports arrive twice":    func(f *fleet, _ int) { f.vms["relay-001"].ReportUnanswered(crashing, "a0") },
-		"many others are counted": func(f *fleet, n int) { f.vms["relay-002"].ReportUnanswered(zinniatide.Fingerprint(1000+n), "x") },
+		"calm":                  func(*fleet, int) {},
+		"control VMs cut off":   func(f *fleet, _ int) { f.cutOff["control-0"], f.cutOff["control-1"] = true, true },
+		"a control VM restarts": func(f *fleet, attempt int) { f.restart(f.control[attempt%5]) },
+		"relay VMs restart":     func(f *fleet, attempt int) { f.restart(f.relays[(attempt+1)%relays]) },
+		"a relay VM is cut off": func(f *fleet, attempt int) { f.cutOff["relay-000"] = attempt < 100 },
+		"reports arrive twice": func(f *fleet, _ int) {
+			f.vms["relay-001"].ReportUnanswered(crashing, zinniatide.UnansweredAttempt{ID: "a0"})
+		},
+		"many others are counted": func(f *fleet, n int) {
+			f.vms["relay-002"].ReportUnanswered(zinniatide.Fingerprint(1000+n), zinniatide.UnansweredAttempt{ID: "x"})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, relays)
@@ -101,7 +105,7 @@
 					continue
 				}
 				ran++
-				q.ReportUnanswered(crashing, fmt.Sprint("a", attempt))
+				q.ReportUnanswered(crashing, zinniatide.UnansweredAttempt{ID: fmt.Sprint("a", attempt)})
 			}
 			limit := RelayConfig().StrikeLimit + 3
 			if ran > limit || refused < 600-limit {
@@ -120,14 +124,14 @@
 		t.Error("got a suspect without a report")
 	}
 	for range 50 {
-		q.ReportUnanswered(1, "same")
+		q.ReportUnanswered(1, zinniatide.UnansweredAttempt{ID: "same"})
 	}
-	q.ReportUnanswered(1, "second")
+	q.ReportUnanswered(1, zinniatide.UnansweredAttempt{ID: "second"})
 	for n := range zinniatide.Fingerprint(1000) {
-		q.ReportUnanswered(1000+n, "once")
+		q.ReportUnanswered(1000+n, zinniatide.UnansweredAttempt{ID: "once"})
 	}
 	f.clock.Advance(RelayConfig().StrikeLifetime)
-	q.ReportUnanswered(1, "much later")
+	q.ReportUnanswered(1, zinniatide.UnansweredAttempt{ID: "much later"})
 	for vm, q := range f.vms {
 		for n := range zinniatide.Fingerprint(2000) {
 			if q.QuarantineLeft(n) > 0 {
@@ -146,7 +150,7 @@
 		if n%perSecond == 0 {
 			f.clock.Advance(1000)
 		}
-		f.vms["relay-000"].ReportUnanswered(zinniatide.Fingerprint(n), fmt.Sprint(n))
+		f.vms["relay-000"].ReportUnanswered(zinniatide.Fingerprint(n), zinniatide.UnansweredAttempt{ID: fmt.Sprint(n)})
 	}
 	const maxReportBytes = 32
 	if got, want := f.sent, seconds*maxReportsPerSecond*len(f.control)*maxReportBytes; got > want {
@@ -158,3 +162,50 @@
 		}
 	}
 }
+
+// Guards against refusals of a harmless request that many callers send alike: one
+// crash ends all that its server runs, and several servers may crash together.
+func TestRequestsLostTogetherAreNotRefused(t *testing.T) {
+	const harmless = zinniatide.Fingerprint(3)
+	for _, inProgress := range []int{3, 20} {
+		f := newFleet(t, 10)
+		for n := range inProgress {
+			f.vms[f.relays[n%len(f.relays)]].ReportUnanswered(harmless, zinniatide.UnansweredAttempt{ID: fmt.Sprint(n), Age: 400})
+			f.clock.Advance(1)
+		}
+		for _, vm := range f.relays {
+			if left := f.vms[vm].QuarantineLeft(harmless); left > 0 {
+				t.Errorf("%d in progress: %s refuses the request for %d ms, want it to run", inProgress, vm, left)
+			}
+		}
+	}
+}
+
+// Guards against refusals of a harmless request that is answered between crashes,
+// and against a quarantine that outlives an answer.
+func TestAnswerClearsRequest(t *testing.T) {
+	const harmless = zinniatide.Fingerprint(3)
+	f := newFleet(t, 10)
+	for n := range 30 {
+		q := f.vms[f.relays[n%len(f.relays)]]
+		q.ReportUnanswered(harmless, zinniatide.UnansweredAttempt{ID: fmt.Sprint(n)})
+		f.clock.Advance(100)
+		q.ReportAnswered(harmless)
+	}
+	if left := f.vms["relay-000"].QuarantineLeft(harmless); left > 0 {
+		t.Errorf("got a quarantine of %d ms of a request that was answered after each loss, want none", left)
+	}
+	for n := range 3 {
+		f.vms["relay-001"].ReportUnanswered(harmless, zinniatide.UnansweredAttempt{ID: fmt.Sprint("lost", n)})
+		f.clock.Advance(100)
+	}
+	if left := f.vms["relay-002"].QuarantineLeft(harmless); left <= 0 {
+		t.Fatal("got no quarantine after three losses in turn")
+	}
+	f.vms["relay-003"].ReportAnswered(harmless)
+	for vm, q := range f.vms {
+		if left := q.QuarantineLeft(harmless); left > 0 {
+			t.Errorf("%s: got a quarantine of %d ms after an answer, want none", vm, left)
+		}
+	}
+}
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -27,10 +27,11 @@
 	onBehalf bool
 	// droppedBy counts the servers that dropped their connection while they ran the
 	// request. survived is set once a server has answered it, with any status.
-	droppedBy    int
-	survived     bool
-	timerStops   []func()
-	openAttempts []*attempt
+	droppedBy      int
+	firstDroppedAt zinniatide.Millis
+	survived       bool
+	timerStops     []func()
+	openAttempts   []*attempt
 }
 
 // attempt is one exchange with a server.
@@ -87,9 +88,11 @@
 	r.metrics.countExchange(a.Result)
 	ar.mayHaveRun = ar.mayHaveRun || a.Result.MayHaveRun()
 	if a.Dropped {
-		ar.droppedBy++
+		ar.recordDrops(1)
+	}
+	if a.Result == transporter.Answered || a.Result == transporter.InvalidAnswer {
+		ar.recordSurvival()
 	}
-	ar.survived = ar.survived || a.Result == transporter.Answered || a.Result == transporter.InvalidAnswer
 	defer ar.reportIfUnanswered()
 	if a.QueueLength >= 0 {
 		s.SetReportedQueue(a.QueueLength, now)
@@ -134,6 +137,29 @@
 	ar.reportIfUnanswered()
 }
 
+// recordDrops records that n servers dropped their connection while they ran the
+// request.
+func (ar *activeRequest) recordDrops(n int) {
+	if ar.droppedBy == 0 && n > 0 {
+		ar.firstDroppedAt = ar.r.deps.Clock.Now()
+	}
+	ar.droppedBy += n
+}
+
+// recordSurvival records that a server has answered the request, and clears equal
+// requests that were reported as unanswered.
+func (ar *activeRequest) recordSurvival() {
+	q := ar.r.deps.Quarantine
+	if ar.survived || ar.onBehalf || q == nil {
+		ar.survived = true
+		return
+	}
+	ar.survived = true
+	if !q.Empty() {
+		q.ReportAnswered(ar.req.fingerprint(ar.r.deps.Names.RequestID))
+	}
+}
+
 // reportIfUnanswered reports the request once it has ended, if servers dropped
 // their connections while they ran it and none answered. Any answer shows that the
 // request does not crash servers: when a rack fails, servers that run harmless
@@ -144,7 +170,9 @@
 	}
 	klog.InfoS("request lost its servers and was answered by none", "step", "relay", "request", ar.req.ID, "route", ar.route.ID, "servers", ar.droppedBy)
 	ar.droppedBy = 0 // reported
-	ar.r.deps.Quarantine.ReportUnanswered(ar.req.fingerprint(ar.r.deps.Names.RequestID), ar.req.ID)
+	now := ar.r.deps.Clock.Now()
+	ar.r.deps.Quarantine.ReportUnanswered(ar.req.fingerprint(ar.r.deps.Names.RequestID),
+		zinniatide.UnansweredAttempt{ID: ar.req.ID, Age: now - ar.req.ArrivedAt, SinceLoss: now - ar.firstDroppedAt})
 }
 
 // cancelLocked ends the request without a reply and cancels its attempts. The
--- a/relayer/crashing_test.go
+++ b/relayer/crashing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"zinniatide.example/zinniatide"
@@ -11,21 +13,24 @@
 // recordedReports is a Quarantine that keeps all reports and refuses the
 // fingerprints in refused.
 type recordedReports struct {
-	reports map[zinniatide.Fingerprint][]string
-	refused map[zinniatide.Fingerprint]zinniatide.Millis
+	reports  map[zinniatide.Fingerprint][]string
+	refused  map[zinniatide.Fingerprint]zinniatide.Millis
+	answered map[zinniatide.Fingerprint]int
 }
 
 func newRecordedReports() *recordedReports {
-	return &recordedReports{reports: map[zinniatide.Fingerprint][]string{}, refused: map[zinniatide.Fingerprint]zinniatide.Millis{}}
+	return &recordedReports{reports: map[zinniatide.Fingerprint][]string{}, refused: map[zinniatide.Fingerprint]zinniatide.Millis{},
+		answered: map[zinniatide.Fingerprint]int{}}
 }
 
 func (q *recordedReports) Empty() bool { return len(q.refused) == 0 }
 func (q *recordedReports) QuarantineLeft(f zinniatide.Fingerprint) zinniatide.Millis {
 	return q.refused[f]
 }
-func (q *recordedReports) ReportUnanswered(f zinniatide.Fingerprint, attempt string) {
-	q.reports[f] = append(q.reports[f], attempt)
+func (q *recordedReports) ReportUnanswered(f zinniatide.Fingerprint, attempt zinniatide.UnansweredAttempt) {
+	q.reports[f] = append(q.reports[f], attempt.ID)
 }
+func (q *recordedReports) ReportAnswered(f zinniatide.Fingerprint) { q.answered[f]++ }
 
 // serve sends a request and returns its reply once it has ended.
 func (sim *simulation) serve(id, path string) Reply {
@@ -114,3 +119,20 @@
 		t.Errorf("got reports %v of a query that other servers answered, want none", q.reports)
 	}
 }
+
+// Guards against a suspicion that stays although servers answer the request.
+func TestAnsweredRequestsAreReported(t *testing.T) {
+	for _, path := range []string{"/p/x", "/once/x", "/q/x"} {
+		sim, q := newSimulation(t, testShards), newRecordedReports()
+		sim.relayer.deps.Quarantine = q
+		sim.serve("a0", path)
+		if got := len(q.answered); got != 0 {
+			t.Errorf("%s: got %d reports of answers without a suspect, want none", path, got)
+		}
+		q.refused[1] = 60_000 // another request
+		sim.serve("a1", path)
+		if got, want := fmt.Sprint(slices.Collect(maps.Values(q.answered))), "[1]"; got != want {
+			t.Errorf("%s: got reports of answers %s, want %s", path, got, want)
+		}
+	}
+}
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -105,8 +105,10 @@
 
 // recordDelegated records how the servers of a delegate fared.
 func (g *gatherRequest) recordDelegated(reply *delegationReply) {
-	g.droppedBy += max(reply.DroppedBy, 0)
-	g.survived = g.survived || reply.Survived
+	g.recordDrops(max(reply.DroppedBy, 0))
+	if reply.Survived {
+		g.recordSurvival()
+	}
 }
 
 // resendOrFail sends parts directly that a delegate did not return. A part that
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -77,9 +77,12 @@
 	Empty() bool
 	// QuarantineLeft returns how long a request is still refused, or 0.
 	QuarantineLeft(f zinniatide.Fingerprint) zinniatide.Millis
-	// ReportUnanswered reports an attempt of a caller that lost servers while they
-	// ran it and that no server answered.
-	ReportUnanswered(f zinniatide.Fingerprint, attempt string)
+	// ReportUnanswered reports a request that may have crashed the servers that ran
+	// it.
+	ReportUnanswered(f zinniatide.Fingerprint, attempt zinniatide.UnansweredAttempt)
+	// ReportAnswered reports a request that a server has answered, which clears it
+	// of suspicion.
+	ReportAnswered(f zinniatide.Fingerprint)
 }
 
 // Links are the links to other VMs.
--- a/types.go
+++ b/types.go
@@ -46,6 +46,15 @@
 // MaxIDLength is the longest identifier accepted, in bytes.
 const MaxIDLength = 128
 
+// UnansweredAttempt is an attempt of a caller that lost servers while they ran it
+// and that no server answered.
+type UnansweredAttempt struct {
+	ID string // chosen by the caller
+	// Age is the time since the attempt arrived, SinceLoss the time since its first
+	// server was lost.
+	Age, SinceLoss Millis
+}
+
 // Millis is a point in time or a duration in milliseconds. Points in time are
 // relative to the arbitrary start of a monotonic clock unless stated otherwise.
 type Millis int64
