Keep a backend server in use when another writer enrolls at its address

Cause: of the processes enrolled at one address only the one that started last was used, over all services. An entry for an unknown service is never sent to, so nothing shows that it is false. Ruled out: the tables, which held both entries.

Change: a later process takes the place of an earlier one only within a service, while it has not ended and no other process has answered at the address. In all other cases the 421 of whoever has the address decides, and nothing runs.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -116,6 +116,12 @@
 
 // Enroll implements zinniatide.Enroller.
 func (e *Enroller) Enroll(en zinniatide.Enrollment, done func(error)) {
+	if e.contradictsKnownServer(&en) {
+		klog.InfoS("left out a heartbeat for an unknown service under the id of a known backend server", "step", "enroll",
+			"server", en.Server, "service", en.Service, "address", en.Address, "born", en.StartedAt)
+		done(nil)
+		return
+	}
 	changed := e.merge([]zinniatide.Enrollment{en}, "")
 	if en.State == zinniatide.StateLeaving {
 		// Repeated heartbeats of a leaving server wait for a majority as well,
@@ -129,6 +135,29 @@
 	done(nil)
 }
 
+// contradictsKnownServer reports whether a heartbeat under the id of a server of a
+// configured service names a service that is not configured. A server that really
+// moves to another service is enrolled by its first heartbeat after the
+// configuration that names the service.
+func (e *Enroller) contradictsKnownServer(en *zinniatide.Enrollment) bool {
+	routing := e.deps.Configurations.Configuration().Routing
+	if routing == nil {
+		return false
+	}
+	configured := func(service zinniatide.ServiceID) bool {
+		return slices.ContainsFunc(routing.Services, func(s zinniatide.RelayService) bool { return s.Service == service })
+	}
+	e.mu.Lock()
+	r := e.table.rows[en.Server]
+	differs := r != nil && !r.Ended && r.Service != en.Service
+	var known zinniatide.ServiceID
+	if differs {
+		known = r.Service
+	}
+	e.mu.Unlock()
+	return differs && configured(known) && !configured(en.Service)
+}
+
 // Withdraw implements zinniatide.Enroller. The end of an unknown process is
 // recorded too, because this VM may have restarted while others still use it. Its
 // start time must then be known, as it may be older than the process that others
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -143,6 +143,9 @@
 	pool Pool
 	// lastSentAt is when this VM last sent a request to the process.
 	lastSentAt zinniatide.Millis
+	// preopened is the number of connections to keep open while the process is in
+	// use.
+	preopened int
 }
 
 // New returns a Relayer without a routing table.
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"slices"
 
 	"k8s.io/klog/v2"
@@ -83,16 +84,11 @@
 }
 
 func (r *Relayer) updateServers(enrollments []zinniatide.Enrollment) {
-	latestStart := map[string]zinniatide.Millis{} // of any process, by address
-	for i := range enrollments {
-		e := &enrollments[i]
-		latestStart[e.Address] = max(latestStart[e.Address], e.StartedAt)
-	}
 	kept := map[processKey]bool{}
 	for i := range enrollments {
 		e := &enrollments[i]
 		service := r.services[e.Service]
-		if service == nil || e.Ended || e.StartedAt < latestStart[e.Address] {
+		if service == nil || e.Ended {
 			continue
 		}
 		id := processKey{e.Server, e.StartedAt}
@@ -106,11 +102,15 @@
 			delete(r.servers, id)
 		}
 	}
+	r.linkSuccessors()
 	for _, service := range r.services {
 		service.Servers = service.Servers[:0]
 	}
 	for _, s := range r.servers {
 		s.Service.Servers = append(s.Service.Servers, &s.Server)
+		if s.preopened > 0 && !s.Superseded() {
+			s.pool.EnsureOpen(s.preopened)
+		}
 	}
 	for _, service := range r.services {
 		slices.SortFunc(service.Servers, func(a, b *selector.Server) int {
@@ -122,6 +122,33 @@
 	}
 }
 
+// linkSuccessors tells each process which later process of its service is enrolled at
+// its address. Processes of other services do not count, because an enrollment may be
+// false, and only requests to the later process show that. If they have taken over
+// the address, they reject the first request that is meant for the earlier process.
+func (r *Relayer) linkSuccessors() {
+	type place struct {
+		service zinniatide.ServiceID
+		address string
+	}
+	byPlace := make(map[place][]*selector.Server, len(r.servers))
+	for _, s := range r.servers {
+		p := place{s.Enrollment.Service, s.Address}
+		byPlace[p] = append(byPlace[p], &s.Server)
+	}
+	for _, list := range byPlace {
+		slices.SortFunc(list, func(a, b *selector.Server) int {
+			return cmp.Or(cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.Server, b.Server))
+		})
+		for i, s := range list {
+			s.SetSuccessor(nil)
+			if i+1 < len(list) && list[i+1].StartedAt > s.StartedAt {
+				s.SetSuccessor(list[i+1])
+			}
+		}
+	}
+}
+
 func (r *Relayer) updateServer(id processKey, e *zinniatide.Enrollment, service *selector.Service) {
 	share := r.connectionShareOf(service.MaxConnections, e.Zone == r.config.Zone)
 	now := r.deps.Clock.Now()
@@ -140,8 +167,9 @@
 	if !r.isStopping() {
 		s.pool.SetLimit(share.limit, share.idleTimeout)
 	}
+	s.preopened = 0
 	if keepsOpen && e.State == zinniatide.StateIn {
-		s.pool.EnsureOpen(share.preopened)
+		s.preopened = share.preopened
 	}
 }
 
--- a/selector/server.go
+++ b/selector/server.go
@@ -68,6 +68,9 @@
 	// replaced is set once a different process has answered at the server's
 	// address.
 	replaced bool
+	// successor is the next later process that is enrolled at the same address, or
+	// nil.
+	successor *Server
 }
 
 // Describe returns a summary of the server without blanks, for log lines.
@@ -189,6 +192,17 @@
 // address.
 func (s *Server) MarkReplaced() { s.replaced = true }
 
+// SetSuccessor sets the next later process that is enrolled at the address of this
+// one, or nil if there is none.
+func (s *Server) SetSuccessor(next *Server) { s.successor = next }
+
+// Superseded reports whether a later process uses the address. An enrollment alone
+// is no proof if a different process has answered there.
+func (s *Server) Superseded() bool {
+	next := s.successor
+	return next != nil && (!next.replaced || next.Superseded())
+}
+
 // SetReportedQueue records the queue length reported by the server.
 func (s *Server) SetReportedQueue(waiting int, now zinniatide.Millis) {
 	s.reportedQueue, s.reportedAt = waiting, now
@@ -208,7 +222,7 @@
 
 // usable reports whether the server accepts new requests.
 func (s *Server) usable() bool {
-	return !s.Ended && !s.replaced && s.State == zinniatide.StateIn
+	return !s.Ended && !s.replaced && s.State == zinniatide.StateIn && !s.Superseded()
 }
 
 // score returns the expected wait at the server in milliseconds; lower is
