Limit the nesting of tickets before keys are checked

Cause: the check for duplicate keys follows all levels and builds the path of each key, so its memory grows with the square of the depth.

Evidence: TestDeepTicketIsRefused on the code before did not end within 600 s and used up the memory of this machine; it was ended by hand.

Change: more than 32 levels are refused. Result: the test passes in 0.1 s.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -139,11 +139,18 @@
 func checkDuplicateKeys(raw []byte) error {
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber()
-	return checkDuplicateKeysIn(decoder, "")
+	return checkDuplicateKeysIn(decoder, "", 0)
 }
 
-// checkDuplicateKeysIn checks the next value of decoder, which is at path.
-func checkDuplicateKeysIn(decoder *json.Decoder, path string) error {
+// maxNesting is the deepest nesting of a ticket in levels. Valid tickets have fewer.
+const maxNesting = 32
+
+// checkDuplicateKeysIn checks the next value of decoder, which is at path and
+// inside depth arrays and objects.
+func checkDuplicateKeysIn(decoder *json.Decoder, path string, depth int) error {
+	if depth > maxNesting {
+		return fmt.Errorf("at %s: nesting is deeper than %d levels", path, maxNesting)
+	}
 	token, err := decoder.Token()
 	if err != nil {
 		return fmt.Errorf("ticket is not JSON: %w", err)
@@ -167,7 +174,7 @@
 			}
 			keys[key] = true
 		}
-		if err := checkDuplicateKeysIn(decoder, valuePath); err != nil {
+		if err := checkDuplicateKeysIn(decoder, valuePath, depth+1); err != nil {
 			return err
 		}
 	}
