Reserve memory for the records of a query as they arrive

Cause: ranker.New reserved room for the number of records that the route names.

Result: the test passes.

--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -22,8 +22,16 @@
 	heap  []record // min-heap
 }
 
-// New returns a Ranker that keeps at most limit records.
-func New(limit int) *Ranker { return &Ranker{limit: limit, heap: make([]record, 0, limit)} }
+// maxReserved is the number of records for which New reserves memory at most. More
+// of them take memory once they have arrived.
+const maxReserved = 64
+
+// New returns a Ranker that keeps at most limit records, which may be far more than
+// there are. A limit below 0 counts as 0.
+func New(limit int) *Ranker {
+	limit = max(limit, 0)
+	return &Ranker{limit: limit, heap: make([]record, 0, min(limit, maxReserved))}
+}
 
 // Add merges the records of one part.
 func (r *Ranker) Add(part []byte) {
--- a/ranker/ranker_test.go
+++ b/ranker/ranker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -63,3 +64,22 @@
 		t.Error("got no dropped record, want some")
 	}
 }
+
+// Guards against a limit from a routing table or a peer that takes memory for
+// records that never arrive, or that ends the process.
+func TestLimitReservesNoMemory(t *testing.T) {
+	part := make([]byte, 200*RecordSize)
+	for i := range 200 {
+		part[i*RecordSize+1] = byte(i)
+	}
+	for _, row := range []struct{ limit, want int }{{math.MaxInt32, 200}, {math.MaxInt, 200}, {1, 1}, {0, 0}, {-1, 0}, {math.MinInt, 0}} {
+		r := New(row.limit)
+		if got := cap(r.heap); got > maxReserved {
+			t.Errorf("limit %d: got room for %d records, want %d at most", row.limit, got, maxReserved)
+		}
+		r.Add(part)
+		if got := len(r.AppendSorted(nil)) / RecordSize; got != row.want {
+			t.Errorf("limit %d: got %d records, want %d", row.limit, got, row.want)
+		}
+	}
+}
