Clear the write deadline of an answer that is read slowly

Cause: flush left its write deadline on the connection; each write after it fails.

Change: the deadline ends with the write, also for 100 Continue and rejections; the idle timeout starts when the answer has been written instead of before.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -23,13 +23,15 @@
 	mu        sync.Mutex
 	requests  []relayer.Request
 	hold      bool
+	limits    zinniatide.CallerLimits
 	respond   []func(relayer.Reply)
 	cancelled chan struct{}
 	arrived   chan struct{}
 }
 
 func newFakeHandler() *fakeHandler {
-	return &fakeHandler{cancelled: make(chan struct{}, 8), arrived: make(chan struct{}, 64)}
+	return &fakeHandler{cancelled: make(chan struct{}, 8), arrived: make(chan struct{}, 64),
+		limits: zinniatide.CallerLimits{MaxHeaderBytes: 2048, MaxBodyBytes: 4096, HeaderTimeout: 2000, IdleTimeout: 5000}}
 }
 
 func (f *fakeHandler) Serve(req *relayer.Request, respond func(relayer.Reply)) func() {
@@ -48,7 +50,9 @@
 }
 
 func (f *fakeHandler) Limits() (zinniatide.CallerLimits, bool) {
-	return zinniatide.CallerLimits{MaxHeaderBytes: 2048, MaxBodyBytes: 4096, HeaderTimeout: 2000, IdleTimeout: 5000}, true
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits, true
 }
 
 func (f *fakeHandler) seen() []relayer.Request {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -125,7 +125,7 @@
 		return nil, fasthttp.StatusRequestEntityTooLarge
 	}
 	if r.MayContinue() {
-		if _, err := c.netConn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+		if err := c.writeWithin([]byte("HTTP/1.1 100 Continue\r\n\r\n"), c.limits.HeaderTimeout.Duration()); err != nil {
 			return nil, 0
 		}
 	}
@@ -237,12 +237,7 @@
 	for {
 		_, err := c.reader.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// The caller sent nothing within the idle timeout, which respond started.
-			// Keep the connection while the answer is still being written.
-			if c.busy() {
-				continue
-			}
-			return false
+			return false // the caller sent nothing within the idle timeout, which finishRequest started
 		}
 		if err != nil {
 			if c.busy() {
@@ -261,8 +256,6 @@
 	defer c.mu.Unlock()
 	c.closeAfterReply = c.closeAfterReply || c.acceptor.closeAfterReply.Load()
 	out := c.encodeReply(&reply)
-	// The idle timeout starts now, also for a read that is already waiting.
-	c.setReadTimeout(c.limits.IdleTimeout)
 	n, err := c.writer.TryWrite(out)
 	if err != nil {
 		c.failed = true
@@ -276,17 +269,30 @@
 
 // flush writes the remainder of an answer to a caller that reads slowly.
 func (c *conn) flush(rest []byte) {
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(c.limits.IdleTimeout.Duration())) // fails only on a closed connection, as the write does
-	_, err := c.netConn.Write(rest)
+	err := c.writeWithin(rest, c.limits.IdleTimeout.Duration())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failed = c.failed || err != nil
 	c.finishRequest()
 }
 
+// writeWithin writes out within d. The deadline ends with the write, because it
+// would otherwise fail an answer to a later request on the connection.
+func (c *conn) writeWithin(out []byte, d time.Duration) error {
+	if err := c.netConn.SetWriteDeadline(time.Now().Add(d)); err != nil {
+		return err
+	}
+	if _, err := c.netConn.Write(out); err != nil {
+		return err
+	}
+	return c.netConn.SetWriteDeadline(time.Time{})
+}
+
 // finishRequest ends the request after its answer. The caller holds the lock.
 func (c *conn) finishRequest() {
 	c.active = false
+	// The idle timeout starts now, also for a read that is already waiting.
+	c.setReadTimeout(c.limits.IdleTimeout)
 	select {
 	case c.replied <- struct{}{}:
 	default:
@@ -343,8 +349,7 @@
 	c.closeAfterReply, c.headOnly = true, false
 	out := c.encodeReply(&relayer.Reply{Status: status})
 	c.mu.Unlock()
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(lingerTimeout.Duration()))
-	if _, err := c.netConn.Write(out); err != nil {
+	if err := c.writeWithin(out, lingerTimeout.Duration()); err != nil {
 		klog.InfoS("failed to write rejection", "step", "reject", "status", status, "err", err.Error())
 	}
 }
