--- a/logkeeper/engine.go
+++ b/logkeeper/engine.go
@@ -142,6 +142,7 @@
 			return
 		}
 		k.appliedIndex, k.appliedTerm, k.snapshotIndex = s.Index, s.Term, s.Index
+		k.snapshotBytes, k.bytesSinceSnapshot = len(s.Data), 0
 	}
 	for i := range o.Committed {
 		e := &o.Committed[i]
@@ -152,6 +153,7 @@
 			klog.InfoS("voters changed", "vm", k.cfg.VM, "step", "membership", "voters", e.Membership.Voters)
 		}
 		k.appliedIndex, k.appliedTerm = e.Index, e.Term
+		k.bytesSinceSnapshot += len(e.Data)
 		if p, ok := k.proposals[e.Index]; ok && p.term == e.Term {
 			delete(k.proposals, e.Index)
 			p.done(result, nil)
@@ -161,19 +163,24 @@
 	k.completeReads()
 }
 
-// maybeTakeSnapshot takes a snapshot every SnapshotEvery entries and compacts the
-// log. It keeps the last SnapshotEvery entries before the snapshot, so that a
-// follower that was disconnected for a short time can catch up from the log.
+// maybeTakeSnapshot takes a snapshot every SnapshotEvery entries, or earlier if the
+// entries are large, and compacts the log. It keeps the last entries before the
+// snapshot, so that a follower that was disconnected for a short time can catch up
+// from the log.
 func (k *Keeper) maybeTakeSnapshot() {
-	if k.appliedIndex-k.snapshotIndex < k.cfg.SnapshotEvery {
+	large := k.bytesSinceSnapshot >= max(minSnapshotBytes, snapshotSizeFactor*k.snapshotBytes)
+	if k.appliedIndex == k.snapshotIndex || k.appliedIndex-k.snapshotIndex < k.cfg.SnapshotEvery && !large {
 		return
 	}
 	data, err := k.cfg.StateMachine.Snapshot()
 	if err == nil {
-		err = k.replicator.Compact(k.appliedIndex, data, k.cfg.SnapshotEvery)
+		err = k.replicator.Compact(k.appliedIndex, data, k.cfg.SnapshotEvery, keptLogBytes)
+	}
+	// A failed snapshot is retried after as many entries again.
+	k.snapshotIndex, k.bytesSinceSnapshot = k.appliedIndex, 0
+	if err == nil {
+		k.snapshotBytes = len(data)
 	}
-	// A failed snapshot is retried after another SnapshotEvery entries.
-	k.snapshotIndex = k.appliedIndex
 	if err != nil {
 		klog.ErrorS(err, "snapshot failed", "vm", k.cfg.VM, "step", "snapshot", "entry", k.appliedIndex)
 		return
--- a/logkeeper/keeper.go
+++ b/logkeeper/keeper.go
@@ -24,6 +24,18 @@
 // DefaultSnapshotEvery is the number of entries between two snapshots.
 const DefaultSnapshotEvery = 1000
 
+// Limits of the log in bytes, so that its memory and its file follow the size of
+// the state instead of the number of changes.
+const (
+	// minSnapshotBytes and snapshotSizeFactor times the size of the last snapshot
+	// are the size of the entries after which a snapshot is taken; the larger value
+	// applies.
+	minSnapshotBytes   = 4 << 20
+	snapshotSizeFactor = 4
+	// keptLogBytes limits the entries kept before a snapshot.
+	keptLogBytes = 2 << 20
+)
+
 // Config contains the dependencies and settings of a Keeper.
 type Config struct {
 	VM     zinniatide.VMID
@@ -72,6 +84,8 @@
 	appliedIndex        uint64
 	appliedTerm         uint64
 	snapshotIndex       uint64
+	snapshotBytes       int // size of the last snapshot
+	bytesSinceSnapshot  int // size of the entries applied since the last snapshot
 	leading             bool
 	failure             error
 	proposals           map[uint64]proposal
@@ -164,7 +178,7 @@
 		if err := k.cfg.StateMachine.Restore(s.Data); err != nil {
 			return fmt.Errorf("restore snapshot at entry %d: %w", s.Index, err)
 		}
-		k.appliedIndex, k.appliedTerm, k.snapshotIndex = s.Index, s.Term, s.Index
+		k.appliedIndex, k.appliedTerm, k.snapshotIndex, k.snapshotBytes = s.Index, s.Term, s.Index, len(s.Data)
 	}
 	var err error
 	k.replicator, err = replicator.New(replicator.Config{
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -190,6 +190,9 @@
 	sent := false
 	for p.next <= r.log.lastIndex() && p.next-p.match <= maxInFlightEntries {
 		entries := r.log.slice(p.next, r.log.lastIndex(), maxBatchBytes)
+		if p.next > p.match+1 && r.log.size(p.match+1, entries[len(entries)-1].Index) > maxInFlightBytes {
+			break
+		}
 		r.sendAppend(p, entries)
 		p.next += uint64(len(entries))
 		sent = true
--- a/replicator/log.go
+++ b/replicator/log.go
@@ -76,6 +76,28 @@
 	l.entries = slices.Clip(l.entries[:first-l.baseIndex-1])
 }
 
+// size returns the approximate size in bytes of the entries from first up to last.
+func (l *memoryLog) size(first, last uint64) int {
+	n := 0
+	for i := max(first, l.baseIndex+1); i <= min(last, l.lastIndex()); i++ {
+		n += len(l.entries[i-l.baseIndex-1].Data) + entryOverheadBytes
+	}
+	return n
+}
+
+// firstWithin returns the first of the entries up to last that together take at
+// most maxBytes. It is last+1 if not even entry last does.
+func (l *memoryLog) firstWithin(last uint64, maxBytes int) uint64 {
+	first := last + 1
+	for size := 0; first > l.baseIndex+1; first-- {
+		size += len(l.entries[first-l.baseIndex-2].Data) + entryOverheadBytes
+		if size > maxBytes {
+			break
+		}
+	}
+	return first
+}
+
 // compact removes the entries up to and including to.
 func (l *memoryLog) compact(to uint64) {
 	term, ok := l.term(to)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -31,6 +31,9 @@
 	maxBatchBytes = 256 << 10
 	// maxInFlightEntries limits the unacknowledged entries sent to a follower.
 	maxInFlightEntries = 4096
+	// maxInFlightBytes limits the size of these entries. A larger entry is sent
+	// alone.
+	maxInFlightBytes   = 4 << 20
 	snapshotChunkBytes = 256 << 10
 	// maxPromotionLagEntries is how far a learner may lag behind the leader when
 	// it is promoted. A gap of this size is sent without waiting for
@@ -280,16 +283,18 @@
 
 // Compact records a snapshot of the state machine as of entry index, which must
 // have been returned in Output.Committed. It then removes all but the last keep
-// entries before index.
-func (r *Replicator) Compact(index uint64, data []byte, keep uint64) error {
+// entries up to index, and as many of these as take more than keepBytes together.
+func (r *Replicator) Compact(index uint64, data []byte, keep uint64, keepBytes int) error {
 	term, ok := r.log.term(index)
 	if !ok || index > r.emittedIndex || (r.snapshot != nil && index <= r.snapshot.Index) {
 		return fmt.Errorf("cannot record a snapshot at entry %d", index)
 	}
 	r.snapshot = &Snapshot{Index: index, Term: term, Membership: r.membershipAt(index), Data: data}
+	first := r.log.firstWithin(index, keepBytes)
 	if index > keep {
-		r.log.compact(index - keep)
+		first = max(first, index-keep+1)
 	}
+	r.log.compact(first - 1)
 	r.compactMemberships(index)
 	r.needsRewrite = true
 	return nil
