Let no delayed zone order take effect after a later one

Cause: orders for zones have no number, and the last proposal wins. Ruled out: routing documents and tickets, where a lower number never replaces a higher one.

Change: the control VM reads the count of zone orders, then checks that the operator's connection is open, then proposes with that count; the log applies the order only if no other came first.

--- a/controller/operator.go
+++ b/controller/operator.go
@@ -192,6 +192,8 @@
 			return document, nil
 		}
 		return nil, zinniatide.Refuse(zinniatide.CodeNotFound, "no routing table has been accepted")
+	case controlproto.ForwardZoneOrders:
+		return c.stateMachine.ZoneOrders(), nil
 	case controlproto.ForwardHistory:
 		return c.stateMachine.History(min(max(f.Limit, 1), maxHistoryLimit)), nil
 	}
--- a/controller/routing.go
+++ b/controller/routing.go
@@ -30,13 +30,30 @@
 	return document, err
 }
 
-// SetZoneState implements zinniatide.RoutingOperator.
-func (c *Controller) SetZoneState(zone zinniatide.ZoneID, state zinniatide.ServingState, timeout zinniatide.Millis) error {
+// SetZoneState implements zinniatide.RoutingOperator. The number of earlier zone
+// state changes is read before the operator is known to wait still, and the change
+// takes effect only if that number has not changed. So a call that is delayed
+// anywhere after the operator has given up cannot overtake a later one.
+func (c *Controller) SetZoneState(zone zinniatide.ZoneID, state zinniatide.ServingState, abandoned func() bool, timeout zinniatide.Millis) error {
 	if zone == "" || len(zone) > zinniatide.MaxIDLength || !utf8.ValidString(string(zone)) {
 		return zinniatide.Refuse(zinniatide.CodeBadRequest, "availability zone is empty, too long or no UTF-8")
 	}
-	var epoch zinniatide.Epoch
-	return c.runOnLeader(&controlproto.Forward{Operation: controlproto.ForwardSetZone, Zone: zone, State: state}, timeout, &epoch)
+	end := c.clock.Now() + timeout
+	for {
+		var orders uint64
+		if err := c.runOnLeader(&controlproto.Forward{Operation: controlproto.ForwardZoneOrders}, end-c.clock.Now(), &orders); err != nil {
+			return err
+		}
+		left := end - c.clock.Now()
+		if left <= 0 || abandoned() {
+			return zinniatide.Refuse(zinniatide.CodeNoQuorum, "the operator no longer waits")
+		}
+		var epoch zinniatide.Epoch
+		err := c.runOnLeader(&controlproto.Forward{Operation: controlproto.ForwardSetZone, Zone: zone, State: state, After: &orders}, left, &epoch)
+		if err != nil || epoch != 0 {
+			return err
+		}
+	}
 }
 
 // proposeRouting proposes the ticket of a routing table. The table is validated
@@ -73,7 +90,7 @@
 	case controlproto.ForwardFileRouting:
 		c.proposeRouting(f, done)
 	case controlproto.ForwardSetZone:
-		c.propose(&registrar.Command{ZoneState: &registrar.ZoneStateChange{Zone: f.Zone, State: f.State}}, done)
+		c.propose(&registrar.Command{ZoneState: &registrar.ZoneStateChange{Zone: f.Zone, State: f.State, After: f.After}}, done)
 	default:
 		c.proposeTicket(f.Ticket, done)
 	}
--- a/controlproto/controlproto.go
+++ b/controlproto/controlproto.go
@@ -149,11 +149,12 @@
 	ForwardFileRouting
 	ForwardRoutingDocument
 	ForwardSetZone
+	ForwardZoneOrders
 )
 
 // Forward carries an operator request to the leader. FileTicket uses Ticket and
 // DryRun; TicketStatus Number; History Limit; FileRouting Number, Routing and
-// Document; SetZone Zone and State. The other operations use none.
+// Document; SetZone Zone, State and After. The other operations use none.
 type Forward struct {
 	Operation ForwardOperation        `cbor:"1,keyasint"`
 	Ticket    []byte                  `cbor:"2,keyasint,omitempty"`
@@ -164,6 +165,8 @@
 	Document  []byte                  `cbor:"7,keyasint,omitempty"`
 	Zone      zinniatide.ZoneID       `cbor:"8,keyasint,omitempty"`
 	State     zinniatide.ServingState `cbor:"9,keyasint,omitempty"`
+	// After is the result of ZoneOrders that SetZone must still find.
+	After *uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // ForwardReply answers a Forward. If Refusal is nil, Result is the encoded result
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -42,6 +42,9 @@
 type ZoneStateChange struct {
 	Zone  zinniatide.ZoneID       `cbor:"1,keyasint"`
 	State zinniatide.ServingState `cbor:"2,keyasint"`
+	// After is the number of zone state changes before this one. If it differs, the
+	// change has no effect. It is nil in entries of earlier versions.
+	After *uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ActiveRelays sets the number of relay VMs per zone to which callers are sent.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,6 +19,9 @@
 	claims        claimTable
 	// routingDocument is the current routing table as the operator wrote it.
 	routingDocument []byte
+	// zoneOrders counts the zone state changes that took effect, also those that
+	// changed nothing.
+	zoneOrders uint64
 	// eligible caches the VMs of configuration that may own buckets; nil means it
 	// must be computed. It stays valid between calls of assignBuckets, because
 	// only entries that call it can change these VMs.
--- a/registrar/routing.go
+++ b/registrar/routing.go
@@ -9,10 +9,17 @@
 // or nil if none has been accepted yet.
 func (r *Registrar) RoutingDocument() []byte { return r.routingDocument }
 
+// ZoneOrders returns the number of zone state changes so far.
+func (r *Registrar) ZoneOrders() uint64 { return r.zoneOrders }
+
 func (r *Registrar) applyZoneState(z *ZoneStateChange) any {
 	if z.Zone == "" || len(z.Zone) > zinniatide.MaxIDLength || z.State != zinniatide.StateIn && z.State != zinniatide.StateOut {
 		return zinniatide.Refuse(zinniatide.CodeBadRequest, "zone %q cannot be set to %q", z.Zone, z.State)
 	}
+	if z.After != nil && *z.After != r.zoneOrders {
+		return zinniatide.Epoch(0) // another change came first
+	}
+	r.zoneOrders++
 	state := zinniatide.StateSetting{State: z.State}
 	if old, known := r.configuration.AvailabilityZones[z.Zone]; known && old == state {
 		return r.configuration.Epoch
--- a/registrar/snapshot.go
+++ b/registrar/snapshot.go
@@ -25,6 +25,7 @@
 	PendingMoves    []pendingMove             `cbor:"7,keyasint"`
 	Claims          []*claimRecord            `cbor:"8,keyasint"`
 	RoutingDocument []byte                    `cbor:"9,keyasint,omitempty"`
+	ZoneOrders      uint64                    `cbor:"10,keyasint,omitempty"`
 }
 
 // entityNumber is the highest ticket number accepted for an entity.
@@ -41,7 +42,8 @@
 
 // Snapshot implements zinniatide.StateMachine.
 func (r *Registrar) Snapshot() ([]byte, error) {
-	s := snapshot{Version: snapshotVersion, LogClock: r.logClock, Configuration: r.configuration, HighestDropped: r.tickets.highestDropped, RoutingDocument: r.routingDocument}
+	s := snapshot{Version: snapshotVersion, LogClock: r.logClock, Configuration: r.configuration, HighestDropped: r.tickets.highestDropped, RoutingDocument: r.routingDocument,
+		ZoneOrders: r.zoneOrders}
 	s.Tickets = r.tickets.newest(len(r.tickets.records))
 	slices.Reverse(s.Tickets)
 	for entity, number := range r.tickets.highest {
@@ -87,7 +89,7 @@
 		claims.insert(c)
 	}
 	r.configuration, r.logClock, r.tickets, r.claims = s.Configuration, s.LogClock, tickets, claims
-	r.routingDocument = s.RoutingDocument
+	r.routingDocument, r.zoneOrders = s.RoutingDocument, s.ZoneOrders
 	r.eligible = nil
 	r.pendingMoves = map[bucketKey]zinniatide.Epoch{}
 	for _, m := range s.PendingMoves {
--- a/routing.go
+++ b/routing.go
@@ -85,8 +85,10 @@
 	// has CodeNotFound if there is none yet.
 	RoutingDocument(timeout Millis) ([]byte, error)
 	// SetZoneState takes an availability zone out of service or back into service.
-	// It has no ticket number: the last accepted call takes effect.
-	SetZoneState(zone ZoneID, state ServingState, timeout Millis) error
+	// It has no ticket number: the last accepted call takes effect. abandoned reports
+	// whether the operator no longer waits for the result. A call that was abandoned
+	// before it took effect has none, so that it cannot undo a later one.
+	SetZoneState(zone ZoneID, state ServingState, abandoned func() bool, timeout Millis) error
 }
 
 // Enrollment is the last known state of a backend server that registers itself
