Apply the limits of the configuration in force to kept connections

Cause: a connection copied the limits when it was opened.

Evidence: TestKeptConnectionsFollowLimits fails on the code before for raised body, header and time limits.

Change: limits are read at the start of each request and when an idle timeout ends; the read buffer grows with the header instead of having its largest size.

Result: the test passes, and TestHeaderLimitReservesNoMemory.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -27,8 +29,10 @@
 	reader   *bufio.Reader
 	request  fasthttp.Request
 	writer   *trywriter.Writer
-	limits   zinniatide.CallerLimits
-	reused   bool // has received a request
+	// limits are those in force when the request that is read now began, or when the
+	// connection was opened.
+	limits zinniatide.CallerLimits
+	reused bool // has received a request
 	// replied receives an element for each written answer.
 	replied chan struct{}
 
@@ -39,12 +43,56 @@
 	closeAfterReply bool // close the connection after the answer
 	headOnly        bool // HEAD request, the answer has no body
 	failed          bool
+	expiring        bool      // expireIfIdle was called
+	idleSince       time.Time // the end of the last answer, or the start of the connection
 }
 
+const (
+	// initialHeaderBuffer is the size of the read buffer in bytes until a larger
+	// header arrives, and maxHeaderBuffer that of the largest header that is read,
+	// whatever the limits allow.
+	initialHeaderBuffer = 16 << 10
+	maxHeaderBuffer     = 1 << 20
+)
+
 func newConn(a *Acceptor, nc net.Conn) *conn {
 	limits := a.limits()
-	return &conn{acceptor: a, netConn: nc, limits: limits, writer: trywriter.New(nc),
-		reader: bufio.NewReaderSize(nc, max(limits.MaxHeaderBytes, 1<<10)), replied: make(chan struct{}, 1)}
+	return &conn{acceptor: a, netConn: nc, limits: limits, writer: trywriter.New(nc), idleSince: time.Now(),
+		reader: bufio.NewReaderSize(nc, min(max(limits.MaxHeaderBytes, 1<<10), initialHeaderBuffer)), replied: make(chan struct{}, 1)}
+}
+
+// refreshLimits applies the limits of the configuration in force. It must not be
+// called with the lock held, because answers arrive with the handler's lock held.
+func (c *conn) refreshLimits() {
+	limits := c.acceptor.limits()
+	c.mu.Lock()
+	c.limits = limits
+	c.mu.Unlock()
+}
+
+// awaitByte waits for the next byte from the caller. If the idle timeout has become
+// longer meanwhile, it waits until the new one has passed.
+func (c *conn) awaitByte() error {
+	for {
+		_, err := c.reader.Peek(1)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendIdleTimeout() {
+			return err
+		}
+	}
+}
+
+// extendIdleTimeout reports whether the idle timeout in force has not passed yet, and
+// applies it if so.
+func (c *conn) extendIdleTimeout() bool {
+	c.refreshLimits()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := time.Until(c.idleSince.Add(c.limits.IdleTimeout.Duration()))
+	if left <= 0 || c.expiring || c.closesWhenRead || c.failed {
+		return false
+	}
+	c.setReadTimeout(zinniatide.Millis(left.Milliseconds()) + 1)
+	return true
 }
 
 func (c *conn) busy() bool {
@@ -65,6 +113,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.active && !c.reading {
+		c.expiring = true
 		_ = c.netConn.SetReadDeadline(time.Now().Add(grace)) // fails only on a closed connection
 	}
 }
@@ -83,10 +132,11 @@
 	}()
 	c.setReadTimeout(c.limits.IdleTimeout)
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
+		if err := c.awaitByte(); err != nil {
 			return
 		}
 		c.setReading(true)
+		c.refreshLimits()
 		c.setReadTimeout(c.limits.HeaderTimeout)
 		req, status := c.readRequest()
 		if status != 0 {
@@ -109,8 +159,12 @@
 func (c *conn) readRequest() (req *relayer.Request, status int) {
 	r := &c.request
 	r.Reset()
-	if err := r.Header.Read(c.reader); err != nil {
-		var small *fasthttp.ErrSmallBuffer
+	err := r.Header.Read(c.reader)
+	var small *fasthttp.ErrSmallBuffer
+	for errors.As(err, &small) && c.growBuffer() {
+		err = r.Header.Read(c.reader)
+	}
+	if err != nil {
 		var netErr net.Error
 		switch {
 		case errors.As(err, &small):
@@ -139,6 +193,22 @@
 	return c.parseRequest(r)
 }
 
+// growBuffer doubles the read buffer and keeps what it holds. It returns false if the
+// buffer has reached the limit for headers.
+func (c *conn) growBuffer() bool {
+	limit := min(c.limits.MaxHeaderBytes, maxHeaderBuffer)
+	if c.reader.Size() >= limit {
+		return false
+	}
+	unread, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return false
+	}
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(unread)), c.netConn)
+	c.reader = bufio.NewReaderSize(rest, min(2*c.reader.Size(), limit))
+	return true
+}
+
 // parseRequest copies a request out of the connection's buffers.
 func (c *conn) parseRequest(r *fasthttp.Request) (*relayer.Request, int) {
 	h := &r.Header
@@ -234,20 +304,14 @@
 // can cancel the request if the caller disconnects. It returns false if the
 // connection ends or is idle for too long.
 func (c *conn) awaitReply(cancel func()) bool {
-	for {
-		_, err := c.reader.Peek(1)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return false // the caller sent nothing within the idle timeout, which finishRequest started
-		}
-		if err != nil {
-			if c.busy() {
-				cancel()
-			}
-			return false
+	if err := c.awaitByte(); err != nil {
+		if c.busy() {
+			cancel()
 		}
-		<-c.replied // the next request has arrived, but the answer to this one may not be written yet
-		return true
+		return false
 	}
+	<-c.replied // the next request has arrived, but the answer to this one may not be written yet
+	return true
 }
 
 // respond writes an answer. It does not block.
@@ -261,15 +325,15 @@
 		c.failed = true
 	}
 	if err == nil && n < len(out) {
-		go c.flush(out[n:])
+		go c.flush(out[n:], c.limits.IdleTimeout)
 		return
 	}
 	c.finishRequest()
 }
 
 // flush writes the remainder of an answer to a caller that reads slowly.
-func (c *conn) flush(rest []byte) {
-	err := c.writeWithin(rest, c.limits.IdleTimeout.Duration())
+func (c *conn) flush(rest []byte, limit zinniatide.Millis) {
+	err := c.writeWithin(rest, limit.Duration())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failed = c.failed || err != nil
@@ -292,6 +356,7 @@
 func (c *conn) finishRequest() {
 	c.active = false
 	// The idle timeout starts now, also for a read that is already waiting.
+	c.idleSince = time.Now()
 	c.setReadTimeout(c.limits.IdleTimeout)
 	select {
 	case c.replied <- struct{}{}:
