Recognise a crashing request whose headers change with each attempt

Cause: the fingerprint covered all headers but the id of the attempt.

Change: host, request line, body and credentials identify a request.

Result: TestFingerprint passes.

--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -156,7 +156,7 @@
 	}
 	ar.survived = true
 	if !q.Empty() {
-		q.ReportAnswered(ar.req.fingerprint(ar.r.deps.Names.RequestID))
+		q.ReportAnswered(ar.req.fingerprint())
 	}
 }
 
@@ -171,7 +171,7 @@
 	klog.InfoS("request lost its servers and was answered by none", "step", "relay", "request", ar.req.ID, "route", ar.route.ID, "servers", ar.droppedBy)
 	ar.droppedBy = 0 // reported
 	now := ar.r.deps.Clock.Now()
-	ar.r.deps.Quarantine.ReportUnanswered(ar.req.fingerprint(ar.r.deps.Names.RequestID),
+	ar.r.deps.Quarantine.ReportUnanswered(ar.req.fingerprint(),
 		zinniatide.UnansweredAttempt{ID: ar.req.ID, Age: now - ar.req.ArrivedAt, SinceLoss: now - ar.firstDroppedAt})
 }
 
--- a/relayer/crashing_test.go
+++ b/relayer/crashing_test.go
@@ -136,3 +136,29 @@
 		}
 	}
 }
+
+// Guards against a crashing request that counts as another one in each attempt,
+// and against requests of others that count as the same.
+func TestFingerprint(t *testing.T) {
+	request := func(line, headers, body string) *Request {
+		return &Request{Host: "h", Head: []byte(line + " HTTP/1.1\r\nHost: h\r\n" + headers), Body: []byte(body)}
+	}
+	base := request("POST /p/x?q=1", "X-Request-Id: 1\r\nAuthorization: a\r\n", "body")
+	for name, row := range map[string]struct {
+		request *Request
+		same    bool
+	}{
+		"id and trace":   {request("POST /p/x?q=1", "X-Request-Id: 2\r\nTraceparent: 00-1\r\nAuthorization: a\r\n", "body"), true},
+		"other order":    {request("POST /p/x?q=1", "Authorization: a\r\nX-Retry: 3\r\n", "body"), true},
+		"other caller":   {request("POST /p/x?q=1", "Authorization: b\r\n", "body"), false},
+		"no credentials": {request("POST /p/x?q=1", "", "body"), false},
+		"other query":    {request("POST /p/x?q=2", "Authorization: a\r\n", "body"), false},
+		"other method":   {request("PUT /p/x?q=1", "Authorization: a\r\n", "body"), false},
+		"other body":     {request("POST /p/x?q=1", "Authorization: a\r\n", "body2"), false},
+		"header as body": {request("POST /p/x?q=1", "", "Authorization: a\r\nbody"), false},
+	} {
+		if got := row.request.fingerprint() == base.fingerprint(); got != row.same {
+			t.Errorf("%s: got same %v, want %v", name, got, row.same)
+		}
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -221,7 +221,7 @@
 		return noop
 	}
 	if q := r.deps.Quarantine; q != nil && !q.Empty() {
-		if left := q.QuarantineLeft(req.fingerprint(r.deps.Names.RequestID)); left > 0 {
+		if left := q.QuarantineLeft(req.fingerprint()); left > 0 {
 			r.refuse(req, route, respond, statusUnavailable, "request crashed backend servers", left)
 			return noop
 		}
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,19 +26,27 @@
 	NewConnection bool
 }
 
-// fingerprint identifies requests that are equal but for the id of the attempt:
-// same host, request line, forwarded headers and body.
-func (r *Request) fingerprint(requestIDHeader string) zinniatide.Fingerprint {
+// callerHeaders are the headers that tell callers apart in fingerprints.
+var callerHeaders = []string{"Authorization", "Cookie"}
+
+// fingerprint identifies requests that ask for the same: same host, request line,
+// body and credentials. Other headers do not count, because tracing and retries
+// change them with each attempt.
+func (r *Request) fingerprint() zinniatide.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(r.Host)
-	for line := range bytes.SplitAfterSeq(r.Head, []byte("\r\n")) {
+	requestLine, headers, _ := bytes.Cut(r.Head, []byte("\r\n"))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(requestLine)
+	for line := range bytes.SplitSeq(headers, []byte("\r\n")) {
 		name, _, _ := bytes.Cut(line, []byte(":"))
-		if string(name) != requestIDHeader {
+		if slices.Contains(callerHeaders, string(name)) {
+			_, _ = d.Write([]byte{0})
 			_, _ = d.Write(line)
 		}
 	}
-	_, _ = d.Write([]byte{0})
+	_, _ = d.Write([]byte{0, 0})
 	_, _ = d.Write(r.Body)
 	return zinniatide.Fingerprint(d.Sum64())
 }
