Let the soak's servers leave and ask for pauses in their answers

Cause: two new rules are to be checked from what the servers see.

Change: two faults, leave and pause; for requests to single servers the soak knows which VM sent them and since when that VM has been undisturbed, and checks DRAIN and BUDGET by that.

--- a/cmd/zinniasoak/soak/backend.go
+++ b/cmd/zinniasoak/soak/backend.go
@@ -47,8 +47,11 @@
 	// the request was executed.
 	lostResponses     atomic.Int64
 	extraLatency      atomic.Int64 // per request, ns
+	leaving           atomic.Bool  // answers say so
+	pausing           atomic.Bool  // turns all requests away and asks for pauses
 	mu                sync.Mutex
 	drainAckedAt      time.Time
+	wishes            map[string]*wishes // by the IP address of the VM
 	stop              chan struct{}
 	heartbeatsStopped atomic.Bool // no periodic heartbeats are sent
 	closeOnce         sync.Once
@@ -64,7 +67,7 @@
 		return nil, err
 	}
 	b := &backend{h: h, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zone, address: p.listener.Addr().String(),
-		startedAtMS: time.Now().UnixMilli(), proxy: p, running: make(chan struct{}, slotCount), stop: make(chan struct{})}
+		startedAtMS: time.Now().UnixMilli(), proxy: p, running: make(chan struct{}, slotCount), stop: make(chan struct{}), wishes: map[string]*wishes{}}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(l) }() // returns when the server is closed
 	go b.heartbeatLoop()
@@ -83,6 +86,12 @@
 		return
 	}
 	b.h.checkArrival(b, id)
+	b.checkWishes(id, r.URL.Path)
+	b.sayLeaving(rw, id, r.URL.Path)
+	if b.pausing.Load() {
+		b.askForPause(rw, id, r.URL.Path)
+		return
+	}
 	if b.admitted.Add(1) > queueCapacity+slotCount {
 		b.admitted.Add(-1)
 		b.shed(rw)
--- a/cmd/zinniasoak/soak/harness.go
+++ b/cmd/zinniasoak/soak/harness.go
@@ -39,6 +39,7 @@
 	backends    []*backend
 	nextID      int
 	sent        map[string]string // path and body by request id
+	origins     map[string]origin // by request id
 	executions  map[string]int    // by request id
 	notExecuted map[string]bool   // request ids that were answered as not executed
 	violations  []string
@@ -51,7 +52,9 @@
 }
 
 // violate records a violated guarantee. The text starts with its name:
-//   - DRAIN: a draining server gets no new work.
+//   - DRAIN: a draining server, or one that says that it is leaving, gets no new
+//     work.
+//   - BUDGET: a server that asks for a pause gets one.
 //   - UNASKED: only sent requests run.
 //   - TWICE: a non-idempotent request runs at most once.
 //   - REFUSED: a request that was answered as not executed does not run.
@@ -136,6 +139,7 @@
 	}
 	h.mu.Lock()
 	h.sent[id] = path + body
+	h.origins[id] = origin{ip: ipOf(address), sentAt: time.Now()}
 	h.mu.Unlock()
 	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -80,7 +80,7 @@
 	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
 	// Concurrent runs use different loopback addresses.
 	c := newCluster(&cfg, dir, fmt.Sprintf("127.%d", 20+os.Getpid()%200))
-	h := &harness{cluster: c, random: random, sent: map[string]string{}, executions: map[string]int{}, notExecuted: map[string]bool{}, outcomes: map[string]int{}}
+	h := &harness{cluster: c, random: random, sent: map[string]string{}, origins: map[string]origin{}, executions: map[string]int{}, notExecuted: map[string]bool{}, outcomes: map[string]int{}}
 	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
 	defer func() {
 		c.stop()
@@ -222,8 +222,8 @@
 	p, control := h.cluster.processes[random.IntN(len(h.cluster.processes))], h.cluster.controls()[random.IntN(3)]
 	// Each number keeps its fault, so that seeds keep their meaning: 0 and 1 kill,
 	// 2 stop, 3 freeze, 4 hup, 5 delay, 6 silence, 7 reset, 8 lost answers, 9 slow,
-	// 10 replace backend, 11 drain backend, 12 lost disk.
-	switch random.IntN(13) {
+	// 10 replace backend, 11 drain backend, 12 lost disk, 13 leave, 14 pause.
+	switch random.IntN(15) {
 	case 0, 1:
 		return "kill", func(time.Duration) { p.signal(syscall.SIGKILL) }
 	case 2:
@@ -256,6 +256,16 @@
 		return "slow", func(d time.Duration) {
 			h.applyFor(d, func() { b.extraLatency.Store(int64(120 * time.Millisecond)) }, func() { b.extraLatency.Store(0) })
 		}
+	case 13:
+		return "leave", func(time.Duration) {
+			b.leaving.Store(true)
+			time.Sleep(leaveDuration)
+			h.replaceBackend(b, 0, b.crash)
+		}
+	case 14:
+		return "pause", func(d time.Duration) {
+			h.applyFor(d, func() { b.pausing.Store(true) }, func() { b.pausing.Store(false) })
+		}
 	case 10:
 		return "replace backend", func(d time.Duration) { h.replaceBackend(b, d, b.crash) }
 	default:
