--- a/cmd/zinniasoak/soak/backend.go
+++ b/cmd/zinniasoak/soak/backend.go
@@ -51,7 +51,7 @@
 	pausing           atomic.Bool  // turns all requests away and asks for pauses
 	mu                sync.Mutex
 	drainAckedAt      time.Time
-	wishes            map[string]*wishes // by the IP address of the VM
+	hints             map[string]*hints // by the IP address of the VM
 	stop              chan struct{}
 	heartbeatsStopped atomic.Bool // no periodic heartbeats are sent
 	closeOnce         sync.Once
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	b := &backend{h: h, id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: zone, address: p.listener.Addr().String(),
-		startedAtMS: time.Now().UnixMilli(), proxy: p, running: make(chan struct{}, slotCount), stop: make(chan struct{}), wishes: map[string]*wishes{}}
+		startedAtMS: time.Now().UnixMilli(), proxy: p, running: make(chan struct{}, slotCount), stop: make(chan struct{}), hints: map[string]*hints{}}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(l) }() // returns when the server is closed
 	go b.heartbeatLoop()
@@ -86,7 +86,7 @@
 		return
 	}
 	b.h.checkArrival(b, id)
-	b.checkWishes(id, r.URL.Path)
+	b.checkHints(id, r.URL.Path)
 	b.sayLeaving(rw, id, r.URL.Path)
 	if b.pausing.Load() {
 		b.askForPause(rw, id, r.URL.Path)
--- a/cmd/zinniasoak/soak/wishes.go
+++ b/cmd/zinniasoak/soak/serverhints.go
@@ -31,8 +31,8 @@
 	sentAt time.Time
 }
 
-// wishes records what a backend server has told one VM.
-type wishes struct {
+// hints records what a backend server has announced to one VM in its answers.
+type hints struct {
 	leavingAt     time.Time // of the first answer that said so
 	pausedAt      time.Time
 	pauseArrivals int
@@ -73,9 +73,9 @@
 	return true
 }
 
-// checkWishes verifies that a request may reach the server after what the server has
-// told the VM that sent it.
-func (b *backend) checkWishes(id, path string) {
+// checkHints verifies that a request may reach the server after what its answers to
+// the VM that sent it have announced.
+func (b *backend) checkHints(id, path string) {
 	o, known := b.h.originOf(id, path)
 	if !known {
 		return
@@ -83,12 +83,12 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.wishes[o.ip]
+	w := b.hints[o.ip]
 	if w == nil {
 		return
 	}
 	if !w.leavingAt.IsZero() && o.sentAt.After(w.leavingAt.Add(drainDeadline)) && !b.h.cluster.disturbedSince(o.ip, w.leavingAt) {
-		b.h.violate("DRAIN: request %s, sent %v after %s had told %s that it is leaving, reached it", id, o.sentAt.Sub(w.leavingAt), b.id, o.ip)
+		b.h.violate("DRAIN: request %s, sent %v after an answer of %s to %s that it is leaving, reached it", id, o.sentAt.Sub(w.leavingAt), b.id, o.ip)
 	}
 	since := now.Sub(w.pausedAt)
 	if w.pausedAt.IsZero() || since <= pauseSlack || since >= pauseDuration || b.h.cluster.disturbedSince(o.ip, w.pausedAt) {
@@ -101,13 +101,13 @@
 	}
 }
 
-// wishesOf returns what the server has told the VM that sent the request. The lock
+// hintsOf returns what the server has announced to the VM with the address. The lock
 // must be held.
-func (b *backend) wishesOf(ip string) *wishes {
-	if b.wishes[ip] == nil {
-		b.wishes[ip] = &wishes{}
+func (b *backend) hintsOf(ip string) *hints {
+	if b.hints[ip] == nil {
+		b.hints[ip] = &hints{}
 	}
-	return b.wishes[ip]
+	return b.hints[ip]
 }
 
 // sayLeaving adds to an answer that the server is leaving, if it is.
@@ -122,7 +122,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w := b.wishesOf(o.ip); w.leavingAt.IsZero() || b.h.cluster.disturbedSince(o.ip, w.leavingAt) {
+	if w := b.hintsOf(o.ip); w.leavingAt.IsZero() || b.h.cluster.disturbedSince(o.ip, w.leavingAt) {
 		w.leavingAt = time.Now()
 	}
 }
@@ -131,7 +131,7 @@
 func (b *backend) askForPause(rw http.ResponseWriter, id, path string) {
 	if o, known := b.h.originOf(id, path); known {
 		b.mu.Lock()
-		if w := b.wishesOf(o.ip); time.Since(w.pausedAt) >= pauseDuration || b.h.cluster.disturbedSince(o.ip, w.pausedAt) {
+		if w := b.hintsOf(o.ip); time.Since(w.pausedAt) >= pauseDuration || b.h.cluster.disturbedSince(o.ip, w.pausedAt) {
 			w.pausedAt, w.pauseArrivals = time.Now(), 0
 		}
 		b.mu.Unlock()
--- a/dispatcher/server.go
+++ b/dispatcher/server.go
@@ -157,7 +157,7 @@
 		s.setIncarnation(a.Incarnation, now)
 	}
 	s.applyLoadReport(a.BusySlots, 0, now)
-	s.applyWishes(&a, now)
+	s.applyHints(&a, now)
 	// An answer after the deadline is not a success: the timeout has already
 	// been counted as a failure.
 	current := t.incarnation == s.incarnation && !t.timedOut
@@ -169,10 +169,10 @@
 	}
 }
 
-// applyWishes applies what the current process asks for in an answer. What is queued is
+// applyHints applies what the current process asks for in an answer. What is queued is
 // refused during a pause, and after it the server warms up again if its service has a
 // cold rate, so that its load comes back paced.
-func (s *server) applyWishes(a *connector.Answer, now zinniatide.Millis) {
+func (s *server) applyHints(a *connector.Answer, now zinniatide.Millis) {
 	if a.Incarnation != s.incarnation {
 		return
 	}
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -31,7 +31,7 @@
 	firstDroppedAt zinniatide.Millis
 	survived       bool
 	// leaving holds the processes that said in their answers to an onBehalf request
-	// that they are leaving, until the delegating VM has been told.
+	// that they are leaving, until the next reply to the delegating VM.
 	leaving      []leavingProcess
 	timerStops   []func()
 	openAttempts []*attempt
@@ -100,7 +100,7 @@
 	if a.QueueLength >= 0 {
 		s.SetReportedQueue(a.QueueLength, now)
 	}
-	r.applyWishes(s, a, ar.req.ID)
+	r.applyHints(s, a, ar.req.ID)
 	if a.Leaving && ar.onBehalf {
 		ar.leaving = append(ar.leaving, leavingProcess{s.Server, s.StartedAt})
 	}
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -112,7 +112,7 @@
 	}
 	for _, p := range reply.Leaving {
 		if s := g.r.servers[processKey{p.Server, p.StartedAt}]; s != nil {
-			g.r.applyWishes(&s.Server, &transporter.Answer{Leaving: true}, g.req.ID)
+			g.r.applyHints(&s.Server, &transporter.Answer{Leaving: true}, g.req.ID)
 		}
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,8 +126,8 @@
 	// delegations are the open delegations of this VM by call id.
 	delegations map[uint64]*delegation
 	lastCallID  uint64
-	// wishes are kept of processes that are no longer enrolled.
-	wishes             map[processKey]wish
+	// hints are kept of processes that are no longer enrolled.
+	hints              map[processKey]hint
 	reconnectScheduled bool // a reconnect timer is pending
 	stopping           stopping
 	// openRequests holds, for each request of a caller in progress, a function that
@@ -161,7 +161,7 @@
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, limiters: map[zinniatide.RouteID]*limiter.Limiter{},
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegations: map[uint64]*delegation{},
-		wishes: map[processKey]wish{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
+		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
 	for _, name := range d.Names.Stripped {
 		r.strippedHeaders[name] = true
--- a/relayer/wishes.go
+++ b/relayer/serverhints.go
@@ -8,28 +8,28 @@
 	"zinniatide.example/zinniatide/transporter"
 )
 
-// wish is what a process has asked for in its answers: to get no more requests
+// hint is what a process has asked for in its answers: to get no more requests
 // because it is about to end, or none before a time.
-type wish struct {
+type hint struct {
 	leaving     bool
 	pausedUntil zinniatide.Millis
 	keptSince   zinniatide.Millis
 }
 
 const (
-	// wishLifetime is how long the wish of a process that is no longer enrolled is
+	// hintLifetime is how long the hint of a process that is no longer enrolled is
 	// kept, in case that a late heartbeat or an older table enrolls it again.
-	wishLifetime zinniatide.Millis = 10 * 60 * 1000
-	// maxWishes bounds the wishes kept.
-	maxWishes = 4096
+	hintLifetime zinniatide.Millis = 10 * 60 * 1000
+	// maxHints bounds the hints kept.
+	maxHints = 4096
 	// retrySpread is the share by which the times are spread at which refused callers
 	// return, so that they do not return together.
 	retrySpread = 0.25
 )
 
-// applyWishes applies what a process asks for in an answer, and recalls the requests
+// applyHints applies what a process asks for in an answer, and recalls the requests
 // that have not been sent to it.
-func (r *Relayer) applyWishes(s *selector.Server, a *transporter.Answer, requestID string) {
+func (r *Relayer) applyHints(s *selector.Server, a *transporter.Answer, requestID string) {
 	now := r.deps.Clock.Now()
 	recall := false
 	if a.Leaving && s.MarkLeaving() {
@@ -50,30 +50,30 @@
 	}
 }
 
-// keepWish keeps the wish of a process that is no longer enrolled.
-func (r *Relayer) keepWish(id processKey, s *server) {
+// keepHint keeps the hint of a process that is no longer enrolled.
+func (r *Relayer) keepHint(id processKey, s *server) {
 	now := r.deps.Clock.Now()
 	if !s.IsLeaving() && !s.IsPaused(now) {
 		return
 	}
-	if len(r.wishes) >= maxWishes {
-		for other, w := range r.wishes {
-			if now-w.keptSince >= wishLifetime || len(r.wishes) >= maxWishes {
-				delete(r.wishes, other)
+	if len(r.hints) >= maxHints {
+		for other, w := range r.hints {
+			if now-w.keptSince >= hintLifetime || len(r.hints) >= maxHints {
+				delete(r.hints, other)
 			}
 		}
 	}
-	r.wishes[id] = wish{leaving: s.IsLeaving(), pausedUntil: s.PausedUntil(), keptSince: now}
+	r.hints[id] = hint{leaving: s.IsLeaving(), pausedUntil: s.PausedUntil(), keptSince: now}
 }
 
-// restoreWish applies the kept wish of a process that is enrolled again.
-func (r *Relayer) restoreWish(id processKey, s *server) {
-	w, kept := r.wishes[id]
+// restoreHint applies the kept hint of a process that is enrolled again.
+func (r *Relayer) restoreHint(id processKey, s *server) {
+	w, kept := r.hints[id]
 	if !kept {
 		return
 	}
-	delete(r.wishes, id)
-	if r.deps.Clock.Now()-w.keptSince >= wishLifetime {
+	delete(r.hints, id)
+	if r.deps.Clock.Now()-w.keptSince >= hintLifetime {
 		return
 	}
 	if w.leaving {
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -97,7 +97,7 @@
 	}
 	for id, s := range r.servers {
 		if !kept[id] {
-			r.keepWish(id, s)
+			r.keepHint(id, s)
 			s.Ended = true
 			s.pool.Close()
 			delete(r.servers, id)
@@ -158,7 +158,7 @@
 	if s == nil {
 		s = &server{pool: r.deps.NewPool(e.Server, e.Address, share.limit)}
 		r.servers[id] = s
-		r.restoreWish(id, s)
+		r.restoreHint(id, s)
 	}
 	// Sequence is 0 while no enrollment has been applied to this server.
 	if s.ColdRemaining != e.ColdRemaining || s.Sequence == 0 {
