--- a/cmd/zinniasoak/main.go
+++ b/cmd/zinniasoak/main.go
@@ -31,7 +31,31 @@
 	flags.StringVar(&cfg.BinaryPath, "program", "bin/zinniatide", "path of the zinniatide binary")
 	flags.IntVar(&cfg.Relays, "relays", 4, "number of relay processes")
 	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
+	command.AddCommand(newStormCommand())
 	if command.Execute() != nil {
 		os.Exit(1)
 	}
 }
+
+// newStormCommand returns the command that sends storms of configuration changes.
+func newStormCommand() *cobra.Command {
+	var cfg soak.StormConfig
+	command := &cobra.Command{
+		Use: "storm", Short: "Send storms of configuration changes and verify which version is in force", SilenceUsage: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			summary, err := soak.RunStorm(cfg)
+			fmt.Println(summary)
+			return err
+		},
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&cfg.Seed, "seed", 1, "random seed of the requests")
+	flags.DurationVar(&cfg.FaultDuration, "duration", 60*time.Second, "duration of the storms")
+	flags.StringVar(&cfg.BinaryPath, "program", "bin/zinniatide", "path of the zinniatide binary")
+	flags.IntVar(&cfg.Relays, "relays", 6, "number of relay processes")
+	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
+	flags.IntSliceVar(&cfg.Processors, "processors", nil, "processors of the system (default: all)")
+	flags.IntVar(&cfg.BusyLoops, "busy-loops", 0, "number of processes that compete for the processors")
+	flags.IntVar(&cfg.MaxElections, "max-elections", -1, "number of elections above which the run fails; negative for no limit")
+	return command
+}
--- a/cmd/zinniasoak/soak/cluster.go
+++ b/cmd/zinniasoak/soak/cluster.go
@@ -47,6 +47,8 @@
 	binaryPath string
 	network    string // first two octets of the addresses
 	processes  []*process
+	// processors are those that the processes may use; all if it is empty.
+	processors []int
 	closing    chan struct{}
 	wg         sync.WaitGroup
 	// onOwnExit is called for each process that ends without a signal.
@@ -120,7 +122,7 @@
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(p.dir, "settings.toml"))
 	command.Stdout, command.Stderr = log, log
 	p.mu.Lock()
-	err = command.Start()
+	err = startOn(p.cluster.processors, command)
 	p.command, p.ending = command, false
 	p.mu.Unlock()
 	if err != nil {
--- a/cmd/zinniasoak/soak/harness.go
+++ b/cmd/zinniasoak/soak/harness.go
@@ -51,6 +51,13 @@
 	lastDiskLoss              time.Time
 }
 
+func newHarness(c *cluster, random *rand.Rand) *harness {
+	return &harness{
+		cluster: c, random: random, sent: map[string]string{}, origins: map[string]origin{}, executions: map[string]int{},
+		notExecuted: map[string]bool{}, outcomes: map[string]int{},
+	}
+}
+
 // violate records a violated guarantee. The text starts with its name:
 //   - DRAIN: a draining server, or one that says that it is leaving, gets no new
 //     work.
@@ -353,12 +360,17 @@
 // whether it got one. A read must not return a version older than the last one
 // acknowledged before the read was sent, or newer than the last one sent.
 func (h *harness) checkConfig() bool {
+	controls := h.cluster.controls()
+	return h.readConfig(controls[h.randomIntN(len(controls))])
+}
+
+// readConfig is like checkConfig for a given control process.
+func (h *harness) readConfig(p *process) bool {
 	h.mu.Lock()
-	acked, sent := h.ackedVersion, h.sentVersion
+	acked := h.ackedVersion
 	h.mu.Unlock()
 	client := &http.Client{Timeout: 1200 * time.Millisecond}
-	controls := h.cluster.controls()
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", controls[h.randomIntN(len(controls))].ip, controlPort, platform.PathConfigGet))
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", p.ip, controlPort, platform.PathConfigGet))
 	if err != nil {
 		return false
 	}
@@ -371,6 +383,9 @@
 		return false
 	}
 	version, err := platform.DecodeTicketNumber(raw)
+	h.mu.Lock()
+	sent := h.sentVersion
+	h.mu.Unlock()
 	if err != nil || int(version) < acked || int(version) > sent {
 		h.violate("CONFIG: read version %d (error: %v), last acknowledged version is %d, last sent version is %d", version, err, acked, sent)
 	}
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -80,7 +80,7 @@
 	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
 	// Concurrent runs use different loopback addresses.
 	c := newCluster(&cfg, dir, fmt.Sprintf("127.%d", 20+os.Getpid()%200))
-	h := &harness{cluster: c, random: random, sent: map[string]string{}, origins: map[string]origin{}, executions: map[string]int{}, notExecuted: map[string]bool{}, outcomes: map[string]int{}}
+	h := newHarness(c, random)
 	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
 	defer func() {
 		c.stop()
