--- a/journal/journaltest/disk.go
+++ b/journal/journaltest/disk.go
@@ -75,6 +75,15 @@
 // Damage flips one bit of the byte at offset.
 func (d *FaultyFileSystem) Damage(path string, offset int) { d.inodes[path].data[offset] ^= 1 }
 
+// Used returns the total size of all files.
+func (d *FaultyFileSystem) Used() int {
+	used := 0
+	for _, n := range d.inodes {
+		used += len(n.data)
+	}
+	return used
+}
+
 // Size returns the size of a file.
 func (d *FaultyFileSystem) Size(path string) int { return len(d.inodes[path].data) }
 
@@ -219,11 +228,7 @@
 		return 0, fs.ErrClosed
 	}
 	if f.disk.Capacity > 0 {
-		used := 0
-		for _, n := range f.disk.inodes {
-			used += len(n.data)
-		}
-		if free := f.disk.Capacity - used; free < len(p) {
+		if free := f.disk.Capacity - f.disk.Used(); free < len(p) {
 			f.inode.data = append(f.inode.data, p[:max(free, 0)]...)
 			return max(free, 0), syscall.ENOSPC
 		}
--- a/logkeeper/harness_test.go
+++ b/logkeeper/harness_test.go
@@ -27,6 +27,8 @@
 	events        map[zinniatide.Millis][]func() // by due time
 	cutLinks      map[[2]zinniatide.VMID]bool    // from, to
 	snapshotEvery uint64                         // entries between snapshots
+	// writeRetryDelay and electionTimeout are those of Config.
+	writeRetryDelay, electionTimeout zinniatide.Millis
 
 	dropPercent, duplicatePercent int
 	maxDelayMs                    int // maximum delay of a message
--- a/logkeeper/node_test.go
+++ b/logkeeper/node_test.go
@@ -38,6 +38,7 @@
 	k, err := New(Config{
 		VM: n.vm, Folder: "data", FileSystem: n.disk, ControlVMs: peers, Linker: n, Clock: n.c.clock, StateMachine: n.stateMachine,
 		Rand: rand.New(rand.NewPCG(n.c.random.Uint64(), 2)), SnapshotEvery: n.c.snapshotEvery,
+		WriteRetryDelay: n.c.writeRetryDelay, ElectionTimeout: n.c.electionTimeout, HeartbeatInterval: n.c.electionTimeout / 4,
 	})
 	if err != nil {
 		return err
