Log, forward and apply what a routing ticket changes

Cause: each change of one route was handled as a whole table of 800 routes and a document of 330 KB: decoded and encoded for the leader, in the log, on three disks, in each message to a follower, and again on the control goroutine of each control VM. The steps measured one by one, on a shared processor, add up to 70 ms a change, of which 14 ms at a time held up the control goroutine of each; a burst of 25 changes filled a processor for seconds, and the heartbeats of the leader waited behind it.

An entry names the table that it changes and has no effect on another. - One routing entry is in flight at a time. Of the tickets that wait, the one with the highest number is next, and the others are answered by what it decides. - A read carries the number of the table that the asking VM has applied; the leader sends the document only if it is another. - Documents are decoded and compared one at a time, so that a burst of them does not take the processor from the log.

Why it works: the work that a change causes on the control goroutine and on the disk follows the size of the change and no longer that of the table.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -8,6 +8,8 @@
 import (
 	"maps"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -76,6 +78,13 @@
 	// nextControlSetCheck is the time of the next check of the control VM set.
 	nextControlSetCheck zinniatide.Millis
 	relayCounts         relayCountPlanner
+	routing             routingQueue
+	// routingTable is the newest table applied on this VM. It is read on any
+	// goroutine.
+	routingTable atomic.Pointer[registrar.RoutingTable]
+	// preparing lets one routing ticket at a time be compared with the table of this
+	// VM, so that a burst of tickets does not delay the control goroutine.
+	preparing sync.Mutex
 	// pendingJoins wait for the join entry in flight to be committed.
 	pendingJoins []pendingJoin
 	joinInFlight bool
@@ -91,6 +100,8 @@
 		timeAfter: func(d zinniatide.Millis) <-chan time.Time { return time.After(d.Duration()) },
 		sessions:  newSessionTable(),
 	}
+	c.routingTable.Store(&registrar.RoutingTable{})
+	c.keepTable()
 	stateMachine.Observe(c.onChange)
 	log.OnLeadership(c.onLeadership)
 	log.OnTick(c.onTick)
@@ -156,6 +167,9 @@
 func (c *Controller) onChange(configuration *zinniatide.Configuration, delta *registrar.Delta) {
 	c.metrics.epoch.Set(float64(configuration.Epoch))
 	c.pushes.add(configuration, delta)
+	if delta == nil || delta.Routing != nil {
+		c.keepTable()
+	}
 	if (delta == nil || len(delta.ControlVMs) > 0) && len(configuration.ControlVMs) > 0 {
 		// Posted, so that it runs after this entry has been applied: the log may
 		// change its voters within the call.
--- a/controller/operator.go
+++ b/controller/operator.go
@@ -188,10 +188,7 @@
 	case controlproto.ForwardState:
 		return c.stateMachine.Configuration(), nil
 	case controlproto.ForwardRoutingDocument:
-		if document := c.stateMachine.RoutingDocument(); document != nil {
-			return document, nil
-		}
-		return nil, zinniatide.Refuse(zinniatide.CodeNotFound, "no routing table has been accepted")
+		return c.newestRoutingDocument(f.Number)
 	case controlproto.ForwardZoneOrders:
 		return c.stateMachine.ZoneOrders(), nil
 	case controlproto.ForwardHistory:
--- a/controller/routing.go
+++ b/controller/routing.go
@@ -6,28 +6,65 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/checker"
 	"zinniatide.example/zinniatide/controlproto"
+	"zinniatide.example/zinniatide/encoder"
 	"zinniatide.example/zinniatide/registrar"
 )
 
 var _ zinniatide.RoutingOperator = (*Controller)(nil)
 
-// FileRouting implements zinniatide.RoutingOperator.
+// FileRouting implements zinniatide.RoutingOperator. The leader gets only the
+// difference from the table of this VM. If it does not have that table, it gets the
+// complete new one.
 func (c *Controller) FileRouting(number zinniatide.TicketNumber, routing *zinniatide.Routing, document []byte, timeout zinniatide.Millis) (zinniatide.TicketReply, error) {
 	var reply zinniatide.TicketReply
 	if err := checker.CheckRouting(number, routing); err != nil {
 		return reply, err
 	}
-	err := c.runOnLeader(&controlproto.Forward{
-		Operation: controlproto.ForwardFileRouting, Number: number, Routing: routing, Document: document,
-	}, timeout, &reply)
+	end := c.clock.Now() + timeout
+	next := &registrar.RoutingTable{Number: number, Table: routing, Document: document}
+	base := c.routingTable.Load()
+	err := c.forwardRouting(base, next, timeout, &reply)
+	if isUnknownBase(err) && base.Number != 0 {
+		err = c.forwardRouting(&registrar.RoutingTable{}, next, end-c.clock.Now(), &reply)
+	}
 	return reply, err
 }
 
-// RoutingDocument implements zinniatide.RoutingOperator.
+func (c *Controller) forwardRouting(base, next *registrar.RoutingTable, timeout zinniatide.Millis, reply *zinniatide.TicketReply) error {
+	c.preparing.Lock()
+	encoded, err := encoder.Marshal(registrar.NewRoutingEntry(base, next))
+	c.preparing.Unlock()
+	if err != nil {
+		return zinniatide.WrapStep(err, "encode routing entry", string(c.config.VM))
+	}
+	return c.runOnLeader(&controlproto.Forward{Operation: controlproto.ForwardFileRouting, Routing: encoded}, timeout, reply)
+}
+
+// RoutingDocument implements zinniatide.RoutingOperator. The leader sends the
+// document only if this VM has not applied the newest one yet.
 func (c *Controller) RoutingDocument(timeout zinniatide.Millis) ([]byte, error) {
-	var document []byte
-	err := c.runOnLeader(&controlproto.Forward{Operation: controlproto.ForwardRoutingDocument}, timeout, &document)
-	return document, err
+	known := c.routingTable.Load()
+	var newest controlproto.RoutingDocument
+	err := c.runOnLeader(&controlproto.Forward{Operation: controlproto.ForwardRoutingDocument, Number: known.Number}, timeout, &newest)
+	if err != nil {
+		return nil, err
+	}
+	if newest.Number == known.Number {
+		return known.Document, nil
+	}
+	return newest.Document, nil
+}
+
+// newestRoutingDocument returns the answer to a VM that has the table known.
+func (c *Controller) newestRoutingDocument(known zinniatide.TicketNumber) (any, error) {
+	table := c.stateMachine.RoutingTable()
+	switch table.Number {
+	case 0:
+		return nil, zinniatide.Refuse(zinniatide.CodeNotFound, "no routing table has been accepted")
+	case known:
+		return controlproto.RoutingDocument{Number: table.Number}, nil
+	}
+	return controlproto.RoutingDocument{Number: table.Number, Document: table.Document}, nil
 }
 
 // SetZoneState implements zinniatide.RoutingOperator. The number of earlier zone
@@ -56,23 +93,6 @@
 	}
 }
 
-// proposeRouting proposes the ticket of a routing table. The table is validated
-// again, because the forwarding VM may run another version of the program.
-func (c *Controller) proposeRouting(f *controlproto.Forward, done func(any, error)) {
-	if f.Routing == nil {
-		done(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "routing table is missing"))
-		return
-	}
-	if err := checker.CheckRouting(f.Number, f.Routing); err != nil {
-		done(nil, err)
-		return
-	}
-	c.propose(&registrar.Command{Ticket: &registrar.TicketEntry{
-		Ticket: zinniatide.Ticket{Number: f.Number, Routing: f.Routing},
-		Digest: checker.RoutingDocumentDigest(f.Document), Document: f.Document,
-	}}, done)
-}
-
 // isWrite reports whether f proposes a log entry.
 func isWrite(f *controlproto.Forward) bool {
 	switch f.Operation {
@@ -88,7 +108,7 @@
 func (c *Controller) executeWrite(f *controlproto.Forward, done func(any, error)) {
 	switch f.Operation {
 	case controlproto.ForwardFileRouting:
-		c.proposeRouting(f, done)
+		c.fileRouting(f.Routing, done)
 	case controlproto.ForwardSetZone:
 		c.propose(&registrar.Command{ZoneState: &registrar.ZoneStateChange{Zone: f.Zone, State: f.State, After: f.After}}, done)
 	default:
--- a/controlproto/controlproto.go
+++ b/controlproto/controlproto.go
@@ -153,22 +153,29 @@
 )
 
 // Forward carries an operator request to the leader. FileTicket uses Ticket and
-// DryRun; TicketStatus Number; History Limit; FileRouting Number, Routing and
-// Document; SetZone Zone, State and After. The other operations use none.
+// DryRun; TicketStatus Number; History Limit; FileRouting Routing; RoutingDocument
+// Number; SetZone Zone, State and After. The other operations use none.
 type Forward struct {
 	Operation ForwardOperation        `cbor:"1,keyasint"`
 	Ticket    []byte                  `cbor:"2,keyasint,omitempty"`
 	DryRun    bool                    `cbor:"3,keyasint,omitempty"`
 	Number    zinniatide.TicketNumber `cbor:"4,keyasint,omitempty"`
 	Limit     int                     `cbor:"5,keyasint,omitempty"`
-	Routing   *zinniatide.Routing     `cbor:"6,keyasint,omitempty"`
-	Document  []byte                  `cbor:"7,keyasint,omitempty"`
-	Zone      zinniatide.ZoneID       `cbor:"8,keyasint,omitempty"`
-	State     zinniatide.ServingState `cbor:"9,keyasint,omitempty"`
+	// Routing is an encoded registrar.RoutingEntry.
+	Routing cbor.RawMessage         `cbor:"11,keyasint,omitempty"`
+	Zone    zinniatide.ZoneID       `cbor:"8,keyasint,omitempty"`
+	State   zinniatide.ServingState `cbor:"9,keyasint,omitempty"`
 	// After is the result of ZoneOrders that SetZone must still find.
 	After *uint64 `cbor:"10,keyasint,omitempty"`
 }
 
+// RoutingDocument is the result of ForwardRoutingDocument. Document is empty if the
+// asking VM already has the table of the ticket number in Forward.
+type RoutingDocument struct {
+	Number   zinniatide.TicketNumber `cbor:"1,keyasint"`
+	Document []byte                  `cbor:"2,keyasint,omitempty"`
+}
+
 // ForwardReply answers a Forward. If Refusal is nil, Result is the encoded result
 // of the operation.
 type ForwardReply struct {
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -25,6 +25,7 @@
 	ZoneState    *ZoneStateChange            `cbor:"9,keyasint,omitempty"`
 	ControlVMs   *ControlVMsChange           `cbor:"10,keyasint,omitempty"`
 	ActiveRelays *ActiveRelays               `cbor:"11,keyasint,omitempty"`
+	Routing      *RoutingEntry               `cbor:"12,keyasint,omitempty"`
 }
 
 // TicketEntry is a ticket that has been validated by the checker package. The
@@ -34,7 +35,8 @@
 type TicketEntry struct {
 	Ticket zinniatide.Ticket `cbor:"1,keyasint"`
 	Digest checker.Digest    `cbor:"2,keyasint"`
-	// Document is the routing table as the operator wrote it, stored unchanged.
+	// Document is the routing table as the operator wrote it, stored unchanged. Only
+	// entries of earlier versions have one; later ones use RoutingEntry.
 	Document []byte `cbor:"3,keyasint,omitempty"`
 }
 
@@ -95,7 +97,7 @@
 	}
 	set := 0
 	for _, present := range []bool{c.Ticket != nil, c.Join != nil, c.Remove != nil, c.Release != nil,
-		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.ZoneState != nil, c.ControlVMs != nil, c.ActiveRelays != nil} {
+		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.ZoneState != nil, c.ControlVMs != nil, c.ActiveRelays != nil, c.Routing != nil} {
 		if present {
 			set++
 		}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -88,6 +88,8 @@
 		return r.configuration.Epoch
 	case c.ZoneState != nil:
 		return r.applyZoneState(c.ZoneState)
+	case c.Routing != nil:
+		return r.applyRouting(c.Routing)
 	case c.ActiveRelays != nil:
 		tx := newTransaction(r.configuration)
 		tx.add(Delta{ActiveRelays: c.ActiveRelays.Zones})
--- a/registrar/routingdelta.go
+++ b/registrar/routingdelta.go
@@ -86,13 +86,7 @@
 // patchItems returns current with the changed items added or replaced and the
 // removed ones left out.
 func patchItems[T any, K comparable](current, changed []T, removed []K, key func(*T) K) []T {
-	superseded := make(map[K]bool, len(removed)+len(changed))
-	for _, k := range removed {
-		superseded[k] = true
-	}
-	for i := range changed {
-		superseded[key(&changed[i])] = true
-	}
+	superseded := touchedKeys(changed, removed, key)
 	out := make([]T, 0, len(current)+len(changed))
 	for i := range current {
 		if !superseded[key(&current[i])] {
@@ -101,3 +95,15 @@
 	}
 	return append(out, changed...)
 }
+
+// touchedKeys returns the keys of the changed and the removed items.
+func touchedKeys[T any, K comparable](changed []T, removed []K, key func(*T) K) map[K]bool {
+	keys := make(map[K]bool, len(removed)+len(changed))
+	for _, k := range removed {
+		keys[k] = true
+	}
+	for i := range changed {
+		keys[key(&changed[i])] = true
+	}
+	return keys
+}
--- a/registrar/tickets.go
+++ b/registrar/tickets.go
@@ -57,20 +57,19 @@
 //     a conflict.
 //  3. A ticket below the highest number accepted for one of its entities is
 //     superseded.
-func (t *ticketTable) checkNumber(e *TicketEntry) (record ticketRecord, repeated bool, refusal *zinniatide.Refusal) {
-	number := e.Ticket.Number
+func (t *ticketTable) checkNumber(number zinniatide.TicketNumber, digest checker.Digest, entities []checker.Entity) (record ticketRecord, repeated bool, refusal *zinniatide.Refusal) {
 	record, kept := t.find(number)
 	switch {
 	case !kept && number <= t.highestDropped:
 		return record, false, zinniatide.Refuse(zinniatide.CodeSuperseded,
 			"ticket %d is older than the last %d accepted tickets", number, t.maxRecords)
-	case kept && record.Digest == e.Digest:
+	case kept && record.Digest == digest:
 		return record, true, nil
 	case kept:
 		return record, false, zinniatide.Refuse(zinniatide.CodeTicketConflict,
-			"ticket %d was accepted with digest %s, this one has digest %s", number, record.Digest, e.Digest)
+			"ticket %d was accepted with digest %s, this one has digest %s", number, record.Digest, digest)
 	}
-	for _, entity := range checker.Entities(&e.Ticket) {
+	for _, entity := range entities {
 		if highest := t.highest[entity]; number < highest {
 			return record, false, zinniatide.Refuse(zinniatide.CodeSuperseded,
 				"ticket %d is lower than ticket %d, which was accepted for %s", number, highest, entity)
@@ -146,7 +145,7 @@
 
 // evaluate checks e and computes its reply without changing the state.
 func (r *Registrar) evaluate(e *TicketEntry) (zinniatide.TicketReply, *zinniatide.Refusal) {
-	record, repeated, refusal := r.tickets.checkNumber(e)
+	record, repeated, refusal := r.tickets.checkNumber(e.Ticket.Number, e.Digest, checker.Entities(&e.Ticket))
 	if refusal != nil {
 		return zinniatide.TicketReply{}, refusal
 	}
