Acknowledge changes once relay VMs have installed them

Cause: the leader acknowledged a routing ticket or a zone order once it was committed, and pushed it to relay VMs only afterwards. A leader that lost its leadership in between left that to its successors, which relay VMs find by heartbeats 800 ms apart. A relay VM also confirmed an epoch before its relayer used it.

Change: the acknowledgement waits until the connected relay VMs have installed the epoch. VMs without a link, and VMs that install nothing for 2 s although they should, are not waited for and are logged. If the leader stops leading, the outcome is unknown and the operator sends the change again. Relay VMs update their relayer before they confirm.

Why it works: what was acknowledged is in force by then, however slow the VMs and however often leadership moves. The limit of 2 s leaves 3 s for the rest of the 5 s in which operators expect an answer.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -79,6 +79,7 @@
 	nextControlSetCheck zinniatide.Millis
 	relayCounts         relayCountPlanner
 	routing             routingQueue
+	installWaits        []installWait
 	// routingTable is the newest table applied on this VM. It is read on any
 	// goroutine.
 	routingTable atomic.Pointer[registrar.RoutingTable]
@@ -146,6 +147,7 @@
 	c.leading = leading
 	c.sessions.reset()
 	if !leading {
+		c.failInstallWaits()
 		return
 	}
 	now := c.clock.Now()
@@ -180,6 +182,7 @@
 	}
 	if delta != nil {
 		now := c.clock.Now()
+		c.sessions.restartProgress(configuration.Epoch-1, now)
 		for _, vm := range slices.Sorted(maps.Keys(delta.Members)) {
 			m := delta.Members[vm]
 			if m == nil {
@@ -218,6 +221,7 @@
 	if !c.leading || !c.log.Status().Leading {
 		return
 	}
+	c.finishInstallWaits()
 	if paused {
 		// This process was suspended, so heartbeats may still be unread.
 		c.sessions.restartLeases(now)
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -42,6 +42,7 @@
 	// blockedLinks drops all messages from one VM to another. The rates are
 	// probabilities, and maxDelay is the longest random delay of a message.
 	blockedLinks            map[[2]zinniatide.VMID]bool
+	unlinked                map[zinniatide.VMID]bool // VMs whose links are closed
 	lossRate, duplicateRate float64
 	maxDelay                zinniatide.Millis
 	callCount               map[zinniatide.MessageKind]int
@@ -58,7 +59,7 @@
 
 // vm is one process of a VM.
 type vm struct {
-	zinniatide.Linker // nil: Send and Connected are not used
+	zinniatide.Linker // nil: Send is not used
 	sim               *simulation
 	member            zinniatide.Member
 	stopped           bool
@@ -91,7 +92,7 @@
 func newSimulation(t testingT, controlVMs int) *simulation {
 	sim := &simulation{
 		t: t, clock: clock.NewManual(1000, startUnixMillis), random: rand.New(rand.NewPCG(1, 2)),
-		vms: map[zinniatide.VMID]*vm{}, blockedLinks: map[[2]zinniatide.VMID]bool{}, maxDelay: 2,
+		vms: map[zinniatide.VMID]*vm{}, blockedLinks: map[[2]zinniatide.VMID]bool{}, unlinked: map[zinniatide.VMID]bool{}, maxDelay: 2,
 		callCount: map[zinniatide.MessageKind]int{}, commitDelay: 1,
 	}
 	for i := range controlVMs {
@@ -225,6 +226,11 @@
 func (v *vm) Handle(kind zinniatide.MessageKind, h zinniatide.LinkHandler) { v.handlers[kind] = h }
 func (v *vm) SetPeers(map[zinniatide.VMID]string)                          {}
 
+func (v *vm) Connected(peer zinniatide.VMID) bool {
+	other := v.sim.vms[peer]
+	return other != nil && !other.stopped && !v.sim.unlinked[peer]
+}
+
 // Call delivers a message after a random delay, so messages may be reordered.
 func (v *vm) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func([]byte, error)) {
 	sim := v.sim
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -92,8 +92,9 @@
 	}
 	now := c.clock.Now()
 	response.LeaseExtended = s.recordHeartbeat(h.LastAnswered, now)
-	s.installedEpoch = max(s.installedEpoch, h.Epoch)
+	s.setInstalled(h.Epoch, now)
 	s.load = h.Load
+	c.finishInstallWaits()
 	if s.installedEpoch >= response.Epoch {
 		return response
 	}
--- /dev/null
+++ b/controller/installation.go
@@ -0,0 +1,111 @@
+package controller
+
+import (
+	"errors"
+	"slices"
+
+	"k8s.io/klog/v2"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/controlproto"
+)
+
+// installTimeout is how long the acknowledgement of a change waits for a relay VM that
+// installs nothing. It leaves room for an election within the 5 s in which operators
+// expect an acknowledgement.
+const installTimeout zinniatide.Millis = 2000
+
+// installWait is an accepted change that is not acknowledged yet.
+type installWait struct {
+	epoch zinniatide.Epoch
+	done  func(error)
+}
+
+// acknowledgesInstalled reports whether the acknowledgement of f means that relay VMs
+// follow the change. The status of other tickets is reported separately.
+func acknowledgesInstalled(f *controlproto.Forward) bool {
+	return f.Operation == controlproto.ForwardFileRouting || f.Operation == controlproto.ForwardSetZone
+}
+
+// awaitInstallation calls done once the relay VMs have installed the current epoch.
+// Relay VMs that are not connected, or that have installed nothing for installTimeout
+// although they should, are not waited for. They serve the callers that still reach
+// them by the last configuration that they have. done gets an error if this VM stops
+// leading before.
+func (c *Controller) awaitInstallation(done func(error)) {
+	c.installWaits = append(c.installWaits, installWait{c.stateMachine.Configuration().Epoch, done})
+	c.finishInstallWaits()
+}
+
+// finishInstallWaits ends the waits whose epoch is installed.
+func (c *Controller) finishInstallWaits() {
+	if len(c.installWaits) == 0 {
+		return
+	}
+	oldest := c.oldestAwaitedEpoch()
+	var finished []installWait
+	c.installWaits = slices.DeleteFunc(c.installWaits, func(w installWait) bool {
+		if w.epoch > oldest {
+			return false
+		}
+		finished = append(finished, w)
+		return true
+	})
+	for _, w := range finished {
+		w.done(nil)
+	}
+}
+
+// oldestAwaitedEpoch returns the lowest epoch installed by a relay VM that is waited for.
+func (c *Controller) oldestAwaitedEpoch() zinniatide.Epoch {
+	configuration, now := c.stateMachine.Configuration(), c.clock.Now()
+	oldest := configuration.Epoch
+	for i := range c.sessions.entries {
+		s := &c.sessions.entries[i]
+		installed := max(s.installedEpoch, s.joinEpoch)
+		if installed >= oldest || !configuration.Members[s.vm].Relay || !c.links.Connected(s.vm) {
+			continue
+		}
+		if waited := now - s.progressAt; waited <= installTimeout {
+			oldest = installed
+		} else if !s.reportedBehind {
+			s.reportedBehind = true
+			klog.InfoS("changes are acknowledged without a VM that does not install them", "step", "install", "peer", s.vm,
+				"installed", installed, "epoch", configuration.Epoch, "waited-ms", waited)
+		}
+	}
+	return oldest
+}
+
+// failInstallWaits ends all waits when this VM stops leading.
+func (c *Controller) failInstallWaits() {
+	waits := c.installWaits
+	c.installWaits = nil
+	for _, w := range waits {
+		w.done(errors.New("this VM stopped leading before all VMs had installed the change"))
+	}
+}
+
+// setInstalled records the epoch that a VM has installed.
+func (s *session) setInstalled(epoch zinniatide.Epoch, now zinniatide.Millis) {
+	if epoch > s.installedEpoch {
+		s.installedEpoch, s.progressAt, s.reportedBehind = epoch, now, false
+	}
+}
+
+// restartProgress starts the time that VMs have to install the epoch after before, if
+// they have installed that one.
+func (t *sessionTable) restartProgress(before zinniatide.Epoch, now zinniatide.Millis) {
+	for i := range t.entries {
+		if s := &t.entries[i]; max(s.installedEpoch, s.joinEpoch) >= before {
+			s.progressAt = now
+		}
+	}
+}
+
+// supersedes reports whether err means that the current state is at least as new as
+// the refused change.
+func supersedes(err error) bool {
+	var refusal *zinniatide.Refusal
+	return errors.As(err, &refusal) && (refusal.Code == zinniatide.CodeSuperseded || refusal.Code == zinniatide.CodeTicketConflict)
+}
--- a/controller/operator.go
+++ b/controller/operator.go
@@ -130,7 +130,18 @@
 func (c *Controller) execute(f *controlproto.Forward, done func(controlproto.ForwardReply)) {
 	finish := func(value any, err error) { done(c.newForwardReply(value, err)) }
 	if isWrite(f) {
-		c.executeWrite(f, finish)
+		c.executeWrite(f, func(value any, err error) {
+			if !acknowledgesInstalled(f) || err != nil && !supersedes(err) {
+				finish(value, err)
+				return
+			}
+			c.awaitInstallation(func(waitErr error) {
+				if waitErr != nil {
+					value, err = nil, unknownOutcome(f, waitErr.Error())
+				}
+				finish(value, err)
+			})
+		})
 		return
 	}
 	c.log.Barrier(func(err error) {
--- a/controller/push.go
+++ b/controller/push.go
@@ -105,7 +105,8 @@
 	s.pushInFlight = false
 	before := s.installedEpoch
 	if err == nil && ack.Incarnation == incarnation {
-		s.installedEpoch = max(s.installedEpoch, ack.Epoch)
+		s.setInstalled(ack.Epoch, c.clock.Now())
+		c.finishInstallWaits()
 	}
 	now := c.clock.Now()
 	if s.installedEpoch == before {
--- a/controller/session.go
+++ b/controller/session.go
@@ -23,6 +23,11 @@
 	// joinEpoch is the epoch at which the incarnation became a member, 0 if
 	// unknown. The VM holds no lease before it has installed this epoch.
 	joinEpoch zinniatide.Epoch
+	// progressAt is when the VM last installed an epoch, or when there was one to
+	// install after it had installed all. reportedBehind is set once the VM has been
+	// reported as behind since then.
+	progressAt     zinniatide.Millis
+	reportedBehind bool
 	// pushInFlight is set while a push sent at pushedAt is unacknowledged.
 	// nextPushAt delays the next push after a failure.
 	pushInFlight bool
@@ -69,7 +74,7 @@
 	} else if s.incarnation == incarnation {
 		return
 	}
-	*s = session{vm: vm, incarnation: incarnation, joinEpoch: epoch, leaseExtendedAt: now, replyConfirmedAt: now}
+	*s = session{vm: vm, incarnation: incarnation, joinEpoch: epoch, leaseExtendedAt: now, replyConfirmedAt: now, progressAt: now}
 }
 
 func (t *sessionTable) close(vm zinniatide.VMID) {
--- a/node/relay.go
+++ b/node/relay.go
@@ -97,11 +97,14 @@
 	httpServers   []*fasthttp.Server
 
 	updates chan struct{}
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
-	mu      sync.Mutex
-	leaving bool // guarded by mu, as is cfg.Seeds once the process serves
+	// updating is held during an update of the relayer, so that no older state replaces
+	// a newer one.
+	updating sync.Mutex
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	leaving  bool // guarded by mu, as is cfg.Seeds once the process serves
 	// lastLoadAt, lastSends and lastLoad are only used by measureLoad.
 	lastLoadAt zinniatide.Millis
 	lastSends  uint64
@@ -169,7 +172,9 @@
 	})
 	var requestQuarantines sync.Once
 	r.subscriber.OnConfiguration(func(c *zinniatide.Configuration) {
-		r.notifyChange()
+		// Before the subscriber confirms the configuration to the control leader, which
+		// then acknowledges it to the operator.
+		r.updateRelayer()
 		requestQuarantines.Do(r.quarantiner.RequestQuarantines)
 		r.enroller.TriggerTick()
 		if r.replicatedLog != nil {
@@ -370,8 +375,8 @@
 	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
 }
 
-// notifyChange tells applyUpdates that the configuration or the enrollments
-// have changed. It does not block.
+// notifyChange tells applyUpdates that the enrollments have changed. It does not
+// block.
 func (r *Relay) notifyChange() {
 	select {
 	case r.updates <- struct{}{}:
@@ -434,19 +439,29 @@
 	return nil
 }
 
-// applyUpdates passes the newest configuration and enrollments to the relayer
-// after each change. It returns when the context is done.
+// applyUpdates updates the relayer after each change of the enrollments. It returns
+// when the context is done.
 func (r *Relay) applyUpdates() {
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
 		case <-r.updates:
-			r.relayer.Update(r.subscriber.Configuration(), r.enroller.Table())
+			r.updateRelayer()
 		}
 	}
 }
 
+// updateRelayer passes the newest configuration and enrollments to the relayer.
+func (r *Relay) updateRelayer() {
+	if r.relayer == nil {
+		return
+	}
+	r.updating.Lock()
+	defer r.updating.Unlock()
+	r.relayer.Update(r.subscriber.Configuration(), r.enroller.Table())
+}
+
 func (r *Relay) startGoroutine(f func()) {
 	r.wg.Add(1)
 	go func() {
