Keep leadership while control VMs only wait for a processor

What callers saw: changes refused with 503 and reads without an answer on a busy processor, while a VM became leader 65 times in 102 s and no VM was lost.

Cause: after a wait for the processor the control goroutine ran its tick before the messages that had arrived meanwhile. A follower took its leader for silent, a leader with unread answers stepped down, and a write that had ended counted as stalled.

Change: messages first; a gap between ticks extends the election timeout and the time of a write; a leader steps down after two election timeouts without a quorum. Its lease ends after one as before, so reads stay linearizable: the vote, the lease and the promise not to support candidates use the clock as before.

The case "a leader without replies loses its lease and fails its barriers" of TestConsensusSafety asked for a follower right after the end of the lease. That was not what makes it safe. It now asks that open reads fail and no new one starts at that time, and that the leader has stepped down after the second timeout.

--- a/logkeeper/keeper.go
+++ b/logkeeper/keeper.go
@@ -80,6 +80,7 @@
 	// The fields below are only accessed on the control goroutine, which executes
 	// run.
 	replicator          *replicator.Replicator
+	lastTick            zinniatide.Millis // 0 before the first tick
 	self                zinniatide.Voter
 	appliedIndex        uint64
 	appliedTerm         uint64
@@ -239,16 +240,24 @@
 	ticker := time.NewTicker(zinniatide.TickInterval.Duration())
 	defer ticker.Stop()
 	for {
+		due := false
 		select {
 		case <-k.stop:
 			k.failOpenRequests(errors.New("this VM is stopping"))
 			return
 		case <-k.wake:
 		case <-ticker.C:
-			k.tick()
+			due = true
 		}
+		startedAt := time.Now()
+		// Messages first: after a pause, a tick would take the leader for silent although
+		// its messages wait here.
 		k.runPosted()
+		if due {
+			k.tick()
+		}
 		k.processOutputs()
+		k.metrics.turnSeconds.Observe(time.Since(startedAt).Seconds())
 	}
 }
 
@@ -266,6 +275,7 @@
 func (k *Keeper) tick() {
 	now := k.cfg.Clock.Now()
 	if k.failure == nil {
+		k.detectPause(now)
 		k.replicator.Tick(now)
 		k.checkDisk(now)
 	}
@@ -274,6 +284,22 @@
 	}
 }
 
+// maxTickGap is the longest time between two ticks in which this VM counts as running.
+const maxTickGap = 3 * zinniatide.TickInterval
+
+// detectPause tells the replicator if this process was suspended or got no processor
+// time. A write that was in progress may have ended meanwhile.
+func (k *Keeper) detectPause(now zinniatide.Millis) {
+	pause := now - k.lastTick
+	if k.lastTick > 0 && pause > maxTickGap {
+		klog.InfoS("control goroutine was late", "vm", k.cfg.VM, "step", "tick", "pause-ms", pause, "writing", k.writing)
+		k.metrics.pauses.Inc()
+		k.replicator.Resume(now, pause)
+		k.writeStartedAt += pause
+	}
+	k.lastTick = now
+}
+
 // receive handles a replication message. It runs on the link's event loop.
 func (k *Keeper) receive(from zinniatide.VMID, body []byte, _ func(any, error)) {
 	var m replicator.Message
--- a/logkeeper/metrics.go
+++ b/logkeeper/metrics.go
@@ -8,6 +8,8 @@
 	applied       prometheus.Counter
 	snapshots     prometheus.Counter
 	failedWrites  prometheus.Counter
+	pauses        prometheus.Counter
+	turnSeconds   prometheus.Histogram
 	leading       prometheus.Gauge
 }
 
@@ -31,12 +33,19 @@
 		failedWrites: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "zinniatide_log_failed_writes_total", Help: "Writes that the data folder refused.",
 		}),
+		pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "zinniatide_log_pauses_total", Help: "Times that the control goroutine got no processor time for several ticks.",
+		}),
+		turnSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "zinniatide_log_turn_seconds", Help: "Time for which the control goroutine was busy before it read messages again.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+		}),
 		leading: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "zinniatide_log_leading", Help: "1 while this VM leads the replicated log with a quorum.",
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.syncSeconds, m.syncedEntries, m.applied, m.snapshots, m.failedWrites, m.leading)
+		registerer.MustRegister(m.syncSeconds, m.syncedEntries, m.applied, m.snapshots, m.failedWrites, m.pauses, m.turnSeconds, m.leading)
 	}
 	return m
 }
--- a/logkeeper/node_test.go
+++ b/logkeeper/node_test.go
@@ -19,6 +19,9 @@
 	handler      zinniatide.LinkHandler
 	generation   int    // changes at each start and crash; events of earlier generations are ignored
 	openWrite    *write // write in progress
+	// stalledUntil is when the process gets processor time again. What is due before
+	// runs then, in random order.
+	stalledUntil zinniatide.Millis
 }
 
 func (n *node) start() {
@@ -65,13 +68,24 @@
 func (n *node) after(delay int, f func()) {
 	generation := n.generation
 	n.c.schedule(delay, func() {
-		if n.generation == generation && n.keeper != nil {
-			f()
-			n.processPosted()
-		}
+		n.whenRunning(func() {
+			if n.generation == generation && n.keeper != nil {
+				f()
+				n.processPosted()
+			}
+		})
 	})
 }
 
+// whenRunning runs f now, or at the end of the stall of n.
+func (n *node) whenRunning(f func()) {
+	if left := n.stalledUntil - n.c.clock.Now(); left > 0 {
+		n.c.schedule(int(left), func() { n.whenRunning(f) })
+		return
+	}
+	f()
+}
+
 func (n *node) processPosted() {
 	n.keeper.runPosted()
 	n.keeper.processOutputs()
@@ -134,10 +148,12 @@
 		}
 		to := n.c.node(peer)
 		n.c.schedule(n.c.random.IntN(n.c.maxDelayMs+1), func() {
-			if to.keeper != nil {
-				to.handler(n.vm, data, nil)
-				to.processPosted()
-			}
+			to.whenRunning(func() {
+				if to.keeper != nil {
+					to.handler(n.vm, data, nil)
+					to.processPosted()
+				}
+			})
 		})
 	}
 	return nil
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -76,8 +76,11 @@
 
 func (r *Replicator) tickLeader() {
 	if r.now-r.leaseStart() >= r.cfg.ElectionTimeout {
-		r.becomeFollower(r.term, zinniatide.Voter{})
-		return
+		r.failBarriers()
+		if r.now-max(r.leaseStart(), r.resumedAt) >= stepDownTimeouts*r.cfg.ElectionTimeout {
+			r.becomeFollower(r.term, zinniatide.Voter{})
+			return
+		}
 	}
 	r.checkTransferTimeout()
 	if r.role != Leader {
@@ -297,9 +300,10 @@
 	r.barriers = r.barriers[n:]
 }
 
-// failBarriers fails the open barriers when leadership ends.
+// failBarriers fails the open barriers when the lease or the leadership ends.
 func (r *Replicator) failBarriers() {
 	for _, b := range r.barriers {
 		r.reads = append(r.reads, BarrierResult{ID: b.id})
 	}
+	r.barriers = nil
 }
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -17,6 +17,11 @@
 	DefaultElectionTimeout   zinniatide.Millis = 600
 	DefaultHeartbeatInterval zinniatide.Millis = 150
 
+	// stepDownTimeouts is the number of election timeouts without a quorum after which
+	// a leader steps down. Its lease ends after one. It goes on in between, because
+	// followers that are only slow would elect it again.
+	stepDownTimeouts = 2
+
 	announceInterval zinniatide.Millis = 300
 	// learnerTimeout is how long a learner may be silent before the leader stops
 	// tracking its progress. It keeps learners that are gone from using memory
@@ -78,6 +83,7 @@
 	durableIndex uint64 // last entry synced to the local disk
 
 	electionDeadline zinniatide.Millis
+	resumedAt        zinniatide.Millis // end of the last pause of this VM
 	// lastLeaderContact is when the last message from a leader arrived. It is
 	// initialised to the start time, because the voter may have replied to a
 	// heartbeat just before the restart, and the leader's lease relies on that
@@ -183,6 +189,15 @@
 	r.announce()
 }
 
+// Resume reports that this VM did not run for the duration of pause and has not read
+// what arrived in that time. Silence during the pause is no sign that the leader or the
+// followers are gone. The lease and the votes of this VM do not depend on it.
+func (r *Replicator) Resume(now, pause zinniatide.Millis) {
+	r.now = max(r.now, now)
+	r.resumedAt = r.now
+	r.electionDeadline += pause
+}
+
 // announce sends MessageAnnounce to all known VMs if this VM is not a voter.
 // It also does so if this VM is a voter according to its own log but receives
 // nothing from a leader, for example after its removal.
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -296,8 +296,12 @@
 		r.now++
 		r.requireEqual("lease held after the timeout", r.hasLease(), false)
 		r.advanceTime(20)
-		r.requireEqual("role", r.role, Follower)
 		r.requireEqual("failed reads", len(r.readResults) == 1 && !r.readResults[0].OK, true)
+		_, started := r.Barrier(r.now)
+		r.requireEqual("read started without a lease", started, false)
+		r.advanceTime(600)
+		r.requireEqual("role", r.role, Follower)
+		r.requireEqual("failed reads at the end of leadership", len(r.readResults), 1)
 	}},
 	{"a lease starts when the acknowledged message was sent", func(t *testing.T) {
 		r := newTestReplica(t, 1, 1)
