Ask callers back if a table without their route may be outdated

Cause: a relay VM that had missed tables, because it was cut off or got no processor time, answered as if its table were the newest.

Change: without a route, and without a confirmation by the control leader for more than 3 s that the table is the newest, the answer is 503 with Retry-After 300 ms. Requests with a route are served as before: while the control VMs are away that is what callers need, and acknowledgements wait for VMs that can be reached.

--- a/node/relay.go
+++ b/node/relay.go
@@ -365,6 +365,7 @@
 		ConnectMargin: connectMargin,
 	}, relayer.Dependencies{
 		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Registerer: registerer,
+		ConfirmedAt: r.subscriber.ConfirmedAt,
 		NewPool: func(server zinniatide.BackendServerID, address string, limit int) relayer.Pool {
 			return r.transporter.Pool(server, address, limit)
 		},
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -70,7 +70,10 @@
 	Links Links
 	// Quarantine is nil if no request is refused because it crashes servers.
 	Quarantine Quarantine
-	Registerer prometheus.Registerer
+	// ConfirmedAt returns when the configuration was last known to be the newest. If it
+	// is nil, it always is.
+	ConfirmedAt func() zinniatide.Millis
+	Registerer  prometheus.Registerer
 }
 
 // Quarantine knows the requests that crash the servers that run them.
@@ -208,7 +211,7 @@
 	}
 	route := r.table.Match(req.Host, req.Path)
 	if route == nil {
-		r.refuse(req, nil, respond, fasthttp.StatusNotFound, "no route", 0)
+		r.refuseWithoutRoute(req, respond)
 		return noop
 	}
 	timeout := route.Timeout
@@ -242,6 +245,23 @@
 	return f.cancel
 }
 
+// maxConfirmationAge is how old the confirmation of the configuration may be for a
+// request without a route to be rejected for good. It is the time within which an
+// acknowledged configuration must be followed.
+const maxConfirmationAge zinniatide.Millis = 3000
+
+// refuseWithoutRoute answers a request that matches no route. A VM that may have missed
+// a newer table asks the caller to come back: the request may have a route there.
+func (r *Relayer) refuseWithoutRoute(req *Request, respond func(Reply)) {
+	if r.deps.ConfirmedAt != nil {
+		if age := r.deps.Clock.Now() - r.deps.ConfirmedAt(); age > maxConfirmationAge {
+			r.refuse(req, nil, respond, fasthttp.StatusServiceUnavailable, "no route in an unconfirmed table", startupRetryAfter, "confirmed-ms-ago", age)
+			return
+		}
+	}
+	r.refuse(req, nil, respond, fasthttp.StatusNotFound, "no route", 0)
+}
+
 // trackRequest registers a request that has not finished yet with the function
 // that ends it early.
 func (r *Relayer) trackRequest(ar *activeRequest, end func(reason string, retryAfter zinniatide.Millis)) {
@@ -252,8 +272,8 @@
 
 // Retry-After values of refusals.
 const (
-	// startupRetryAfter applies while a VM that has just started loads its
-	// configuration.
+	// startupRetryAfter applies while a VM loads its configuration, after its start or
+	// after it had no contact to the control leader.
 	startupRetryAfter zinniatide.Millis = 300
 	// shortRetryAfter applies when servers are full, at their cold rate limit, or
 	// failed. Another attempt may succeed soon.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -120,6 +120,12 @@
 // LeaseUntil implements zinniatide.ConfigurationProvider.
 func (s *Subscriber) LeaseUntil() zinniatide.Millis { return zinniatide.Millis(s.leaseUntil.Load()) }
 
+// ConfirmedAt returns when the control leader was last known to have no newer
+// configuration than the installed one, or a time long past.
+func (s *Subscriber) ConfirmedAt() zinniatide.Millis {
+	return s.LeaseUntil() - zinniatide.LeaseDuration
+}
+
 // KnownLeader returns the VM that last replied as control leader, or empty.
 func (s *Subscriber) KnownLeader() zinniatide.VMID {
 	if vm := s.knownLeader.Load(); vm != nil {
