Compare and install tables without reflection and sorting

Cause: of a change of one route, a relay VM spent most on sorting the table again and on one allocation for each route; a control VM compared routes by reflection.

--- a/registrar/routingdelta.go
+++ b/registrar/routingdelta.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"reflect"
 	"slices"
 
 	"zinniatide.example/zinniatide"
@@ -40,8 +39,8 @@
 		current = &zinniatide.Routing{}
 	}
 	d := &RoutingDelta{Number: number, Limits: next.Limits}
-	d.Routes, d.RemovedRoutes = diffItems(current.Routes, next.Routes, keyOfRoute)
-	d.Services, d.RemovedServices = diffItems(current.Services, next.Services, keyOfService)
+	d.Routes, d.RemovedRoutes = diffItems(current.Routes, next.Routes, keyOfRoute, (*zinniatide.Route).Equal)
+	d.Services, d.RemovedServices = diffItems(current.Services, next.Services, keyOfService, func(a, b *zinniatide.RelayService) bool { return *a == *b })
 	return d
 }
 
@@ -51,26 +50,23 @@
 	if current == nil {
 		current = &zinniatide.Routing{}
 	}
-	next := &zinniatide.Routing{
-		Routes:   patchItems(current.Routes, d.Routes, d.RemovedRoutes, keyOfRoute),
-		Services: patchItems(current.Services, d.Services, d.RemovedServices, keyOfService),
+	return &zinniatide.Routing{
+		Routes:   patchItems(current.Routes, d.Routes, d.RemovedRoutes, keyOfRoute, routeKey.compare),
+		Services: patchItems(current.Services, d.Services, d.RemovedServices, keyOfService, cmp.Compare[zinniatide.ServiceID]),
 		Limits:   d.Limits,
 	}
-	slices.SortFunc(next.Routes, func(a, b zinniatide.Route) int { return keyOfRoute(&a).compare(keyOfRoute(&b)) })
-	slices.SortFunc(next.Services, func(a, b zinniatide.RelayService) int { return cmp.Compare(a.Service, b.Service) })
-	return next
 }
 
 // diffItems returns the items of next that are new or differ from current, and
 // the keys of current that next lacks.
-func diffItems[T any, K comparable](current, next []T, key func(*T) K) (changed []T, removed []K) {
+func diffItems[T any, K comparable](current, next []T, key func(*T) K, equal func(a, b *T) bool) (changed []T, removed []K) {
 	before := make(map[K]*T, len(current))
 	for i := range current {
 		before[key(&current[i])] = &current[i]
 	}
 	for i := range next {
 		k := key(&next[i])
-		if old := before[k]; old == nil || !reflect.DeepEqual(*old, next[i]) {
+		if old := before[k]; old == nil || !equal(old, &next[i]) {
 			changed = append(changed, next[i])
 		}
 		delete(before, k)
@@ -84,18 +80,37 @@
 }
 
 // patchItems returns current with the changed items added or replaced and the
-// removed ones left out.
-func patchItems[T any, K comparable](current, changed []T, removed []K, key func(*T) K) []T {
-	superseded := touchedKeys(changed, removed, key)
+// removed ones left out, sorted by key.
+func patchItems[T any, K comparable](current, changed []T, removed []K, key func(*T) K, compare func(a, b K) int) []T {
+	current, changed = sortItems(current, key, compare), sortItems(changed, key, compare)
+	removed = slices.SortedFunc(slices.Values(removed), compare)
 	out := make([]T, 0, len(current)+len(changed))
 	for i := range current {
-		if !superseded[key(&current[i])] {
+		k := key(&current[i])
+		for len(changed) > 0 && compare(key(&changed[0]), k) < 0 {
+			out, changed = append(out, changed[0]), changed[1:]
+		}
+		for len(removed) > 0 && compare(removed[0], k) < 0 {
+			removed = removed[1:]
+		}
+		replaced := len(changed) > 0 && key(&changed[0]) == k
+		if !replaced && (len(removed) == 0 || removed[0] != k) {
 			out = append(out, current[i])
 		}
 	}
 	return append(out, changed...)
 }
 
+// sortItems returns items sorted by key. Tables are sorted already.
+func sortItems[T any, K comparable](items []T, key func(*T) K, compare func(a, b K) int) []T {
+	for i := 1; i < len(items); i++ {
+		if compare(key(&items[i-1]), key(&items[i])) > 0 {
+			return slices.SortedFunc(slices.Values(items), func(a, b T) int { return compare(key(&a), key(&b)) })
+		}
+	}
+	return items
+}
+
 // touchedKeys returns the keys of the changed and the removed items.
 func touchedKeys[T any, K comparable](changed []T, removed []K, key func(*T) K) map[K]bool {
 	keys := make(map[K]bool, len(removed)+len(changed))
--- a/registrar/routingentry_test.go
+++ b/registrar/routingentry_test.go
@@ -97,7 +97,7 @@
 
 // sameRoutes compares lists of routes regardless of their order.
 func sameRoutes(a, b []zinniatide.Route) bool {
-	changed, removed := diffItems(a, b, keyOfRoute)
+	changed, removed := diffItems(a, b, keyOfRoute, (*zinniatide.Route).Equal)
 	return len(changed)+len(removed) == 0
 }
 
--- a/routing.go
+++ b/routing.go
@@ -1,5 +1,7 @@
 package zinniatide
 
+import "slices"
+
 // RouteID identifies a route of the routing table.
 type RouteID string
 
@@ -44,6 +46,13 @@
 // Gathers reports whether the route merges the answers of several shards.
 func (r *Route) Gathers() bool { return len(r.Shards) > 0 }
 
+// Equal reports whether both routes are the same.
+func (r *Route) Equal(o *Route) bool {
+	return r.ID == o.ID && r.Host == o.Host && r.PathPrefix == o.PathPrefix && r.Idempotent == o.Idempotent && r.Timeout == o.Timeout &&
+		r.TargetLatency == o.TargetLatency && r.Priority == o.Priority && r.MaxAttempts == o.MaxAttempts && r.TopRecords == o.TopRecords &&
+		r.MinCoverage == o.MinCoverage && slices.Equal(r.Targets, o.Targets) && slices.Equal(r.Shards, o.Shards)
+}
+
 // WeightedService is one target of a route that splits requests by weight.
 type WeightedService struct {
 	Service ServiceID `json:"service"`
