Let no connection become a link once it is chosen to be closed

Cause shown: closeOldestHandshake and closeOverdueHandshakes close a connection through gnet, which does so later. A hello that is read before then still made a link of it, so the peer was told that the link is up, sent calls, and lost them.

Change: the choice is marked under the lock, and a hello that arrives afterwards is not answered; the peer dials again.

--- a/linker/hello.go
+++ b/linker/hello.go
@@ -17,6 +17,7 @@
 
 var (
 	errClosing           = errors.New("the VM is closing its links")
+	errTooManyHandshakes = errors.New("connection was closed for newer ones before its hello arrived")
 	errEventLoopsStopped = errors.New("event loops are not running")
 	errStaleIncarnation  = errors.New("a later incarnation of the VM is known")
 )
--- a/linker/server.go
+++ b/linker/server.go
@@ -48,6 +48,9 @@
 	acceptedAt zinniatide.Millis
 	sequence   uint64 // order of acceptance
 	upgraded   bool
+	// closing is set, with the server's lock held, once the connection is to be closed.
+	// gnet does so later, and may deliver the hello before.
+	closing bool
 }
 
 const (
@@ -240,6 +243,7 @@
 			oldest = c
 		}
 	}
+	s.handshakes[oldest].closing = true
 	delete(s.handshakes, oldest)
 	s.linker.metrics.refusedConnections.Inc()
 	_ = oldest.Close()
@@ -271,6 +275,18 @@
 	s.mu.Unlock()
 }
 
+// claimHandshake takes a connection out of the handshakes, so that it is not closed as
+// one of them. It returns false if it is already to be closed.
+func (s *server) claimHandshake(c gnet.Conn, hs *handshake) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if hs.closing {
+		return false
+	}
+	delete(s.handshakes, c)
+	return true
+}
+
 // closeOverdueHandshakes closes connections that sent no hello in time. It reports
 // whether there are connections without a hello.
 func (s *server) closeOverdueHandshakes(now zinniatide.Millis) bool {
@@ -278,6 +294,7 @@
 	defer s.mu.Unlock()
 	for c, hs := range s.handshakes {
 		if now-hs.acceptedAt >= zinniatide.LinkSilenceTimeout {
+			hs.closing = true
 			_ = c.Close()
 		}
 	}
@@ -368,11 +385,19 @@
 	if err != nil {
 		return err
 	}
+	if !s.claimHandshake(c, hs) {
+		return errTooManyHandshakes
+	}
 	lk, err := s.linker.answerHello(c, &peerHello)
-	if err != nil || lk == nil {
+	if err != nil {
 		return err
 	}
-	s.removeHandshake(c)
+	if lk == nil { // the peer closes the connection, or it becomes overdue
+		s.mu.Lock()
+		s.handshakes[c] = hs
+		s.mu.Unlock()
+		return nil
+	}
 	c.SetContext(lk)
 	return nil
 }
