Measure the processor time of a change of one route

Cause: the cost of a change, and its split, had no measurement.

Change: scenario change-cost of make bench, for 100, 800 and 3,000 routes and 3, 9 and 60 relay VMs. The baseline forwards, logs and applies whole tables, as before.

--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -94,7 +94,7 @@
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
 		entryLoss, resend, queryOfDeath, controlPartition,
 		leaderLoss, catchUp, overload, versionChange, repartition,
-		silentConnection, combined, plannedStop,
+		silentConnection, combined, plannedStop, changeCost,
 		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks,
 		capacityMessages, capacityQueries,
 	}
