--- a/cmd/zinniasoak/main.go
+++ b/cmd/zinniasoak/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -40,9 +41,16 @@
 // newStormCommand returns the command that sends storms of configuration changes.
 func newStormCommand() *cobra.Command {
 	var cfg soak.StormConfig
+	fault := ""
+	signals := map[string]syscall.Signal{"": 0, "kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP}
 	command := &cobra.Command{
 		Use: "storm", Short: "Send storms of configuration changes and verify which version is in force", SilenceUsage: true, Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			signal, known := signals[fault]
+			if !known {
+				return fmt.Errorf("unknown fault %q; want kill or freeze", fault)
+			}
+			cfg.Signal = signal
 			summary, err := soak.RunStorm(cfg)
 			fmt.Println(summary)
 			return err
@@ -56,6 +64,7 @@
 	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
 	flags.IntSliceVar(&cfg.Processors, "processors", nil, "processors of the system (default: all)")
 	flags.IntVar(&cfg.BusyLoops, "busy-loops", 0, "number of processes that compete for the processors")
+	flags.StringVar(&fault, "fault", "", "what happens to one control process in each third storm: kill or freeze (default: nothing)")
 	flags.IntVar(&cfg.MaxElections, "max-elections", -1, "number of elections above which the run fails; negative for no limit")
 	return command
 }
--- a/cmd/zinniasoak/soak/soak_test.go
+++ b/cmd/zinniasoak/soak/soak_test.go
@@ -3,10 +3,20 @@
 import (
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
 
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "zinniatide")
+	if out, err := exec.Command("go", "build", "-o", binary, "zinniatide.example/zinniatide/cmd/zinniatide").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
 // regressionSeeds are seeds of runs that found a bug, each with its cause.
 var regressionSeeds = []struct {
 	seed  uint64
@@ -16,10 +26,7 @@
 // Guards against violated guarantees when faults of processes, connections,
 // disks and backend servers overlap.
 func TestShortSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "zinniatide")
-	if out, err := exec.Command("go", "build", "-o", binary, "zinniatide.example/zinniatide/cmd/zinniatide").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	binary := buildProgram(t)
 	seeds := []uint64{1}
 	for _, r := range regressionSeeds {
 		seeds = append(seeds, r.seed)
@@ -32,3 +39,19 @@
 		t.Log(report)
 	}
 }
+
+// Guards against changes of a large configuration that are acknowledged but not in
+// force, read back older than acknowledged, or never acknowledged, also while control
+// processes freeze.
+func TestShortStorm(t *testing.T) {
+	binary := buildProgram(t)
+	for _, signal := range []syscall.Signal{0, syscall.SIGSTOP} {
+		summary, err := RunStorm(StormConfig{
+			Config: Config{Seed: 1, FaultDuration: 8 * time.Second, BinaryPath: binary, Relays: 3}, MaxElections: -1, Signal: signal,
+		})
+		if err != nil {
+			t.Errorf("signal %v: %v", signal, err)
+		}
+		t.Log(summary)
+	}
+}
--- a/cmd/zinniasoak/soak/storm.go
+++ b/cmd/zinniasoak/soak/storm.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"zinniatide.example/zinniatide"
@@ -28,6 +29,9 @@
 	// MaxElections is the number of elections above which the run fails. A
 	// negative number disables the check.
 	MaxElections int
+	// Signal is sent to one control process in each third storm: SIGKILL, or SIGSTOP,
+	// which is followed by SIGCONT after freezeDuration. 0 sends none.
+	Signal syscall.Signal
 }
 
 const (
@@ -50,6 +54,7 @@
 	// the change again.
 	stormRequestTimeout = time.Second
 	changeRetryDelay    = 100 * time.Millisecond
+	freezeDuration      = 1500 * time.Millisecond
 	probeInterval       = 20 * time.Millisecond
 	readInterval        = 200 * time.Millisecond
 	probePath           = "/probe%d/"
@@ -112,12 +117,13 @@
 	if err := s.run(); err != nil {
 		return "", err
 	}
+	memory := peakMemory(c.controls())
 	elections := countLines(c, "became control leader")
 	if cfg.MaxElections >= 0 && elections > cfg.MaxElections {
 		h.violate("LEADER: %d elections without a lost control VM, want at most %d", elections, cfg.MaxElections)
 	}
-	summary := fmt.Sprintf("storm seed %d: version %d, slowest acknowledgement %v, late %d, reads %v, probes %v, elections %d, violations %d",
-		cfg.Seed, h.ackedVersion, s.slowestAck.Round(time.Millisecond), s.lateAcks, s.reads, s.probes, elections, len(h.violations))
+	summary := fmt.Sprintf("storm seed %d: version %d, slowest acknowledgement %v, late %d, reads %v, probes %v, elections %d, peak memory of a control VM %d MB, violations %d",
+		cfg.Seed, h.ackedVersion, s.slowestAck.Round(time.Millisecond), s.lateAcks, s.reads, s.probes, elections, memory>>10, len(h.violations))
 	if len(h.violations) > 0 {
 		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, dir, strings.Join(h.violations, "\n"))
 	}
@@ -176,8 +182,15 @@
 	var open sync.WaitGroup
 	slots := make(chan struct{}, maxOpenChanges)
 	version := 1
-	for end := time.Now().Add(s.cfg.FaultDuration); time.Now().Before(end); {
+	for storms, end := 0, time.Now().Add(s.cfg.FaultDuration); time.Now().Before(end); storms++ {
 		next := time.Now().Add(stormInterval)
+		if storms%3 == 2 {
+			open.Add(1)
+			go func() {
+				defer open.Done()
+				s.disturb(s.h.cluster.controls()[storms/3%3])
+			}()
+		}
 		for range stormSize {
 			select {
 			case slots <- struct{}{}:
@@ -198,6 +211,19 @@
 	open.Wait()
 }
 
+// disturb sends the configured signal to a process in the middle of a storm.
+func (s *storm) disturb(p *process) {
+	if s.cfg.Signal == 0 {
+		return
+	}
+	time.Sleep(stormSize / 2 * stormGap)
+	p.signal(s.cfg.Signal)
+	if s.cfg.Signal == syscall.SIGSTOP {
+		time.Sleep(freezeDuration)
+		p.signal(syscall.SIGCONT)
+	}
+}
+
 func (s *storm) sendUntilAcknowledged(version int) {
 	sentAt := time.Now()
 	for attempt := 0; !s.change(version, attempt); attempt++ {
@@ -379,6 +405,30 @@
 	return stop, nil
 }
 
+// peakMemory returns the largest peak of the resident memory of the processes in KB.
+func peakMemory(processes []*process) int {
+	peak := 0
+	for _, p := range processes {
+		p.mu.Lock()
+		command := p.command
+		p.mu.Unlock()
+		if command == nil || command.Process == nil {
+			continue
+		}
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", command.Process.Pid))
+		if err != nil {
+			continue // the process has just ended
+		}
+		for line := range strings.Lines(string(raw)) {
+			kilobytes := 0
+			if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+				peak = max(peak, kilobytes)
+			}
+		}
+	}
+	return peak
+}
+
 // countLines returns the number of log lines of the control processes that contain
 // text.
 func countLines(c *cluster, text string) int {
