--- a/relayer/delegation_test.go
+++ b/relayer/delegation_test.go
@@ -19,6 +19,9 @@
 	fault error
 	// unresponsive makes all calls time out.
 	unresponsive bool
+	// diesAfter is when the link is lost after each call, or 0. The peer has worked on
+	// the call until then, and its answers are lost.
+	diesAfter zinniatide.Millis
 	// disconnected reports the link as down and drops the messages that the peer
 	// sends after its first reply.
 	disconnected bool
@@ -50,6 +53,9 @@
 		done(nil, err)
 	case err != nil:
 		l.sim.After(3, func() { done(nil, err) })
+	case l.diesAfter > 0:
+		l.sim.After(1, func() { l.peer.HandleGather("self", raw, func(any, error) {}) })
+		l.sim.After(l.diesAfter, func() { done(nil, zinniatide.ErrLinkLost) })
 	case l.unresponsive:
 		l.sim.After(timeout, func() { done(nil, zinniatide.ErrTimeout) })
 	default:
@@ -153,6 +159,8 @@
 		{"link down", func(l *simLinks) { l.fault = zinniatide.ErrNotSent }, 0.95},
 		{"link lost during the call", func(l *simLinks) { l.fault = zinniatide.ErrLinkLost }, 0.9},
 		{"silent", func(l *simLinks) { l.unresponsive = true }, 0.8},
+		{"dies after 15 ms of work", func(l *simLinks) { l.diesAfter = 15 }, 0.8},
+		{"dies after 40 ms of work", func(l *simLinks) { l.diesAfter = 40 }, 0.8},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			sim, links := newTwoZoneSimulation(t, testShards)
