Share the flags and paths of the soak's two commands

Cause: the storm command repeated flags and the handling of its folder, and left folders behind because it removed them before its processes ended.

Change: addFlags and resolvePaths; the folder goes once the processes have ended.

--- a/cmd/zinniasoak/main.go
+++ b/cmd/zinniasoak/main.go
@@ -26,18 +26,23 @@
 			return err
 		},
 	}
-	flags := command.Flags()
-	flags.Uint64Var(&cfg.Seed, "seed", 1, "random seed of the faults and the load")
-	flags.DurationVar(&cfg.FaultDuration, "faults", 30*time.Second, "duration of fault injection")
-	flags.StringVar(&cfg.BinaryPath, "program", "bin/zinniatide", "path of the zinniatide binary")
-	flags.IntVar(&cfg.Relays, "relays", 4, "number of relay processes")
-	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
+	command.Flags().DurationVar(&cfg.FaultDuration, "faults", 30*time.Second, "duration of fault injection")
+	addFlags(command, &cfg, 4)
 	command.AddCommand(newStormCommand())
 	if command.Execute() != nil {
 		os.Exit(1)
 	}
 }
 
+// addFlags adds the flags of all runs to command.
+func addFlags(command *cobra.Command, cfg *soak.Config, relays int) {
+	flags := command.Flags()
+	flags.Uint64Var(&cfg.Seed, "seed", 1, "random seed of the faults and the load")
+	flags.StringVar(&cfg.BinaryPath, "program", "bin/zinniatide", "path of the zinniatide binary")
+	flags.IntVar(&cfg.Relays, "relays", relays, "number of relay processes")
+	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
+}
+
 // newStormCommand returns the command that sends storms of configuration changes.
 func newStormCommand() *cobra.Command {
 	var cfg soak.StormConfig
@@ -56,12 +61,9 @@
 			return err
 		},
 	}
+	addFlags(command, &cfg.Config, 6)
 	flags := command.Flags()
-	flags.Uint64Var(&cfg.Seed, "seed", 1, "random seed of the requests")
 	flags.DurationVar(&cfg.FaultDuration, "duration", 60*time.Second, "duration of the storms")
-	flags.StringVar(&cfg.BinaryPath, "program", "bin/zinniatide", "path of the zinniatide binary")
-	flags.IntVar(&cfg.Relays, "relays", 6, "number of relay processes")
-	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
 	flags.IntSliceVar(&cfg.Processors, "processors", nil, "processors of the system (default: all)")
 	flags.IntVar(&cfg.BusyLoops, "busy-loops", 0, "number of processes that compete for the processors")
 	flags.StringVar(&fault, "fault", "", "what happens to one control process in each third storm: kill or freeze (default: nothing)")
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -66,17 +66,10 @@
 // Run starts the system, injects faults and verifies its guarantees. The error
 // lists the seed and the violations.
 func Run(cfg Config) (report *Report, err error) {
-	dir := cfg.Dir
-	if dir == "" {
-		if dir, err = os.MkdirTemp("", "zinniasoak-"); err != nil {
-			return nil, err
-		}
-	}
-	binaryPath, err := filepath.Abs(cfg.BinaryPath)
+	dir, err := cfg.resolvePaths()
 	if err != nil {
 		return nil, err
 	}
-	cfg.BinaryPath = binaryPath
 	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
 	// Concurrent runs use different loopback addresses.
 	c := newCluster(&cfg, dir, fmt.Sprintf("127.%d", 20+os.Getpid()%200))
@@ -129,6 +122,15 @@
 	return report, nil
 }
 
+// resolvePaths makes the path of the binary absolute and returns the directory of the
+// run, which it creates if none is set.
+func (c *Config) resolvePaths() (dir string, err error) {
+	if c.BinaryPath, err = filepath.Abs(c.BinaryPath); err != nil || c.Dir != "" {
+		return c.Dir, err
+	}
+	return os.MkdirTemp("", "zinniasoak-")
+}
+
 // startBackends starts two servers of each shard in different zones, and the
 // servers of the plain service.
 func (h *harness) startBackends() error {
--- a/cmd/zinniasoak/soak/storm.go
+++ b/cmd/zinniasoak/soak/storm.go
@@ -83,26 +83,23 @@
 
 // RunStorm starts the system, sends storms of configuration changes and verifies
 // that requests and reads follow what was acknowledged.
-func RunStorm(cfg StormConfig) (string, error) {
-	dir := cfg.Dir
-	if dir == "" {
-		var err error
-		if dir, err = os.MkdirTemp("", "zinniasoak-"); err != nil {
-			return "", err
-		}
-	}
-	binaryPath, err := filepath.Abs(cfg.BinaryPath)
+func RunStorm(cfg StormConfig) (summary string, err error) {
+	dir, err := cfg.resolvePaths()
 	if err != nil {
 		return "", err
 	}
-	cfg.BinaryPath = binaryPath
 	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
 	c := newCluster(&cfg.Config, dir, fmt.Sprintf("127.%d", 20+os.Getpid()%200))
 	c.processors = cfg.Processors
 	h := newHarness(c, random)
 	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
 	s := &storm{h: h, cfg: cfg, stop: make(chan struct{}), reads: map[string]int{}, probes: map[string]int{}}
-	defer c.stop()
+	defer func() {
+		c.stop()
+		if cfg.Dir == "" && err == nil {
+			_ = os.RemoveAll(dir) // a leftover folder is only untidy
+		}
+	}()
 	if err := c.start(); err != nil {
 		return "", err
 	}
@@ -122,14 +119,11 @@
 	if cfg.MaxElections >= 0 && elections > cfg.MaxElections {
 		h.violate("LEADER: %d elections without a lost control VM, want at most %d", elections, cfg.MaxElections)
 	}
-	summary := fmt.Sprintf("storm seed %d: version %d, slowest acknowledgement %v, late %d, reads %v, probes %v, elections %d, peak memory of a control VM %d MB, violations %d",
+	summary = fmt.Sprintf("storm seed %d: version %d, slowest acknowledgement %v, late %d, reads %v, probes %v, elections %d, peak memory of a control VM %d MB, violations %d",
 		cfg.Seed, h.ackedVersion, s.slowestAck.Round(time.Millisecond), s.lateAcks, s.reads, s.probes, elections, memory>>10, len(h.violations))
 	if len(h.violations) > 0 {
 		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, dir, strings.Join(h.violations, "\n"))
 	}
-	if cfg.Dir == "" {
-		_ = os.RemoveAll(dir) // a leftover folder is only untidy
-	}
 	return summary, nil
 }
 
