Send each version of a storm once

Cause: the race detector found it in TestShortStorm (2 of 5 runs): the goroutine that sends a change read the version that the loop counts, so a version could be sent twice and the one before it not at all.

Change: the version is an argument.

The storms before this commit checked what they sent; some versions among them were skipped.

--- a/cmd/zinniasoak/soak/storm.go
+++ b/cmd/zinniasoak/soak/storm.go
@@ -193,11 +193,11 @@
 			}
 			version++
 			open.Add(1)
-			go func() {
+			go func(version int) {
 				defer open.Done()
 				s.sendUntilAcknowledged(version)
 				<-slots
-			}()
+			}(version)
 			time.Sleep(stormGap)
 		}
 		time.Sleep(time.Until(next))
