Let each run of the soak claim its loopback addresses

Cause: addresses were chosen by the process number modulo 200, and threads use up process numbers, too.

Change: a run holds a listener on an address of its network until it ends, and takes the next network if that one is taken. TestRunsUseDifferentNetworks.

--- a/cmd/zinniasoak/soak/cluster.go
+++ b/cmd/zinniasoak/soak/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -57,6 +58,21 @@
 
 var zones = []string{"a", "b", "c"}
 
+// networkCount is the number of networks among which concurrent runs choose.
+const networkCount = 200
+
+// claimNetwork returns the first two octets of loopback addresses that no other run uses,
+// and a listener that claims them until it is closed.
+func claimNetwork() (network string, claim net.Listener, err error) {
+	for i := range networkCount {
+		network = fmt.Sprintf("127.%d", 20+(os.Getpid()+i)%networkCount)
+		if claim, err = net.Listen("tcp", fmt.Sprintf("%s.0.1:%d", network, peerPort)); err == nil {
+			return network, claim, nil
+		}
+	}
+	return "", nil, fmt.Errorf("claim loopback addresses: %w", err)
+}
+
 func newCluster(cfg *Config, dir, network string) *cluster {
 	c := &cluster{binaryPath: cfg.BinaryPath, network: network, closing: make(chan struct{})}
 	for i := range 3 {
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -71,8 +71,12 @@
 		return nil, err
 	}
 	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
-	// Concurrent runs use different loopback addresses.
-	c := newCluster(&cfg, dir, fmt.Sprintf("127.%d", 20+os.Getpid()%200))
+	network, claim, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = claim.Close() }() // nothing is sent over it
+	c := newCluster(&cfg, dir, network)
 	h := newHarness(c, random)
 	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
 	defer func() {
--- a/cmd/zinniasoak/soak/soak_test.go
+++ b/cmd/zinniasoak/soak/soak_test.go
@@ -55,3 +55,20 @@
 		t.Log(summary)
 	}
 }
+
+// Guards against concurrent runs whose processes use the same addresses: the processes of
+// one end because their addresses are taken, and its requests reach the other's servers.
+func TestRunsUseDifferentNetworks(t *testing.T) {
+	seen := map[string]bool{}
+	for range 3 {
+		network, claim, err := claimNetwork()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = claim.Close() }()
+		if seen[network] {
+			t.Errorf("got network %s twice, want another one", network)
+		}
+		seen[network] = true
+	}
+}
--- a/cmd/zinniasoak/soak/storm.go
+++ b/cmd/zinniasoak/soak/storm.go
@@ -89,7 +89,12 @@
 		return "", err
 	}
 	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
-	c := newCluster(&cfg.Config, dir, fmt.Sprintf("127.%d", 20+os.Getpid()%200))
+	network, claim, err := claimNetwork()
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = claim.Close() }() // nothing is sent over it
+	c := newCluster(&cfg.Config, dir, network)
 	c.processors = cfg.Processors
 	h := newHarness(c, random)
 	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
