review: case 7, a searcher that becomes cold again gets the full load

A control VM passes on a heartbeat only if the searcher turns cold or warm, not if its cold time gets longer. Relay VMs then take it for warm too early.

--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -60,6 +60,7 @@
 	machines  []*machine
 	searchers []*searcher
 	version   int
+	coldPerS  float64 // of all services
 	closeOnce sync.Once
 }
 
@@ -283,7 +284,7 @@
 		if !names[s.service] {
 			names[s.service] = true
 			services = append(services, map[string]any{"name": s.service, "health_path": "/healthz", "max_conns": 25, "protocol": "h1",
-				"tls": false, "cold_start_s": 3.0, "cold_per_s": 0.0})
+				"tls": false, "cold_start_s": 3.0, "cold_per_s": c.coldPerS})
 		}
 	}
 	body, err := json.Marshal(map[string]any{"version": c.version, "routes": routes, "services": services,
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,7 +26,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(*cluster, bool) (outcome, error){"mixed": playMixed, "attempts": playAttempts, "gone": playGone, "stale": playStale}
+	cases := map[string]func(*cluster, bool) (outcome, error){"mixed": playMixed, "attempts": playAttempts, "gone": playGone, "stale": playStale, "cold": playCold}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -36,6 +36,7 @@
 	stop              chan struct{}
 	work              atomic.Int64 // nanoseconds of work for a request
 	free              chan struct{}
+	coldUntil         atomic.Int64 // Unix milliseconds
 	waiting, running  atomic.Int64
 
 	mu       sync.Mutex
@@ -51,9 +52,17 @@
 }
 
 func (c *cluster) addSearcher(service, zone string, slots int, work time.Duration) (*searcher, error) {
+	return c.addColdSearcher(service, zone, slots, work, 0)
+}
+
+// addColdSearcher starts a searcher that is cold for a while.
+func (c *cluster) addColdSearcher(service, zone string, slots int, work, cold time.Duration) (*searcher, error) {
 	s := &searcher{id: fmt.Sprintf("i-%s-%d", service, len(c.searchers)+1), service: service, zone: zone, slots: slots, cluster: c,
 		stop: make(chan struct{}), free: make(chan struct{}, slots)}
 	s.work.Store(int64(work))
+	if cold > 0 {
+		s.coldUntil.Store(time.Now().Add(cold).UnixMilli())
+	}
 	for range slots {
 		s.free <- struct{}{}
 	}
@@ -83,9 +92,12 @@
 	next = max(next, 0)
 	for seq := 1; ; seq++ {
 		body, _ := json.Marshal(map[string]any{"service": s.service, "addr": s.listener.Addr().String(), "zone": s.zone, "version": "v1",
-			"slots": s.slots, "state": "ready", "cold_left_ms": 0, "seq": seq, "born": born})
+			"slots": s.slots, "state": "ready", "cold_left_ms": s.coldLeft(), "seq": seq, "born": born})
 		status, _ := call("POST", fmt.Sprintf("%s:%d", cores[next%len(cores)].ip, portControl), "/v1/instances/"+s.id+"/heartbeat", body, time.Second)
 		wait := 1200 * time.Millisecond
+		if s.coldLeft() > 0 {
+			s.cluster.rec.logf("%s says that it is cold for %d ms, answer %d", s.id, s.coldLeft(), status)
+		}
 		if status != 200 {
 			next++
 			wait = 200 * time.Millisecond
@@ -98,6 +110,9 @@
 	}
 }
 
+// coldLeft returns for how many milliseconds the searcher stays cold.
+func (s *searcher) coldLeft() int64 { return max(s.coldUntil.Load()-time.Now().UnixMilli(), 0) }
+
 // recordsOf returns the records of a service for a request.
 func recordsOf(id, service string, n int) [][]byte {
 	out := make([][]byte, n)
@@ -123,6 +138,7 @@
 	w.Header().Set("X-Server-Load", s.load())
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set("X-Cold-Ms", fmt.Sprint(s.coldLeft()))
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
