--- a/review/stand-2/gone.go
+++ b/review/stand-2/gone.go
@@ -45,7 +45,7 @@
 	left := map[string]time.Time{} // when each client that gave up had closed its connection
 	served, shortest := 0, deadline
 	var clients sync.WaitGroup
-	for i := range 80 {
+	for i := range 60 {
 		id := fmt.Sprintf("r-%02d", i)
 		gives := i/2%10 < 3
 		front := []*machine{fronts["nbo-a"], fronts["nbo-b"]}[i%2]
@@ -68,7 +68,7 @@
 				left[id] = time.Now()
 			}
 		}()
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(750 * time.Millisecond)
 	}
 	clients.Wait()
 	time.Sleep(2500 * time.Millisecond)
