Bind delegations to the process that asked for them

Cause: delegations are numbered from 1 in each process, and a delegate knows the asking VM by its id alone. Parts that come after the first reply are sent to the VM id, not on the link of the call, and so reached the new process, which merged them into the delegation with the same number. The gather request of the new process also took the place of the old one's in the delegate's table.

Change: each process draws a random ProcessID at its start. Delegations, cancels and late parts carry that of the asking process, and delegates keep gather requests by VM, process and number. Replies carry a digest of the request id and the shards. Process, digest, indexes and counts are compared in one place before anything is merged; what does not fit is logged and counted, and its parts are missing. Values of delegation messages are bounded.

Why it works: a number means something only together with the process that gave it, and that pair does not come back after a restart, whatever the clock says. If a reply is mixed up in another way, the digest shows it.

During an update, late parts between VMs of the two versions are dropped and count as missing.

--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,9 @@
 	return n, n.buildCoordinatorComponents()
 }
 
+// newProcessID returns a random id for this start of the process.
+func newProcessID() zinniatide.ProcessID { return zinniatide.ProcessID(rand.Uint64()) } //nolint:gosec // unique, not secret
+
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // only used for choices among replicas and jitter
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -80,8 +80,9 @@
 // Relay is a process that relays HTTP requests, takes part in the replicated
 // log of the control state, or both.
 type Relay struct {
-	cfg   RelayConfig
-	clock zinniatide.Clock
+	cfg     RelayConfig
+	clock   zinniatide.Clock
+	process zinniatide.ProcessID
 
 	linker        *linker.Linker
 	replicatedLog *logkeeper.Keeper
@@ -137,7 +138,7 @@
 
 // NewRelay builds a Relay. It stays idle until Start is called.
 func NewRelay(cfg RelayConfig, clock zinniatide.Clock, registerer prometheus.Registerer) (*Relay, error) {
-	r := &Relay{cfg: cfg, clock: clock, updates: make(chan struct{}, 1)}
+	r := &Relay{cfg: cfg, clock: clock, process: newProcessID(), updates: make(chan struct{}, 1)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	incarnation := zinniatide.Incarnation(clock.Unix())
 	var err error
@@ -361,7 +362,7 @@
 		Lock: mu, Clock: r.clock, Timer: timers, Names: r.cfg.BackendNames, OnOpen: connections.Inc,
 	})
 	r.relayer = relayer.New(relayer.Config{
-		VM: r.cfg.VM, Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: crossZoneCostMillis, ReplyMargin: replyMargin,
+		VM: r.cfg.VM, Process: r.process, Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: crossZoneCostMillis, ReplyMargin: replyMargin,
 		ConnectMargin: connectMargin,
 	}, relayer.Dependencies{
 		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Registerer: registerer,
--- a/relayer/delegated_hedging.go
+++ b/relayer/delegated_hedging.go
@@ -40,7 +40,7 @@
 	var parts []*part
 	g.r.lastCallID++
 	msg := &delegationRequest{
-		Call: g.r.lastCallID, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
+		Call: g.r.lastCallID, Process: g.r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
 		MaxAttempts: 1, TargetLatency: g.route.TargetLatency, TimeToCutoff: max(g.cutoff-now-remoteRoundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: true,
 		RecordThreshold: g.topRecords.Threshold(),
 	}
@@ -58,6 +58,7 @@
 	if len(parts) == 0 {
 		return 0, denied
 	}
+	digest := msg.digest()
 	g.r.metrics.delegations.Inc()
 	g.r.deps.Links.Call(delegate.vm, zinniatide.KindGather, msg, msg.TimeToDeadline, func(body []byte, err error) {
 		var reply delegationReply
@@ -67,6 +68,9 @@
 		g.r.deps.Timer.After(0, func() {
 			g.r.deps.Lock.Lock()
 			defer g.r.deps.Lock.Unlock()
+			if err == nil {
+				err = g.checkHedgeReply(delegate, parts, digest, &reply)
+			}
 			g.handleHedgeReply(delegate, parts, &reply, err)
 		})
 	})
@@ -88,10 +92,10 @@
 		p.inFlight--
 	}
 	for n, i := range reply.Parts {
-		if i < 0 || i >= len(parts) || n >= len(reply.Stamps) || n >= len(reply.Bodies) || parts[i].done || parts[i].failed {
+		p := parts[i]
+		if p.done || p.failed {
 			continue
 		}
-		p := parts[i]
 		p.done, p.stamp = true, reply.Stamps[n]
 		g.pending--
 		g.received++
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -1,9 +1,12 @@
 package relayer
 
 import (
+	"errors"
+	"fmt"
 	"slices"
 	"unicode/utf8"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
@@ -52,10 +55,11 @@
 }
 
 // delegationKey identifies a gather request that runs here on behalf of another
-// VM.
+// VM. Each process of the VM numbers its delegations from 1.
 type delegationKey struct {
-	from   zinniatide.VMID
-	callID uint64
+	from    zinniatide.VMID
+	process zinniatide.ProcessID
+	callID  uint64
 }
 
 // delegationRequest asks a delegate to gather parts.
@@ -81,6 +85,38 @@
 	// RecordThreshold is a record that the records of hedged parts must exceed to
 	// be returned. If it is empty, all records are returned.
 	RecordThreshold []byte `cbor:"13,keyasint,omitempty"`
+	// Process is the process that sends the request and numbered Call.
+	Process zinniatide.ProcessID `cbor:"14,keyasint"`
+}
+
+// digest identifies what a delegate is asked for: the request and the shards in
+// their order, to which the indexes in its replies refer.
+func (m *delegationRequest) digest() zinniatide.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(m.RequestID)
+	for _, shard := range m.Shards {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(string(shard))
+	}
+	return zinniatide.Fingerprint(d.Sum64())
+}
+
+// maxDelegatedTime bounds the times of a delegationRequest. It is longer than the
+// timeout of any route.
+const maxDelegatedTime zinniatide.Millis = 3_600_000
+
+// check returns an error if values of a received message are out of bounds.
+func (m *delegationRequest) check() error {
+	switch {
+	case len(m.Shards) == 0:
+		return errors.New("no shards")
+	case m.TimeToCutoff < 0 || m.TimeToCutoff > maxDelegatedTime || m.TimeToDeadline <= 0 || m.TimeToDeadline > maxDelegatedTime:
+		return fmt.Errorf("times of %d ms and %d ms are out of bounds", m.TimeToCutoff, m.TimeToDeadline)
+	case m.MaxAttempts < 0 || m.TopRecords < 0:
+		return fmt.Errorf("%d attempts or %d records are out of bounds", m.MaxAttempts, m.TopRecords)
+	}
+	return nil
 }
 
 // delegationReply answers a delegationRequest.
@@ -110,6 +146,8 @@
 	// Leaving are the processes that said in their answers that they are leaving,
 	// since the last reply.
 	Leaving []leavingProcess `cbor:"11,keyasint,omitempty"`
+	// Digest is the digest of the delegationRequest that is answered.
+	Digest zinniatide.Fingerprint `cbor:"12,keyasint"`
 }
 
 // leavingProcess identifies a process that has said that it is leaving.
@@ -122,6 +160,8 @@
 type lateDelegationReply struct {
 	Call  uint64          `cbor:"1,keyasint"`
 	Reply delegationReply `cbor:"2,keyasint"`
+	// Process is the process that asked for the parts.
+	Process zinniatide.ProcessID `cbor:"3,keyasint"`
 }
 
 // delegationCancel ends a delegation early.
@@ -131,6 +171,8 @@
 	// Otherwise the caller has disconnected, and the requests at the servers are
 	// cancelled.
 	Answered bool `cbor:"2,keyasint,omitempty"`
+	// Process is the process that sends the message and asked for the parts.
+	Process zinniatide.ProcessID `cbor:"3,keyasint"`
 }
 
 // updateDelegates rebuilds the list of delegates from the members of c. Known
@@ -256,7 +298,7 @@
 	r.lastCallID++
 	d := &delegation{gather: g, delegate: delegate, callID: r.lastCallID, open: true}
 	msg := &delegationRequest{
-		Call: d.callID, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
+		Call: d.callID, Process: r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
 		MaxAttempts: g.route.MaxAttempts, TargetLatency: g.route.TargetLatency, TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: g.deadline - now,
 	}
 	for _, i := range indexes {
@@ -265,6 +307,7 @@
 		d.parts = append(d.parts, p)
 		msg.Shards = append(msg.Shards, g.route.Shards[i])
 	}
+	d.digest = msg.digest()
 	g.delegations = append(g.delegations, d)
 	r.delegations[d.callID] = d
 	r.metrics.delegations.Inc()
@@ -289,7 +332,11 @@
 // zinniatide.LinkHandler.
 func (r *Relayer) HandleGather(from zinniatide.VMID, body []byte, sendReply func(any, error)) {
 	var msg delegationRequest
-	if err := encoder.Unmarshal(body, &msg); err != nil || sendReply == nil {
+	err := encoder.Unmarshal(body, &msg)
+	if err == nil {
+		err = msg.check()
+	}
+	if err != nil || sendReply == nil {
 		klog.ErrorS(err, "dropped an invalid delegation request", "step", "decode delegation", "peer", from)
 		if sendReply != nil {
 			sendReply(nil, zinniatide.Refuse(zinniatide.CodeBadRequest, "decode delegation: %v", err))
@@ -299,7 +346,12 @@
 	r.deps.Lock.Lock()
 	defer r.deps.Lock.Unlock()
 	now := r.deps.Clock.Now()
-	id := delegationKey{from, msg.Call}
+	id := delegationKey{from, msg.Process, msg.Call}
+	if r.delegatedGathers[id] != nil {
+		klog.ErrorS(nil, "refused a delegation whose number is in use", "step", "gather", "request", msg.RequestID, "peer", from, "call", msg.Call)
+		sendReply(nil, zinniatide.Refuse(zinniatide.CodeRequestIDReused, "delegation %d runs already", msg.Call))
+		return
+	}
 	route := &router.Route{Route: zinniatide.Route{
 		ID: msg.Route, Idempotent: true, Shards: msg.Shards, TopRecords: msg.TopRecords, MaxAttempts: msg.MaxAttempts, TargetLatency: msg.TargetLatency,
 	}}
@@ -307,7 +359,8 @@
 		r: r, hedgesForPeer: msg.Hedge, onBehalf: true, req: &Request{ID: msg.RequestID, Head: msg.Head, Body: msg.Body, ArrivedAt: now}, route: route,
 		respond: func(Reply) {}, startedAt: now, deadline: now + msg.TimeToDeadline,
 	}, cutoff: now + msg.TimeToCutoff}
-	g.sendDelegationReply = func() { g.sendParts(id, &msg, sendReply) }
+	digest := msg.digest()
+	g.sendDelegationReply = func() { g.sendParts(id, &msg, digest, sendReply) }
 	r.delegatedGathers[id] = g
 	r.metrics.delegatedGathers.Inc()
 	g.start()
@@ -323,7 +376,7 @@
 	}
 	r.deps.Lock.Lock()
 	defer r.deps.Lock.Unlock()
-	id := delegationKey{from, msg.Call}
+	id := delegationKey{from, msg.Process, msg.Call}
 	g := r.delegatedGathers[id]
 	delete(r.delegatedGathers, id)
 	switch {
@@ -340,9 +393,9 @@
 // needs them gets a late answer instead of none. A hedge sends a single reply
 // and lists its pending parts as missing, because the sender may still get them
 // from their first servers.
-func (g *gatherRequest) sendParts(id delegationKey, msg *delegationRequest, sendReply func(any, error)) {
+func (g *gatherRequest) sendParts(id delegationKey, msg *delegationRequest, digest zinniatide.Fingerprint, sendReply func(any, error)) {
 	last := msg.Hedge || g.pending == 0 || g.r.deps.Clock.Now() >= g.deadline-deadlineMargin
-	reply := &delegationReply{MayHaveRun: g.mayHaveRun || len(g.openAttempts) > 0, MorePending: !last, DroppedBy: g.droppedBy, Survived: g.survived, Leaving: g.leaving}
+	reply := &delegationReply{Digest: digest, MayHaveRun: g.mayHaveRun || len(g.openAttempts) > 0, MorePending: !last, DroppedBy: g.droppedBy, Survived: g.survived, Leaving: g.leaving}
 	g.droppedBy, g.leaving = 0, nil
 	for i := range g.parts {
 		p := &g.parts[i]
@@ -375,6 +428,6 @@
 		sendReply(reply, nil)
 	case last || len(reply.Parts)+len(reply.Missing) > 0:
 		// If the link is down, the delegating VM gives up the parts by itself.
-		_ = g.r.deps.Links.Send(id.from, zinniatide.KindGatherLateParts, &lateDelegationReply{Call: id.callID, Reply: *reply})
+		_ = g.r.deps.Links.Send(id.from, zinniatide.KindGatherLateParts, &lateDelegationReply{Call: id.callID, Process: id.process, Reply: *reply})
 	}
 }
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -16,6 +16,7 @@
 	delegate *delegate
 	callID   uint64
 	parts    []*part
+	digest   zinniatide.Fingerprint // of the delegationRequest
 	open     bool
 	// firstReplyReceived and finalReplyReceived may be set in any order, because
 	// the replies may be processed out of order.
@@ -29,6 +30,9 @@
 		return
 	}
 	d.firstReplyReceived = true
+	if err == nil {
+		err = g.checkReply(d, reply)
+	}
 	if err != nil {
 		g.closeDelegation(d)
 		g.handleDelegationError(d, err)
@@ -67,22 +71,71 @@
 	}
 	r.deps.Lock.Lock()
 	defer r.deps.Lock.Unlock()
+	if msg.Process != r.config.Process {
+		r.metrics.foreignReplies.Inc()
+		klog.InfoS("dropped parts that an earlier process of this VM has asked for", "step", "gather", "peer", from, "call", msg.Call)
+		return
+	}
 	d := r.delegations[msg.Call]
 	if d == nil || d.delegate.vm != from || !d.open || d.gather.finished {
 		return // the request has already ended
 	}
+	if d.gather.checkReply(d, &msg.Reply) != nil {
+		return // the parts count as missing at the deadline
+	}
 	d.gather.mergeReply(d, &msg.Reply)
 }
 
+// errForeignReply means that a reply does not belong to what was asked.
+var errForeignReply = errors.New("reply does not belong to the request")
+
+// checkReply returns errForeignReply if a reply is not the answer to d, or lists
+// parts that are not awaited from it. Its records are merged from all of its parts,
+// so none of them can be used then.
+func (g *gatherRequest) checkReply(d *delegation, reply *delegationReply) error {
+	return g.checkParts(d.delegate, d.digest, reply, func(i int) bool { return i < len(d.parts) && d.parts[i].delegation == d })
+}
+
+// checkHedgeReply is like checkReply for parts that were hedged through a delegate.
+func (g *gatherRequest) checkHedgeReply(delegate *delegate, parts []*part, digest zinniatide.Fingerprint, reply *delegationReply) error {
+	err := g.checkParts(delegate, digest, reply, func(i int) bool { return i < len(parts) })
+	if err == nil && len(reply.Bodies) != len(reply.Parts) {
+		err = g.rejectReply(delegate, reply, digest)
+	}
+	return err
+}
+
+func (g *gatherRequest) checkParts(delegate *delegate, digest zinniatide.Fingerprint, reply *delegationReply, awaited func(i int) bool) error {
+	valid := reply.Digest == digest && len(reply.Stamps) == len(reply.Parts) && len(reply.PossibleRuns) == len(reply.Missing)
+	seen := map[int]bool{}
+	for _, list := range [][]int{reply.Parts, reply.Missing} {
+		for _, i := range list {
+			valid = valid && i >= 0 && !seen[i] && awaited(i)
+			seen[i] = true
+		}
+	}
+	for _, n := range reply.PossibleRuns {
+		valid = valid && n >= 0 && n <= max(g.route.MaxAttempts, 1)
+	}
+	if valid {
+		return nil
+	}
+	return g.rejectReply(delegate, reply, digest)
+}
+
+func (g *gatherRequest) rejectReply(delegate *delegate, reply *delegationReply, digest zinniatide.Fingerprint) error {
+	g.r.metrics.foreignReplies.Inc()
+	klog.ErrorS(errForeignReply, "rejected the reply of a delegate", "step", "merge parts", "request", g.req.ID, "peer", delegate.vm,
+		"digest", reply.Digest, "want-digest", digest, "parts", len(reply.Parts), "missing", len(reply.Missing))
+	return errForeignReply
+}
+
 // mergeReply merges the parts that a delegate has gathered, and sends the
 // failed ones directly.
 func (g *gatherRequest) mergeReply(d *delegation, reply *delegationReply) {
 	g.mayHaveRun = g.mayHaveRun || reply.MayHaveRun
 	g.recordDelegated(reply)
 	for n, i := range reply.Parts {
-		if i < 0 || i >= len(d.parts) || n >= len(reply.Stamps) || d.parts[i].done {
-			continue
-		}
 		p := d.parts[i]
 		p.done, p.stamp, p.delegation = true, reply.Stamps[n], nil
 		g.received++
@@ -95,10 +148,8 @@
 	}
 	var missing []*part
 	for n, i := range reply.Missing {
-		if i >= 0 && i < len(d.parts) && n < len(reply.PossibleRuns) {
-			d.parts[i].possibleRuns += reply.PossibleRuns[n]
-			missing = append(missing, d.parts[i])
-		}
+		d.parts[i].possibleRuns += reply.PossibleRuns[n]
+		missing = append(missing, d.parts[i])
 	}
 	g.resendOrFail(d, missing)
 	g.finishIfDecided("parts failed")
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -17,6 +17,9 @@
 	// delegations counts the delegations sent to other VMs, delegatedGathers those
 	// served for other VMs.
 	delegations, delegatedGathers prometheus.Counter
+	// foreignReplies counts replies of delegates that were not merged, because they do
+	// not belong to a request of this process.
+	foreignReplies prometheus.Counter
 	// leaves counts the processes that said in an answer that they are leaving, pauses
 	// the pauses that they asked for.
 	leaves, pauses prometheus.Counter
@@ -51,6 +54,9 @@
 	m.delegatedGathers = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_relay_helped_total", Help: "Groups of parts gathered for VMs of other zones.",
 	})
+	m.foreignReplies = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_relay_foreign_replies_total", Help: "Replies of delegates that belong to no request of this process.",
+	})
 	m.leaves = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_backend_leaving_total", Help: "Backend server processes that said in an answer that they are leaving.",
 	})
@@ -58,7 +64,7 @@
 		Name: "zinniatide_backend_pauses_total", Help: "Pauses that backend servers asked for when they turned a request away.",
 	})
 	if registerer != nil {
-		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.leaves, m.pauses)
+		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.foreignReplies, m.leaves, m.pauses)
 	}
 	return m
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -41,8 +41,9 @@
 
 // Config configures a Relayer.
 type Config struct {
-	VM   zinniatide.VMID
-	Zone zinniatide.ZoneID
+	VM      zinniatide.VMID
+	Process zinniatide.ProcessID
+	Zone    zinniatide.ZoneID
 	// Budget is the retry budget of each service, shared by all VMs.
 	Budget retrybudget.Config
 	// RemoteCost is added to the score of a server in another zone, in
--- /dev/null
+++ b/relayer/restart_test.go
@@ -0,0 +1,172 @@
+package relayer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/encoder"
+)
+
+// Guards against parts of a request of an earlier process of the VM in the answer to
+// a request of the process that runs now.
+func TestLatePartsOfEarlierProcess(t *testing.T) {
+	const shards = 4
+	m := newMeshWithRemoteShards(t, shards, shards)
+	for _, e := range m.enrollments[:2] {
+		m.servers[e.Server].drawWorkTime = func() zinniatide.Millis { return 700 }
+	}
+	for i := range 3 {
+		m.ask("front", fmt.Sprintf("early-%d", i))
+	}
+	m.run(m.clock.Now() + 250) // the helper has replied with the other parts
+	m.kill("front")
+	m.start("front")
+	answers := map[string]*meshAnswer{}
+	for i := range 8 {
+		id := fmt.Sprintf("later-%d", i)
+		answers[id], _ = m.ask("front", id)
+		m.run(m.clock.Now() + 5)
+	}
+	m.run(m.clock.Now() + 3000)
+	for id, a := range answers {
+		a.checkParts(t, id, shards)
+	}
+}
+
+// newMeshWithRemoteShards returns a mesh in which the servers of the first remote
+// shards are in zone b, and a front in zone a that needs all shards.
+func newMeshWithRemoteShards(t *testing.T, shards, remote int) *mesh {
+	t.Helper()
+	m := newMesh(t, shards, map[zinniatide.VMID]zinniatide.ZoneID{"front": "a", "helper": "b"})
+	m.config.Routing.Routes[0].MinCoverage = 1
+	m.config.RoutingNumber++
+	for i := range m.enrollments {
+		if m.enrollments[i].Service != "plain" && i/2 < remote {
+			m.enrollments[i].Zone = "b"
+		}
+	}
+	m.update()
+	return m
+}
+
+// Guards against a cancel of an earlier process that ends the gather request of the
+// process that runs now, and against numbers that are used twice.
+func TestDelegationsOfTwoProcessesAreSeparate(t *testing.T) {
+	m := newMeshWithRemoteShards(t, 4, 4)
+	m.ask("front", "early")
+	m.run(m.clock.Now() + 3)
+	m.kill("front")
+	m.start("front")
+	a, _ := m.ask("front", "later")
+	m.run(m.clock.Now() + 3)
+	helper := m.processes["helper"].relayer
+	if got := len(helper.delegatedGathers); got != 2 {
+		t.Fatalf("got %d gather requests at the delegate, want those of both processes", got)
+	}
+	raw, err := encoder.Marshal(&delegationCancel{Call: 1, Process: 1}) // that of "early"
+	if err != nil {
+		t.Fatal(err)
+	}
+	helper.HandleGatherCancel("front", raw, nil)
+	m.run(m.clock.Now() + 1000)
+	a.checkParts(t, "later", 4)
+	if got, want := a.reply.Status, 200; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
+
+// Guards against replies of a delegate that do not belong to what was asked: they must
+// not become part of an answer, nor end the process.
+func TestForeignRepliesAreNotMerged(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		tamper func(*delegationReply)
+	}{
+		{"other request or shards", func(r *delegationReply) { r.Digest++ }},
+		{"index beyond the shards", func(r *delegationReply) { r.Parts = append(r.Parts, 99); r.Stamps = append(r.Stamps, "x") }},
+		{"negative index", func(r *delegationReply) { r.Parts = append(r.Parts, -1); r.Stamps = append(r.Stamps, "x") }},
+		{"part twice", func(r *delegationReply) {
+			r.Parts, r.Stamps = append(r.Parts, r.Parts...), append(r.Stamps, r.Stamps...)
+		}},
+		{"part without stamp", func(r *delegationReply) { r.Stamps = nil }},
+		{"negative count of runs", func(r *delegationReply) { r.Parts, r.Stamps, r.Missing, r.PossibleRuns = nil, nil, []int{0}, []int{-5} }},
+		{"huge count of runs", func(r *delegationReply) {
+			r.Parts, r.Stamps, r.Missing, r.PossibleRuns = nil, nil, []int{0}, []int{1 << 40}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := newMeshWithRemoteShards(t, 4, 4)
+			tampered := 0
+			m.processes["helper"].tamper = func(r *delegationReply) {
+				if len(r.Parts) > 0 {
+					row.tamper(r)
+					tampered++
+				}
+			}
+			a, _ := m.ask("front", "r")
+			m.run(m.clock.Now() + 3000)
+			if a.reply.Status == 0 || tampered == 0 {
+				t.Fatalf("got status %d and %d changed replies, want an answer and at least 1", a.reply.Status, tampered)
+			}
+			a.checkParts(t, "r", 4)
+			if got := testutil.ToFloat64(m.processes["front"].relayer.metrics.foreignReplies); got < 1 {
+				t.Errorf("got %v rejected replies, want at least 1", got)
+			}
+			if got := len(m.processes["front"].relayer.delegations); got != 0 {
+				t.Errorf("got %d open delegations at the end, want 0", got)
+			}
+		})
+	}
+}
+
+// FuzzDelegationMessages guards against messages of other VMs that end the process.
+func FuzzDelegationMessages(f *testing.F) {
+	for _, message := range []any{
+		&delegationRequest{Call: 1, Process: 2, RequestID: "r", Route: "gather", Shards: []zinniatide.ServiceID{"shard-00", "none"}, TimeToCutoff: 20, TimeToDeadline: 50},
+		&lateDelegationReply{Call: 1, Process: 1, Reply: delegationReply{Parts: []int{0}, Stamps: []string{"s"}, Records: []byte("r")}},
+		&delegationCancel{Call: 1, Process: 2},
+	} {
+		raw, err := encoder.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m := newMeshWithRemoteShards(t, 2, 2)
+		front, helper := m.processes["front"].relayer, m.processes["helper"].relayer
+		a, _ := m.ask("front", "r")
+		front.HandleLateParts("helper", raw, nil)
+		helper.HandleGatherCancel("front", raw, nil)
+		helper.HandleGather("front", raw, func(any, error) {})
+		m.run(m.clock.Now() + maxDelegatedTime + 1000)
+		a.checkParts(t, "r", 2)
+		if a.reply.Status == 0 || len(helper.delegatedGathers) > 0 {
+			t.Errorf("got status %d and %d open gather requests, want an answer and none", a.reply.Status, len(helper.delegatedGathers))
+		}
+	})
+}
+
+// Guards against replies of a delegate that was frozen, which arrive after the request
+// that asked for them has ended and others have begun.
+func TestRepliesOfFrozenDelegate(t *testing.T) {
+	m := newMeshWithRemoteShards(t, 4, 4)
+	early, _ := m.ask("front", "early")
+	m.run(m.clock.Now() + 3)
+	helper := m.processes["helper"]
+	helper.frozen = true
+	m.run(m.clock.Now() + 2000)
+	if got := early.reply.Status; got != 502 && got != 504 {
+		t.Errorf("got status %d of the request to a frozen delegate, want 502 or 504", got)
+	}
+	helper.thaw()
+	a, _ := m.ask("front", "later")
+	m.run(m.clock.Now() + 2000)
+	a.checkParts(t, "later", 4)
+	if got, want := a.reply.Status, 200; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
