Bind batches of sub-requests to the process that sent them

What callers could see: after a restart of an entry VM whose clock was set back, results of another search, a refused or a cancelled search.

Cause: a coordinator numbered its batches from the time of day at its start, and owners knew a batch by VM id and number. Results that are ready early are sent to the VM id.

Change: batches, results and cancels carry the ProcessID of the coordinator. Owners keep batches and unsent results by VM and process; a coordinator drops results for another process. BatchNumberBase is gone.

Why it works: the process id differs at each start, whatever the clock says.

Evidence: TestResultsForEarlierProcess fails on the code before when both processes have the same base ("got 2 sub-requests at the owner, want 4": the second batch was refused as running already) and passes now. TestStrayResults keeps its cases; what it said of numbers of an earlier process is now the new test.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 
+	"k8s.io/klog/v2"
+
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/ticker"
 )
@@ -27,14 +29,11 @@
 // Options are the dependencies of a Forwarder.
 type Options struct {
 	VM         zinniatide.VMID
+	Process    zinniatide.ProcessID
 	Clock      zinniatide.Clock
 	Catalog    zinniatide.CatalogProvider
 	Linker     zinniatide.Linker
 	Dispatcher zinniatide.Dispatcher
-	// Batches are numbered from BatchNumberBase+1. The numbers must differ from
-	// those of earlier processes of this VM, whose results may still arrive; the
-	// incarnation shifted left by 32 bits ensures that.
-	BatchNumberBase uint64
 }
 
 // Forwarder implements zinniatide.Forwarder. It also runs the sub-requests that
@@ -87,7 +86,6 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{options: o, batches: map[uint64]*batch{}, calls: map[*call]struct{}{}, stop: make(chan struct{})}
 	f.ticker = ticker.New(o.Clock, f.expireCalls)
-	f.lastBatch.Store(o.BatchNumberBase)
 	f.server = newBatchServer(o)
 	o.Linker.Handle(zinniatide.KindSubRequest, f.server.receiveBatch)
 	o.Linker.Handle(zinniatide.KindSubCancel, f.server.receiveCancel)
@@ -216,7 +214,8 @@
 		return
 	}
 	m := batchMessage{
-		Batch: b.number, Operation: r.Operation, RequestID: r.RequestID, Service: r.Service, Version: r.Version,
+		Process: f.options.Process,
+		Batch:   b.number, Operation: r.Operation, RequestID: r.RequestID, Service: r.Service, Version: r.Version,
 		Workspace: r.Workspace, Class: r.Class, Fingerprint: r.Fingerprint, Remaining: remaining, Body: r.Body,
 		Items: make([]batchItem, len(b.requestIndexes)),
 	}
@@ -240,8 +239,7 @@
 	f.mu.Unlock()
 	switch {
 	case err == nil:
-		m, err := decodeResults(body)
-		if err == nil {
+		if m, err := decodeResults(body); err == nil && f.isForThisProcess(b.owner, &m) {
 			b.applyResults(m.Items)
 		}
 		b.finishAll(unknown(zinniatide.CodeInternal))
@@ -261,7 +259,7 @@
 	if reply != nil {
 		reply(struct{}{}, err)
 	}
-	if err != nil {
+	if err != nil || !f.isForThisProcess(from, &m) {
 		return
 	}
 	for i := range m.Items {
@@ -274,6 +272,16 @@
 	}
 }
 
+// isForThisProcess reports whether results belong to batches of this process. The owner
+// may still have some for an earlier process of this VM, which used the same numbers.
+func (f *Forwarder) isForThisProcess(owner zinniatide.VMID, m *resultMessage) bool {
+	if m.Process == f.options.Process {
+		return true
+	}
+	klog.InfoS("dropped results for an earlier process of this VM", "step", "receive results", "peer", owner, "results", len(m.Items))
+	return false
+}
+
 func (b *batch) applyResults(items []resultItem) {
 	for k := range items {
 		if items[k].Batch == b.number && items[k].Index >= 0 && items[k].Index < len(b.requestIndexes) {
@@ -314,7 +322,7 @@
 	if s.batch != nil {
 		// The error is ignored: if the message is lost, the sub-request still ends at
 		// its deadline.
-		_ = c.forwarder.options.Linker.Send(s.batch.owner, zinniatide.KindSubCancel, cancelMessage{s.batch.number, s.batchIndex})
+		_ = c.forwarder.options.Linker.Send(s.batch.owner, zinniatide.KindSubCancel, cancelMessage{c.forwarder.options.Process, s.batch.number, s.batchIndex})
 	}
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -157,15 +157,14 @@
 }
 
 // TestStrayResults checks that results from another VM, for another batch or with an
-// invalid index or outcome are ignored. Batch numbers of an earlier process of this VM
-// count as other batches.
+// invalid index or outcome are ignored.
 func TestStrayResults(t *testing.T) {
 	c := clock.NewManual(1000, 0)
 	a, b := newVMPair(t, c)
 	got, _ := dispatchAll(a, newRequests(c, "b1"))
 	number := a.lastBatch.Load()
 	stray := func(from zinniatide.VMID, batch uint64, index int, outcome outcomeCode) {
-		raw, err := cbor.Marshal(resultMessage{[]resultItem{{Batch: batch, Index: index, Outcome: outcome}}})
+		raw, err := cbor.Marshal(resultMessage{Process: 1, Items: []resultItem{{Batch: batch, Index: index, Outcome: outcome}}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -183,6 +182,45 @@
 	got.want(t, 0, zinniatide.OutcomeDone, "")
 }
 
+// TestResultsForEarlierProcess guards against results that a batch of an earlier process
+// of the VM gets after the restart, when the new process uses the same numbers, and
+// against a cancel that ends the batch of another process.
+func TestResultsForEarlierProcess(t *testing.T) {
+	c := clock.NewManual(1000, 0)
+	a, b := newVMPair(t, c)
+	dispatchAll(a, newRequests(c, "b1", "b2"))
+	restarted := startVM(t, c, "a", 3, a.catalog, a.peers)
+	later, _ := dispatchAll(restarted, newRequests(c, "b3", "b4"))
+	if got, want := len(b.running), 4; got != want {
+		t.Fatalf("got %d sub-requests at the owner, want %d", got, want)
+	}
+	for i := range 2 {
+		b.running[i].done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: []byte("early")})
+	}
+	b.server.flush()
+	if got := later.counts[0] + later.counts[1]; got != 0 {
+		t.Errorf("got %d results of an earlier process, want 0", got)
+	}
+	raw, err := cbor.Marshal(cancelMessage{Process: 1, Batch: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.server.receiveCancel("a", raw, nil)
+	if got := len(b.cancelled); got != 0 {
+		t.Errorf("got %d cancelled sub-requests of another process, want 0", got)
+	}
+	for i := 2; i < 4; i++ {
+		b.running[i].done(zinniatide.SubResult{Outcome: zinniatide.OutcomeDone, Body: []byte("later")})
+	}
+	b.server.flush()
+	for i := range 2 {
+		later.want(t, i, zinniatide.OutcomeDone, "")
+		if got, want := string(later.results[i].Body), "later"; got != want {
+			t.Errorf("got result %q, want %q", got, want)
+		}
+	}
+}
+
 // TestRejectsInvalidBatch checks that malformed and duplicate batches are not run.
 func TestRejectsInvalidBatch(t *testing.T) {
 	valid := batchMessage{Batch: 1, Remaining: 10, Items: make([]batchItem, 1)}
@@ -218,7 +256,7 @@
 func FuzzDecode(f *testing.F) {
 	for _, value := range []any{
 		batchMessage{Batch: 1, Remaining: 10, Items: []batchItem{{Server: "b", LastKey: 9}}, Body: []byte("{}")},
-		resultMessage{[]resultItem{{Batch: 1, Outcome: encodeOutcome(zinniatide.OutcomeDone)}}}, cancelMessage{1, 2},
+		resultMessage{Process: 1, Items: []resultItem{{Batch: 1, Outcome: encodeOutcome(zinniatide.OutcomeDone)}}}, cancelMessage{1, 1, 2},
 	} {
 		raw, err := cbor.Marshal(value)
 		if err != nil {
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -34,6 +34,8 @@
 	Remaining   zinniatide.Millis       `cbor:"9,keyasint"`
 	Body        []byte                  `cbor:"10,keyasint,omitempty"`
 	Items       []batchItem             `cbor:"11,keyasint"`
+	// Process is the process that numbered Batch.
+	Process zinniatide.ProcessID `cbor:"12,keyasint"`
 }
 
 type batchItem struct {
@@ -47,6 +49,8 @@
 // resultMessage is the body of KindSubResult and of the reply to KindSubRequest.
 type resultMessage struct {
 	Items []resultItem `cbor:"1,keyasint"`
+	// Process is the process that sent the batches.
+	Process zinniatide.ProcessID `cbor:"2,keyasint"`
 }
 
 // resultItem is the result of the item of a batch that has the given index.
@@ -74,8 +78,9 @@
 
 // cancelMessage is the body of KindSubCancel.
 type cancelMessage struct {
-	Batch uint64 `cbor:"1,keyasint"`
-	Index int    `cbor:"2,keyasint,omitempty"`
+	Process zinniatide.ProcessID `cbor:"3,keyasint"`
+	Batch   uint64               `cbor:"1,keyasint"`
+	Index   int                  `cbor:"2,keyasint,omitempty"`
 }
 
 func decodeBatch(body []byte) (m batchMessage, err error) {
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -31,14 +31,20 @@
 	mu      sync.Mutex
 	batches map[batchKey]*servedBatch
 	// unsent holds the results to be sent, by coordinator.
-	unsent         map[zinniatide.VMID][]resultItem
+	unsent         map[coordinator][]resultItem
 	flushRequested chan struct{}
 	// flushScheduled is set from the first unsent result until the next flush.
 	flushScheduled bool
 }
 
+// coordinator is the process that sent a batch.
+type coordinator struct {
+	vm      zinniatide.VMID
+	process zinniatide.ProcessID
+}
+
 type batchKey struct {
-	from   zinniatide.VMID
+	from   coordinator
 	number uint64
 }
 
@@ -58,7 +64,7 @@
 	return &batchServer{
 		clock: o.Clock, linker: o.Linker, dispatcher: o.Dispatcher,
 		batches:        map[batchKey]*servedBatch{},
-		unsent:         map[zinniatide.VMID][]resultItem{},
+		unsent:         map[coordinator][]resultItem{},
 		flushRequested: make(chan struct{}, 1),
 	}
 }
@@ -74,7 +80,7 @@
 		}
 		return
 	}
-	key := batchKey{from, m.Batch}
+	key := batchKey{coordinator{from, m.Process}, m.Batch}
 	b := &servedBatch{
 		cancels: make([]func(), len(m.Items)), finished: make([]bool, len(m.Items)), outstanding: len(m.Items), reply: reply,
 	}
@@ -136,14 +142,14 @@
 		m.Items = m.Items[n:]
 		n = countFitting(m.Items)
 	}
-	b.reply(&resultMessage{Items: m.Items[:n]}, nil)
+	b.reply(&resultMessage{Items: m.Items[:n], Process: key.from.process}, nil)
 }
 
 // sendResults sends results and reports whether the link accepted them.
-func (s *batchServer) sendResults(vm zinniatide.VMID, items []resultItem) bool {
-	err := s.linker.Send(vm, zinniatide.KindSubResult, &resultMessage{Items: items})
+func (s *batchServer) sendResults(to coordinator, items []resultItem) bool {
+	err := s.linker.Send(to.vm, zinniatide.KindSubResult, &resultMessage{Items: items, Process: to.process})
 	if err != nil {
-		klog.V(2).InfoS("failed to send results", "step", "serve", "peer", vm, "err", err.Error())
+		klog.V(2).InfoS("failed to send results", "step", "serve", "peer", to.vm, "err", err.Error())
 	}
 	return err == nil
 }
@@ -196,14 +202,14 @@
 func (s *batchServer) flush() {
 	s.mu.Lock()
 	results := s.unsent
-	s.unsent = make(map[zinniatide.VMID][]resultItem, len(results))
+	s.unsent = make(map[coordinator][]resultItem, len(results))
 	s.addInTransit(results, 1)
 	s.flushScheduled = false
 	s.mu.Unlock()
-	for vm, items := range results {
+	for to, items := range results {
 		for len(items) > 0 {
 			n := countFitting(items)
-			if !s.sendResults(vm, items[:n]) {
+			if !s.sendResults(to, items[:n]) {
 				break
 			}
 			items = items[n:]
@@ -213,19 +219,19 @@
 }
 
 // addInTransit adds delta to inTransit of its batch for each result. s.mu must be held.
-func (s *batchServer) addInTransit(results map[zinniatide.VMID][]resultItem, delta int) {
-	for vm, items := range results {
+func (s *batchServer) addInTransit(results map[coordinator][]resultItem, delta int) {
+	for from, items := range results {
 		for i := range items {
 			// The batch exists: takeReply removes a batch only together with its unsent
 			// results, and not while results are in transit.
-			s.batches[batchKey{vm, items[i].Batch}].inTransit += delta
+			s.batches[batchKey{from, items[i].Batch}].inTransit += delta
 		}
 	}
 }
 
 // replyToCompleted marks results as no longer in transit and replies to the batches
 // that are complete as a consequence.
-func (s *batchServer) replyToCompleted(results map[zinniatide.VMID][]resultItem) {
+func (s *batchServer) replyToCompleted(results map[coordinator][]resultItem) {
 	type completed struct {
 		key     batchKey
 		batch   *servedBatch
@@ -234,9 +240,9 @@
 	var all []completed
 	s.mu.Lock()
 	s.addInTransit(results, -1)
-	for vm, items := range results {
+	for from, items := range results {
 		for i := range items {
-			key := batchKey{vm, items[i].Batch}
+			key := batchKey{from, items[i].Batch}
 			if b := s.batches[key]; b != nil {
 				if m := s.takeReply(key, b); m != nil {
 					all = append(all, completed{key, b, m})
@@ -278,7 +284,7 @@
 func (s *batchServer) cancel(from zinniatide.VMID, m cancelMessage) {
 	s.mu.Lock()
 	var cancel func()
-	if b := s.batches[batchKey{from, m.Batch}]; b != nil && m.Index >= 0 && m.Index < len(b.cancels) {
+	if b := s.batches[batchKey{coordinator{from, m.Process}, m.Batch}]; b != nil && m.Index >= 0 && m.Index < len(b.cancels) {
 		cancel = b.cancels[m.Index]
 	}
 	s.mu.Unlock()
--- a/forwarder/support_test.go
+++ b/forwarder/support_test.go
@@ -147,16 +147,20 @@
 		add(fmt.Sprint("b", i), "b")
 	}
 	add("x1", "")
-	for _, vm := range []zinniatide.VMID{"a", "b"} {
-		v := &fakeVM{vm: vm, peers: peers, handlers: map[zinniatide.MessageKind]zinniatide.LinkHandler{},
-			catalog: catalog, sentMessages: map[zinniatide.MessageKind]int{}}
-		v.Forwarder = New(Options{VM: vm, Clock: c, Catalog: v, Linker: v, Dispatcher: v, BatchNumberBase: 1 << 32})
-		peers[vm] = v
-		if t, ok := tb.(*testing.T); ok {
-			t.Cleanup(v.Close)
-		}
+	return startVM(tb, c, "a", 1, catalog, peers), startVM(tb, c, "b", 2, catalog, peers)
+}
+
+// startVM starts a process of a VM in the place of the one in peers.
+func startVM(tb testing.TB, c zinniatide.Clock, vm zinniatide.VMID, process zinniatide.ProcessID,
+	catalog *zinniatide.Catalog, peers map[zinniatide.VMID]*fakeVM) *fakeVM {
+	v := &fakeVM{vm: vm, peers: peers, handlers: map[zinniatide.MessageKind]zinniatide.LinkHandler{},
+		catalog: catalog, sentMessages: map[zinniatide.MessageKind]int{}}
+	v.Forwarder = New(Options{VM: vm, Process: process, Clock: c, Catalog: v, Linker: v, Dispatcher: v})
+	peers[vm] = v
+	if t, ok := tb.(*testing.T); ok {
+		t.Cleanup(v.Close)
 	}
-	return peers["a"], peers["b"]
+	return v
 }
 
 func newRequests(c zinniatide.Clock, servers ...string) []zinniatide.SubRequest {
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,7 @@
 	})
 	n.forwarder = forwarder.New(forwarder.Options{
 		VM: n.cfg.VM, Clock: n.clock, Catalog: n.cataloger, Linker: n.linker, Dispatcher: n.dispatcher,
-		BatchNumberBase: uint64(n.incarnation) << 32,
+		Process: newProcessID(),
 	})
 }
 
