Tell processes of a VM apart by random ids instead of the time of day

Cause: the time of day at the start was the incarnation of a process. A peer refused the links of a VM with a lower incarnation than it had seen, and never forgot it.

Change: processes have a random ProcessID without an order. The link to a VM belongs to the process that has it, until that one is lost or does not answer a ping in 300 ms. A refused process logs and counts it, and gets in by itself once the other one is gone. Members, buckets, releases, leases, catalog lists, batches and delegations are keyed by the process id; zinniatide run and zinniatide platform share it.

Why it works: identity no longer reads a clock, and the order comes from what the others have seen and from the log.

--- a/cataloger/builder.go
+++ b/cataloger/builder.go
@@ -52,11 +52,11 @@
 
 // put replaces the list of vm if l is newer, and reports whether it did.
 func (b *catalogBuilder) put(vm zinniatide.VMID, l list, now zinniatide.Millis) bool {
-	d := digest{l.Incarnation, l.Sequence}
+	d := digest{l.Process, l.Sequence}
 	if !b.outdated(vm, d) {
 		return false
 	}
-	if old := b.lists[vm]; old != nil && old.Incarnation != l.Incarnation {
+	if old := b.lists[vm]; old != nil && old.Process != l.Process {
 		b.replacedLists = append(b.replacedLists, replacedList{old, now + zinniatide.AnnouncementExpiry})
 	}
 	b.lists[vm] = &receivedList{d, l.Servers}
@@ -95,11 +95,11 @@
 	candidates := map[zinniatide.BackendServerID]candidate{}
 	for vm, received := range b.lists {
 		member, isMember := c.Members[vm]
-		isMember = isMember && member.Incarnation == received.Incarnation
+		isMember = isMember && member.Process == received.Process
 		for i := range received.servers {
 			a := &received.servers[i]
 			bucket := bucketOf(c, a)
-			owned := isMember && bucket != nil && bucket.Owner == vm && bucket.OwnerIncarnation == received.Incarnation
+			owned := isMember && bucket != nil && bucket.Owner == vm && bucket.OwnerProcess == received.Process
 			addCandidate(candidates, candidate{a, owned})
 		}
 	}
@@ -167,7 +167,7 @@
 	if b == nil || b.Owner == "" {
 		return "", ""
 	}
-	if m, ok := c.Members[b.Owner]; !ok || m.Incarnation != b.OwnerIncarnation {
+	if m, ok := c.Members[b.Owner]; !ok || m.Process != b.OwnerProcess {
 		return "", ""
 	}
 	if b.NextOwner != "" {
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -30,7 +30,7 @@
 // Options are the dependencies of a Cataloger.
 type Options struct {
 	VM            zinniatide.VMID
-	Incarnation   zinniatide.Incarnation
+	Process       zinniatide.ProcessID
 	Clock         zinniatide.Clock
 	Configuration zinniatide.ConfigurationProvider
 	Linker        zinniatide.Linker
@@ -173,9 +173,9 @@
 	configuration := c.options.Configuration.Configuration()
 	c.mu.Lock()
 	c.table.expire(now)
-	current := digest{c.options.Incarnation, c.table.sequence}
+	current := digest{c.options.Process, c.table.sequence}
 	if c.builder.outdated(c.options.VM, current) {
-		c.builder.put(c.options.VM, list{current.Incarnation, current.Sequence, c.table.list()}, now)
+		c.builder.put(c.options.VM, list{current.Process, current.Sequence, c.table.list()}, now)
 		c.needsBuild = true
 	}
 	if c.needsBuild || configuration != c.builtConfiguration || len(c.builder.orphanedSince) > 0 {
--- a/cataloger/message.go
+++ b/cataloger/message.go
@@ -20,23 +20,22 @@
 // digest is the version of the list of a VM and the body of KindCatalogDigest. The
 // encoder uses the json tags as CBOR keys.
 type digest struct {
-	Incarnation zinniatide.Incarnation `json:"incarnation"`
-	Sequence    uint64                 `json:"sequence"`
+	Process  zinniatide.ProcessID `json:"incarnation"`
+	Sequence uint64               `json:"sequence"`
 }
 
 // list is the reply to KindCatalogPull. It holds all servers that a VM lists.
 type list struct {
-	Incarnation zinniatide.Incarnation    `json:"incarnation"`
-	Sequence    uint64                    `json:"sequence"`
-	Servers     []zinniatide.Announcement `json:"servers"`
+	Process  zinniatide.ProcessID      `json:"incarnation"`
+	Sequence uint64                    `json:"sequence"`
+	Servers  []zinniatide.Announcement `json:"servers"`
 }
 
-// newer reports whether a is a later state than b of the same VM.
+// newer reports whether a, which has just arrived, is a later state than b of the same
+// VM. Of two processes, the one whose digest arrives later is the later one: a process
+// that has been replaced has no links.
 func (a digest) newer(b digest) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
-	}
-	return a.Sequence > b.Sequence
+	return a.Process != b.Process || a.Sequence > b.Sequence
 }
 
 // Validate checks an announcement. The error is a *zinniatide.Refusal with
--- a/cataloger/receive.go
+++ b/cataloger/receive.go
@@ -38,7 +38,7 @@
 		return
 	}
 	c.mu.Lock()
-	l := list{c.options.Incarnation, c.table.sequence, c.table.list()}
+	l := list{c.options.Process, c.table.sequence, c.table.list()}
 	c.mu.Unlock()
 	reply(l, nil)
 }
--- a/cmd/zinniabench/scenarios/capacitycatalog.go
+++ b/cmd/zinniabench/scenarios/capacitycatalog.go
@@ -149,15 +149,15 @@
 		},
 	}
 	h.servers = make([][]zinniatide.Announcement, owners)
-	h.configuration.Members[readerVM] = zinniatide.Member{VM: readerVM, Incarnation: 1, Zone: "zone-1", Entry: true, State: zinniatide.StateIn}
+	h.configuration.Members[readerVM] = zinniatide.Member{VM: readerVM, Process: 1, Zone: "zone-1", Entry: true, State: zinniatide.StateIn}
 	for i := range owners {
 		zone := zinniatide.ZoneID(fmt.Sprintf("zone-%d", i/zinniatide.BucketsPerZone+1))
 		if h.configuration.Buckets[zone] == nil {
 			h.configuration.Buckets[zone] = make([]zinniatide.Bucket, zinniatide.BucketsPerZone)
 		}
-		h.configuration.Buckets[zone][i%zinniatide.BucketsPerZone] = zinniatide.Bucket{Owner: ownerVM(i), OwnerIncarnation: 1}
+		h.configuration.Buckets[zone][i%zinniatide.BucketsPerZone] = zinniatide.Bucket{Owner: ownerVM(i), OwnerProcess: 1}
 		h.configuration.Members[ownerVM(i)] = zinniatide.Member{
-			VM: ownerVM(i), Incarnation: 1, Zone: zone, Entry: true, State: zinniatide.StateIn, HTTPAddress: "10.0.0.1:80",
+			VM: ownerVM(i), Process: 1, Zone: zone, Entry: true, State: zinniatide.StateIn, HTTPAddress: "10.0.0.1:80",
 		}
 	}
 	for i, found := 0, 0; found < n; i++ {
@@ -184,7 +184,7 @@
 func (h *catalogHarness) cataloger(id zinniatide.VMID) *cataloger.Cataloger {
 	h.handlers[id] = map[zinniatide.MessageKind]zinniatide.LinkHandler{}
 	return cataloger.New(cataloger.Options{
-		VM: id, Incarnation: 1, Clock: h, Configuration: h, Linker: &directLinker{h, id},
+		VM: id, Process: 1, Clock: h, Configuration: h, Linker: &directLinker{h, id},
 	})
 }
 
@@ -251,7 +251,7 @@
 }
 
 // SetPeers implements zinniatide.Linker.
-func (l *directLinker) SetPeers(map[zinniatide.VMID]string) {}
+func (l *directLinker) SetPeers(map[zinniatide.VMID]zinniatide.Peer) {}
 
 // Connected implements zinniatide.Linker.
 func (l *directLinker) Connected(zinniatide.VMID) bool { return true }
--- a/cmd/zinniabench/scenarios/capacityconfiguration.go
+++ b/cmd/zinniabench/scenarios/capacityconfiguration.go
@@ -102,7 +102,7 @@
 // applying them on the leader, by metric name.
 func changeCPUMicros(c *zinniatide.Configuration, raw []byte) (map[string]float64, error) {
 	m := c.Members["vm-00001"]
-	m.Incarnation++
+	m.Process++
 	state := zinniatide.StateSetting{State: zinniatide.StateLeaving}
 	restart := []registrar.Delta{{Epoch: c.Epoch + 1, Members: map[zinniatide.VMID]*zinniatide.Member{m.VM: &m}}}
 	ticket := []registrar.Delta{{Epoch: c.Epoch + 1, BackendServers: map[zinniatide.BackendServerID]*zinniatide.StateSetting{"server-0000001": &state}}}
@@ -121,12 +121,12 @@
 		},
 		"encode-whole-cpu": func(int) error { _, err := encoder.Marshal(c); return err },
 		"apply-restart-cpu": func(i int) error {
-			m.Incarnation = c.Members[m.VM].Incarnation + zinniatide.Incarnation(i) + 1
+			m.Process = c.Members[m.VM].Process + zinniatide.ProcessID(i) + 1
 			return applyCommand(r, &registrar.Command{Join: &registrar.Join{Members: []zinniatide.Member{m}}})
 		},
 		"apply-loss-cpu": func(i int) error {
 			lost := c.Members[zinniatide.VMID(fmt.Sprintf("vm-%05d", i+2))]
-			return applyCommand(r, &registrar.Command{Remove: &registrar.Removal{Sessions: []registrar.Session{{VM: lost.VM, Incarnation: lost.Incarnation}}}})
+			return applyCommand(r, &registrar.Command{Remove: &registrar.Removal{Sessions: []registrar.Session{{VM: lost.VM, Process: lost.Process}}}})
 		},
 		// Selects the arbiters, which decide whether requests are quarantined.
 		"guards-of-100-requests-cpu": func(i int) error {
@@ -193,7 +193,7 @@
 func fillMembers(c *zinniatide.Configuration, n int) {
 	for i := range n {
 		m := zinniatide.Member{
-			VM: zinniatide.VMID(fmt.Sprintf("vm-%05d", i)), Incarnation: 1_700_000_000_000,
+			VM: zinniatide.VMID(fmt.Sprintf("vm-%05d", i)), Process: 1_700_000_000_000,
 			Zone:        zinniatide.ZoneID(fmt.Sprintf("zone-%d", i%scaleZones+1)),
 			HTTPAddress: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255),
 			PeerAddress: fmt.Sprintf("10.%d.%d.%d:8081", i>>16, i>>8&255, i&255), Entry: true, State: zinniatide.StateIn,
@@ -209,7 +209,7 @@
 			// With at most scaleZones zones, the owner is in the zone that fillMembers
 			// assigns to it.
 			vm := zinniatide.VMID(fmt.Sprintf("vm-%05d", z+i*scaleZones))
-			table[i] = zinniatide.Bucket{Owner: vm, OwnerIncarnation: 1_700_000_000_000}
+			table[i] = zinniatide.Bucket{Owner: vm, OwnerProcess: 1_700_000_000_000}
 		}
 		c.Buckets[zinniatide.ZoneID(fmt.Sprintf("zone-%d", z+1))] = table
 	}
--- a/cmd/zinniabench/scenarios/capacitylinks.go
+++ b/cmd/zinniabench/scenarios/capacitylinks.go
@@ -79,8 +79,8 @@
 
 // digestBody has the same encoding as the digest of package cataloger.
 type digestBody struct {
-	Incarnation zinniatide.Incarnation `json:"incarnation"`
-	Sequence    uint64                 `json:"sequence"`
+	Process  zinniatide.ProcessID `json:"incarnation"`
+	Sequence uint64               `json:"sequence"`
 }
 
 // sendAll sends messages from each VM to all others at the given rate. The VMs send
@@ -98,7 +98,7 @@
 				if i == j {
 					continue
 				}
-				body := digestBody{Incarnation: 1_700_000_000_000, Sequence: uint64(round)}
+				body := digestBody{Process: 1_700_000_000_000, Sequence: uint64(round)}
 				if err := l.Send(id, zinniatide.KindCatalogDigest, body); err != nil {
 					return err
 				}
@@ -121,10 +121,10 @@
 
 func startMesh(n int) (*mesh, error) {
 	m := &mesh{registry: prometheus.NewRegistry()}
-	peers := map[zinniatide.VMID]string{}
+	peers := map[zinniatide.VMID]zinniatide.Peer{}
 	for i := range n {
 		id := zinniatide.VMID(fmt.Sprintf("m%04d", i))
-		l, err := linker.New(linker.Config{Self: id, Incarnation: 1, ListenAddress: "127.0.0.1:0", EventLoops: 1},
+		l, err := linker.New(linker.Config{Self: id, Process: 1, ListenAddress: "127.0.0.1:0", EventLoops: 1},
 			clock.New(), prometheus.WrapRegistererWith(prometheus.Labels{"vm": string(id)}, m.registry))
 		if err != nil {
 			return m, err
@@ -134,7 +134,7 @@
 		if err := l.Start(); err != nil {
 			return m, err
 		}
-		peers[id] = l.Address()
+		peers[id] = zinniatide.Peer{Address: l.Address()}
 	}
 	m.memoryBefore = members.LiveMemory()
 	for _, l := range m.vms {
--- a/cmd/zinniactl/internal/commands/state.go
+++ b/cmd/zinniactl/internal/commands/state.go
@@ -89,7 +89,7 @@
 	printTableHeader(w, len(c.Members), "MEMBER", "INCARNATION", "ZONE", "HTTP ADDRESS", "ENTRY", "STATE", "SERVING", "BUCKETS", "MOVING AWAY")
 	for _, id := range slices.Sorted(maps.Keys(c.Members)) {
 		m := c.Members[id]
-		printRow(w, m.VM, m.Incarnation, m.Zone, m.HTTPAddress, m.Entry, m.State, c.VMServing(id), owned[id], moving[id])
+		printRow(w, m.VM, m.Process, m.Zone, m.HTTPAddress, m.Entry, m.State, c.VMServing(id), owned[id], moving[id])
 	}
 	if owned[""] > 0 {
 		printRow(w, fmt.Sprintf("%d buckets have no owner", owned[""]))
--- a/configuration.go
+++ b/configuration.go
@@ -109,12 +109,14 @@
 
 // Member is a VM with a live session.
 type Member struct {
-	VM          VMID        `json:"vm"`
-	Incarnation Incarnation `json:"incarnation"`
-	Zone        ZoneID      `json:"zone"`
-	HTTPAddress string      `json:"http-address"`
-	PeerAddress string      `json:"peer-address"`
-	Entry       bool        `json:"entry"` // serves callers and owns buckets
+	VM VMID `json:"vm"`
+	// Process is the process that runs on the VM. Its key is that of versions whose
+	// processes were numbered in the order of their starts.
+	Process     ProcessID `json:"incarnation"`
+	Zone        ZoneID    `json:"zone"`
+	HTTPAddress string    `json:"http-address"`
+	PeerAddress string    `json:"peer-address"`
+	Entry       bool      `json:"entry"` // serves callers and owns buckets
 	// Relay is set on a VM that proxies HTTP requests according to the routing
 	// table. It owns no buckets.
 	Relay bool `json:"relay,omitempty"`
@@ -132,8 +134,8 @@
 	// Owner is the only VM that may send requests. It is empty if no VM owns the
 	// bucket.
 	Owner VMID `json:"owner"`
-	// OwnerIncarnation is the incarnation of Owner that owns the bucket.
-	OwnerIncarnation Incarnation `json:"owner-incarnation"`
+	// OwnerProcess is the process of Owner that owns the bucket.
+	OwnerProcess ProcessID `json:"owner-incarnation"`
 	// NextOwner is the VM that becomes the owner once Owner has released the
 	// bucket. It may be Owner itself, which still has to release the bucket. It is
 	// empty if no move is pending. While it is set, Owner must not start new work.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -156,7 +156,7 @@
 	// removed before a full lease has passed from now.
 	members := c.stateMachine.Configuration().Members
 	for _, vm := range slices.Sorted(maps.Keys(members)) {
-		c.sessions.open(vm, members[vm].Incarnation, 0, now)
+		c.sessions.open(vm, members[vm].Process, 0, now)
 	}
 	klog.InfoS("became control leader", "step", "lead", "members", c.sessions.size())
 	if len(c.stateMachine.Configuration().ControlVMs) == 0 && len(c.config.ControlVMs) > 0 {
@@ -189,7 +189,7 @@
 				c.sessions.close(vm)
 				continue
 			}
-			c.sessions.open(vm, m.Incarnation, configuration.Epoch, now)
+			c.sessions.open(vm, m.Process, configuration.Epoch, now)
 		}
 	}
 	c.pushToOutdated()
@@ -249,7 +249,7 @@
 		return
 	}
 	for _, s := range expired {
-		klog.InfoS("lease expired, removing VM", "step", "expire", "peer", s.VM, "incarnation", s.Incarnation)
+		klog.InfoS("lease expired, removing VM", "step", "expire", "peer", s.VM, "process", s.Process)
 	}
 	c.metrics.expiredLeases.Add(float64(len(expired)))
 	c.removeSessions(expired, func(error) {})
--- a/controller/heartbeat.go
+++ b/controller/heartbeat.go
@@ -38,12 +38,12 @@
 	switch {
 	case h.Deregister:
 		c.handleDeregistration(h, member, known, reply)
-	case known && member.Incarnation > h.Member.Incarnation:
-		reply(nil, zinniatide.Refuse(zinniatide.CodeSuperseded, "VM %s runs with incarnation %d", member.VM, member.Incarnation))
+	case known && c.stateMachine.IsReplaced(h.Member.VM, h.Member.Process):
+		reply(nil, zinniatide.Refuse(zinniatide.CodeSuperseded, "another process of VM %s, %d, has replaced this one", member.VM, member.Process))
 	case known && member == h.Member:
 		reply(c.extendLease(h), nil)
 	default:
-		klog.InfoS("VM is joining or changing its member data", "step", "join", "peer", h.Member.VM, "incarnation", h.Member.Incarnation, "state", h.Member.State, "control", h.Control)
+		klog.InfoS("VM is joining or changing its member data", "step", "join", "peer", h.Member.VM, "process", h.Member.Process, "state", h.Member.State, "control", h.Control)
 		c.pendingJoins = append(c.pendingJoins, pendingJoin{h, reply})
 		c.proposeJoins()
 	}
@@ -87,7 +87,7 @@
 func (c *Controller) extendLease(h *controlproto.Heartbeat) *controlproto.HeartbeatReply {
 	response := &controlproto.HeartbeatReply{LeaderStatus: c.leadership(), Epoch: c.stateMachine.Configuration().Epoch}
 	s := c.sessions.get(h.Member.VM)
-	if !response.Leading || s == nil || s.incarnation != h.Member.Incarnation {
+	if !response.Leading || s == nil || s.process != h.Member.Process {
 		return response
 	}
 	now := c.clock.Now()
@@ -110,12 +110,12 @@
 // handleDeregistration removes a member that has given up its lease.
 func (c *Controller) handleDeregistration(h *controlproto.Heartbeat, member zinniatide.Member, known bool, reply replyFunc) {
 	response := &controlproto.HeartbeatReply{LeaderStatus: c.leadership()}
-	if !known || member.Incarnation != h.Member.Incarnation {
+	if !known || member.Process != h.Member.Process {
 		reply(response, nil)
 		return
 	}
-	klog.InfoS("removing VM that gave up its lease", "step", "leave", "peer", member.VM, "incarnation", member.Incarnation)
-	sessions := []registrar.Session{{VM: member.VM, Incarnation: member.Incarnation}}
+	klog.InfoS("removing VM that gave up its lease", "step", "leave", "peer", member.VM, "process", member.Process)
+	sessions := []registrar.Session{{VM: member.VM, Process: member.Process}}
 	c.removeSessions(sessions, func(err error) {
 		response.LeaderStatus = c.leadership()
 		response.Leading = response.Leading && err == nil
--- a/controller/push.go
+++ b/controller/push.go
@@ -85,26 +85,26 @@
 		return
 	}
 	s.pushInFlight, s.pushedAt = true, now
-	vm, incarnation := s.vm, s.incarnation
+	vm, process := s.vm, s.process
 	c.links.Call(vm, zinniatide.KindControlPush, message, pushTimeout, func(body []byte, err error) {
 		var ack controlproto.PushReply
 		if err == nil {
 			err = encoder.Unmarshal(body, &ack)
 		}
-		c.log.Post(func() { c.handlePushReply(vm, incarnation, ack, err) })
+		c.log.Post(func() { c.handlePushReply(vm, process, ack, err) })
 	})
 }
 
 // handlePushReply records the acknowledged epoch and continues with the next
 // push, or schedules a retry if the VM made no progress.
-func (c *Controller) handlePushReply(vm zinniatide.VMID, incarnation zinniatide.Incarnation, ack controlproto.PushReply, err error) {
+func (c *Controller) handlePushReply(vm zinniatide.VMID, process zinniatide.ProcessID, ack controlproto.PushReply, err error) {
 	s := c.sessions.get(vm)
-	if s == nil || s.incarnation != incarnation {
+	if s == nil || s.process != process {
 		return
 	}
 	s.pushInFlight = false
 	before := s.installedEpoch
-	if err == nil && ack.Incarnation == incarnation {
+	if err == nil && ack.Process == process {
 		s.setInstalled(ack.Epoch, c.clock.Now())
 		c.finishInstallWaits()
 	}
--- a/controller/session.go
+++ b/controller/session.go
@@ -7,8 +7,8 @@
 
 // session is the leader's state of one member.
 type session struct {
-	vm          zinniatide.VMID
-	incarnation zinniatide.Incarnation
+	vm      zinniatide.VMID
+	process zinniatide.ProcessID
 	// leaseExtendedAt is when the last heartbeat that extended the lease was
 	// received.
 	leaseExtendedAt zinniatide.Millis
@@ -20,7 +20,7 @@
 	heartbeatSeen bool
 	// installedEpoch is the newest epoch acknowledged by the VM, 0 if unknown.
 	installedEpoch zinniatide.Epoch
-	// joinEpoch is the epoch at which the incarnation became a member, 0 if
+	// joinEpoch is the epoch at which the process became a member, 0 if
 	// unknown. The VM holds no lease before it has installed this epoch.
 	joinEpoch zinniatide.Epoch
 	// progressAt is when the VM last installed an epoch, or when there was one to
@@ -63,18 +63,18 @@
 	return nil
 }
 
-// open starts the session of an incarnation unless it exists. Epoch is the one
-// at which the incarnation became a member, or 0 if unknown.
-func (t *sessionTable) open(vm zinniatide.VMID, incarnation zinniatide.Incarnation, epoch zinniatide.Epoch, now zinniatide.Millis) {
+// open starts the session of a process unless it exists. Epoch is the one
+// at which the process became a member, or 0 if unknown.
+func (t *sessionTable) open(vm zinniatide.VMID, process zinniatide.ProcessID, epoch zinniatide.Epoch, now zinniatide.Millis) {
 	s := t.get(vm)
 	if s == nil {
 		t.index[vm] = len(t.entries)
 		t.entries = append(t.entries, session{})
 		s = &t.entries[len(t.entries)-1]
-	} else if s.incarnation == incarnation {
+	} else if s.process == process {
 		return
 	}
-	*s = session{vm: vm, incarnation: incarnation, joinEpoch: epoch, leaseExtendedAt: now, replyConfirmedAt: now, progressAt: now}
+	*s = session{vm: vm, process: process, joinEpoch: epoch, leaseExtendedAt: now, replyConfirmedAt: now, progressAt: now}
 }
 
 func (t *sessionTable) close(vm zinniatide.VMID) {
@@ -103,14 +103,14 @@
 	for i := range t.entries {
 		s := &t.entries[i]
 		if !s.removing && now-s.leaseExtendedAt > zinniatide.LeaseDuration+zinniatide.LeaseMargin {
-			out = append(out, registrar.Session{VM: s.vm, Incarnation: s.incarnation})
+			out = append(out, registrar.Session{VM: s.vm, Process: s.process})
 		}
 	}
 	return out
 }
 
 func (t *sessionTable) setRemoving(id registrar.Session, removing bool) {
-	if s := t.get(id.VM); s != nil && s.incarnation == id.Incarnation {
+	if s := t.get(id.VM); s != nil && s.process == id.Process {
 		s.removing = removing
 	}
 }
--- a/controlproto/controlproto.go
+++ b/controlproto/controlproto.go
@@ -69,8 +69,8 @@
 // PushReply acknowledges a ConfigurationPush with the epoch that is installed
 // after it.
 type PushReply struct {
-	Epoch       zinniatide.Epoch       `cbor:"1,keyasint"`
-	Incarnation zinniatide.Incarnation `cbor:"2,keyasint"`
+	Epoch   zinniatide.Epoch     `cbor:"1,keyasint"`
+	Process zinniatide.ProcessID `cbor:"2,keyasint"`
 }
 
 // BucketID identifies a bucket.
@@ -82,8 +82,8 @@
 // BucketRelease reports that the owner has drained buckets that are moving to
 // another owner.
 type BucketRelease struct {
-	VM          zinniatide.VMID        `cbor:"1,keyasint"`
-	Incarnation zinniatide.Incarnation `cbor:"2,keyasint"`
+	VM      zinniatide.VMID      `cbor:"1,keyasint"`
+	Process zinniatide.ProcessID `cbor:"2,keyasint"`
 	// Epoch is an epoch whose configuration contains the moves of all Buckets.
 	// It distinguishes a delayed release from the release for a later move.
 	Epoch   zinniatide.Epoch `cbor:"3,keyasint"`
--- a/dispatcher/admission.go
+++ b/dispatcher/admission.go
@@ -12,13 +12,13 @@
 
 // owns reports whether vm owns the bucket, including one that is being handed
 // over to another VM.
-func owns(c *zinniatide.Configuration, key bucketKey, vm zinniatide.VMID, inc zinniatide.Incarnation) bool {
+func owns(c *zinniatide.Configuration, key bucketKey, vm zinniatide.VMID, process zinniatide.ProcessID) bool {
 	buckets := c.Buckets[key.zone]
 	if key.index >= len(buckets) {
 		return false
 	}
 	b := &buckets[key.index]
-	return b.Owner == vm && b.OwnerIncarnation == inc
+	return b.Owner == vm && b.OwnerProcess == process
 }
 
 // configurationRefusal returns the reason why c forbids new work for the
@@ -26,7 +26,7 @@
 func (s *server) configurationRefusal(c *zinniatide.Configuration) zinniatide.Code {
 	o := &s.d.options
 	switch {
-	case !owns(c, s.bucket, o.VM, o.Incarnation), c.Buckets[s.bucket.zone][s.bucket.index].NextOwner != "":
+	case !owns(c, s.bucket, o.VM, o.Process), c.Buckets[s.bucket.zone][s.bucket.index].NextOwner != "":
 		return zinniatide.CodeNotOwner
 	case !c.BackendServerServing(s.id, s.bucket.zone):
 		return zinniatide.CodeNotServing
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -29,7 +29,7 @@
 // Options are the dependencies of a Dispatcher.
 type Options struct {
 	VM            zinniatide.VMID
-	Incarnation   zinniatide.Incarnation
+	Process       zinniatide.ProcessID
 	Clock         zinniatide.Clock
 	Configuration zinniatide.ConfigurationProvider
 	Catalog       zinniatide.CatalogProvider
--- a/dispatcher/tick.go
+++ b/dispatcher/tick.go
@@ -58,7 +58,7 @@
 func (s *server) updateConnections(now zinniatide.Millis) {
 	code := s.refusalCode(now)
 	lostOwnership := now >= s.d.options.Configuration.LeaseUntil() ||
-		!owns(s.configCheck.configuration, s.bucket, s.d.options.VM, s.d.options.Incarnation)
+		!owns(s.configCheck.configuration, s.bucket, s.d.options.VM, s.d.options.Process)
 	switch {
 	case lostOwnership, code == zinniatide.CodeNotOwner && len(s.running) == 0:
 		if !s.paused {
@@ -155,7 +155,7 @@
 
 // retirementCode returns why a server has left the table.
 func (d *Dispatcher) retirementCode(s *server, c *zinniatide.Configuration) zinniatide.Code {
-	if owns(c, s.bucket, d.options.VM, d.options.Incarnation) {
+	if owns(c, s.bucket, d.options.VM, d.options.Process) {
 		return zinniatide.CodeServerGone
 	}
 	return zinniatide.CodeNotOwner
@@ -168,7 +168,7 @@
 	for zone, buckets := range c.Buckets {
 		for i := range buckets {
 			key := bucketKey{zone, i}
-			if !owns(c, key, d.options.VM, d.options.Incarnation) {
+			if !owns(c, key, d.options.VM, d.options.Process) {
 				delete(d.ownedSince, key)
 			} else if _, ok := d.ownedSince[key]; !ok {
 				d.ownedSince[key] = now
--- a/interfaces.go
+++ b/interfaces.go
@@ -47,13 +47,20 @@
 // value to encode or an error.
 type LinkHandler func(from VMID, body []byte, reply func(value any, err error))
 
+// Peer is a VM in the peer table of a Linker.
+type Peer struct {
+	Address string
+	// Process is the process of the VM that the configuration names, or 0.
+	Process ProcessID
+}
+
 // Linker exchanges CBOR messages over one WebSocket connection per pair of VMs.
 type Linker interface {
 	// Handle registers the handler of a kind. All handlers must be registered
 	// before the Linker is started.
 	Handle(kind MessageKind, h LinkHandler)
-	// SetPeers replaces the address table of peers.
-	SetPeers(peers map[VMID]string)
+	// SetPeers replaces the table of peers.
+	SetPeers(peers map[VMID]Peer)
 	// Send queues a one-way message without blocking. A nil error means that the
 	// message is queued. Send returns ErrNotSent if the peer is unknown or not
 	// connected, or if its queue is full.
--- a/linker/link.go
+++ b/linker/link.go
@@ -30,7 +30,7 @@
 // link is one connection to a peer, served by the event loop of the connection.
 type link struct {
 	peer         zinniatide.VMID
-	incarnation  zinniatide.Incarnation
+	process      zinniatide.ProcessID
 	dialled      bool // this side dialled, so it must mask the frames it sends
 	compresses   bool // both sides support compressed payloads
 	transport    transport
@@ -38,6 +38,8 @@
 	established  zinniatide.Millis
 	lastReceived atomic.Int64 // time of the last received byte
 	lastPing     zinniatide.Millis
+	// probedAt is when a probe was sent that has no answer yet, or 0.
+	probedAt atomic.Int64
 
 	// Used by the link's event loop only.
 	headerReader headerReader
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -23,8 +23,8 @@
 // Config configures a Linker. Zero values of optional fields select the
 // defaults.
 type Config struct {
-	Self        zinniatide.VMID
-	Incarnation zinniatide.Incarnation
+	Self    zinniatide.VMID
+	Process zinniatide.ProcessID
 	// ListenAddress is the IP:port to listen on. Port 0 selects a free port.
 	ListenAddress string
 	// AdvertiseAddress is the IP:port at which peers reach this VM. The
--- a/linker/local.go
+++ b/linker/local.go
@@ -17,7 +17,7 @@
 }
 
 func newLocalLink(l *Linker) *link {
-	lk := newLink(l, l.config.Self, l.config.Incarnation)
+	lk := newLink(l, l.config.Self, l.config.Process)
 	t := &loopback{link: lk, signal: make(chan struct{}, 1), done: make(chan struct{})}
 	lk.transport = t
 	return lk
--- a/linker/metrics.go
+++ b/linker/metrics.go
@@ -16,6 +16,7 @@
 	timeouts           prometheus.Counter
 	closed             prometheus.Counter
 	failedDials        prometheus.Counter
+	refusedDials       prometheus.Counter
 	refusedConnections prometheus.Counter
 	handshakePanics    prometheus.Counter
 }
@@ -40,6 +41,7 @@
 		timeouts:           counter("call_timeouts_total", "Calls without an answer in time."),
 		closed:             counter("closed_total", "Links closed for any reason."),
 		failedDials:        counter("failed_dials_total", "Dials that brought no link."),
+		refusedDials:       counter("refused_dials_total", "Dials that the peer refused, such as those of a process that another one of the same VM has replaced."),
 		refusedConnections: counter("refused_connections_total", "Accepted connections closed before a link came about."),
 		handshakePanics:    counter("handshake_panics_total", "Accepted connections closed because serving their handshake panicked."),
 	}
--- a/linker/peers.go
+++ b/linker/peers.go
@@ -1,6 +1,9 @@
 package linker
 
 import (
+	"errors"
+	"slices"
+
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
@@ -11,8 +14,14 @@
 	address string
 	// configured is set while the peer is in the table passed to SetPeers. Other
 	// peers are known from their hello message only.
-	configured  bool
-	incarnation zinniatide.Incarnation // highest incarnation seen
+	configured bool
+	// process is the process that had the last link.
+	process zinniatide.ProcessID
+	// registered is the process that the table passed to SetPeers names, or 0.
+	registered zinniatide.ProcessID
+	// superseded are the last processes whose links were taken over by other
+	// processes of the VM, oldest first.
+	superseded  []zinniatide.ProcessID
 	link        *link
 	dialling    bool
 	nextDial    zinniatide.Millis
@@ -44,11 +53,11 @@
 
 // SetPeers implements zinniatide.Linker. It keeps existing links, also to peers
 // that are no longer in the table, but those peers are not dialled again.
-func (l *Linker) SetPeers(peers map[zinniatide.VMID]string) {
+func (l *Linker) SetPeers(peers map[zinniatide.VMID]zinniatide.Peer) {
 	defer l.ticker.Wake()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, address := range peers {
+	for id, peer := range peers {
 		if id == l.config.Self {
 			continue
 		}
@@ -57,8 +66,9 @@
 			p = &peerState{}
 			l.peers[id] = p
 		}
-		if p.address != address {
-			p.address, p.redialDelay, p.nextDial = address, 0, l.clock.Now()
+		p.register(peer.Process)
+		if p.address != peer.Address {
+			p.address, p.redialDelay, p.nextDial = peer.Address, 0, l.clock.Now()
 			if !l.dialsTo(id) {
 				p.nextDial += dialBackDelay
 			}
@@ -94,8 +104,51 @@
 	l.ticker.Wake()
 }
 
+// maxSuperseded is the number of superseded processes that are remembered for each
+// peer.
+const maxSuperseded = 16
+
+// register records the process that the configuration names. A change of it is newer
+// than what this VM has concluded from the links of the peer.
+func (p *peerState) register(process zinniatide.ProcessID) {
+	if process == 0 || process == p.registered {
+		return
+	}
+	p.registered = process
+	p.superseded = slices.DeleteFunc(p.superseded, func(s zinniatide.ProcessID) bool { return s == process })
+}
+
+// checkProcess returns an error if a process may not take over the link to the peer:
+// it was superseded, or another process still has the link and is not known to be
+// dead. A superseded process gets the link back if nobody has it and the configuration
+// names the process, because then another one had it by mistake.
+func (p *peerState) checkProcess(process zinniatide.ProcessID) error {
+	switch {
+	case process == p.process:
+		return nil
+	case slices.Contains(p.superseded, process) && (p.link != nil || process != p.registered):
+		return errSuperseded
+	case p.link != nil && process != p.registered:
+		return errOtherProcess
+	}
+	return nil
+}
+
+// take records that a process has the link to the peer.
+func (p *peerState) take(process zinniatide.ProcessID) {
+	if process == p.process {
+		return
+	}
+	p.superseded = slices.DeleteFunc(p.superseded, func(s zinniatide.ProcessID) bool { return s == process })
+	if p.process != 0 {
+		p.superseded = append(p.superseded, p.process)
+		p.superseded = p.superseded[max(len(p.superseded)-maxSuperseded, 0):]
+	}
+	p.process = process
+}
+
 // installLink makes lk the link to its peer and closes the link that lk replaces.
-// It refuses links of an older incarnation.
+// See checkProcess for the links that it refuses.
 func (l *Linker) installLink(lk *link) error {
 	l.mu.Lock()
 	if l.closing {
@@ -107,12 +160,15 @@
 		p = &peerState{}
 		l.peers[lk.peer] = p
 	}
-	if lk.incarnation < p.incarnation {
+	if err := p.checkProcess(lk.process); err != nil {
+		old := p.link
 		l.mu.Unlock()
-		return errStaleIncarnation
+		l.probe(old)
+		return err
 	}
 	old := p.link
-	p.link, p.incarnation = lk, lk.incarnation
+	p.take(lk.process)
+	p.link = lk
 	p.failures, p.lastError = 0, ""
 	l.mu.Unlock()
 	l.ticker.Wake()
@@ -120,7 +176,7 @@
 	if old != nil {
 		l.dropLink(old, "replaced by a newer connection", nil)
 	}
-	klog.InfoS("link established", "step", "hello", "peer", lk.peer, "incarnation", lk.incarnation)
+	klog.InfoS("link established", "step", "hello", "peer", lk.peer, "process", lk.process)
 	return nil
 }
 
@@ -205,10 +261,16 @@
 	case now >= silenceDeadline:
 		l.dropLink(lk, "no byte received in time", nil)
 		return now
+	case lk.probeFailed(now, received):
+		l.dropLink(lk, "no answer to a probe", nil)
+		return now
 	case now >= max(lk.lastPing, received)+zinniatide.LinkPingInterval-pingSlack:
 		lk.lastPing = now
 		lk.sendPing()
 	}
+	if probedAt := zinniatide.Millis(lk.probedAt.Load()); probedAt > 0 {
+		silenceDeadline = min(silenceDeadline, probedAt+probeTimeout)
+	}
 	next := min(silenceDeadline, max(lk.lastPing, received)+zinniatide.LinkPingInterval, lk.expireCalls(now))
 	if lk.scheduleFlushIfStalled() {
 		lk.transport.wake()
@@ -217,6 +279,33 @@
 	return next
 }
 
+// probeTimeout is how long a peer has to answer a probe.
+const probeTimeout zinniatide.Millis = 300
+
+// probe pings the peer of a link that another process of the same VM wants to take
+// over. The link is closed unless the peer answers within probeTimeout.
+func (l *Linker) probe(lk *link) {
+	if lk == nil || !lk.probedAt.CompareAndSwap(0, int64(l.clock.Now())) {
+		return
+	}
+	lk.sendPing()
+	l.ticker.ScheduleAt(l.clock.Now() + probeTimeout)
+}
+
+// probeFailed reports whether a probe had no answer in time. It ends a probe that was
+// answered.
+func (lk *link) probeFailed(now, received zinniatide.Millis) bool {
+	probedAt := zinniatide.Millis(lk.probedAt.Load())
+	if probedAt == 0 {
+		return false
+	}
+	if received >= probedAt {
+		lk.probedAt.Store(0)
+		return false
+	}
+	return now >= probedAt+probeTimeout
+}
+
 // pingSlack is how much earlier than due a ping may be sent, so that one tick can
 // send the pings of several links.
 const pingSlack = zinniatide.LinkPingInterval / 4
@@ -269,6 +358,9 @@
 		return
 	}
 	l.metrics.failedDials.Inc()
+	if errors.Is(err, errRefused) {
+		l.metrics.refusedDials.Inc()
+	}
 	p.failures++
 	if !p.configured && p.failures >= maxUnconfiguredFailures {
 		delete(l.peers, id)
--- a/node/node.go
+++ b/node/node.go
@@ -55,10 +55,10 @@
 // Node is a process of the query tier that serves search and execute requests of
 // callers. Depending on its Config it also has the control role.
 type Node struct {
-	cfg         Config
-	clock       zinniatide.Clock
-	registerer  prometheus.Registerer
-	incarnation zinniatide.Incarnation
+	cfg        Config
+	clock      zinniatide.Clock
+	registerer prometheus.Registerer
+	process    zinniatide.ProcessID
 
 	linker        *linker.Linker
 	replicatedLog *logkeeper.Keeper
@@ -76,11 +76,11 @@
 
 // New builds a Node. It stays idle until Start is called.
 func New(cfg Config, clock zinniatide.Clock, registerer prometheus.Registerer) (*Node, error) {
-	n := &Node{cfg: cfg, clock: clock, registerer: registerer, incarnation: zinniatide.Incarnation(clock.Unix())}
+	n := &Node{cfg: cfg, clock: clock, registerer: registerer, process: newProcessID()}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	var err error
 	n.linker, err = linker.New(linker.Config{
-		Self: cfg.VM, Incarnation: n.incarnation, ListenAddress: cfg.PeerAddress,
+		Self: cfg.VM, Process: n.process, ListenAddress: cfg.PeerAddress,
 		AdvertiseAddress: cfg.PeerAddress, DialAddress: cfg.DialAddress,
 	}, clock, registerer)
 	if err != nil {
@@ -93,7 +93,7 @@
 	}
 	n.subscriber = subscriber.New(subscriber.Config{
 		Member: zinniatide.Member{
-			VM: cfg.VM, Incarnation: n.incarnation, Zone: cfg.Zone, Entry: cfg.Entry,
+			VM: cfg.VM, Process: n.process, Zone: cfg.Zone, Entry: cfg.Entry,
 			HTTPAddress: cfg.HTTPAddress, PeerAddress: cfg.PeerAddress, State: zinniatide.StateIn,
 		},
 		Control: cfg.Control, ControlVMs: cfg.ControlVMs,
@@ -118,17 +118,17 @@
 // VMs that own them.
 func (n *Node) buildOwnerComponents() {
 	n.cataloger = cataloger.New(cataloger.Options{
-		VM: n.cfg.VM, Incarnation: n.incarnation, Clock: n.clock, Configuration: n.subscriber, Linker: n.linker,
+		VM: n.cfg.VM, Process: n.process, Clock: n.clock, Configuration: n.subscriber, Linker: n.linker,
 		OnAnnouncement: func(a zinniatide.Announcement) { n.dispatcher.Observe(a) },
 		OnChange:       func() { n.dispatcher.Wake() },
 	})
 	n.dispatcher = dispatcher.New(dispatcher.Options{
-		VM: n.cfg.VM, Incarnation: n.incarnation, Clock: n.clock, Configuration: n.subscriber, Catalog: n.cataloger,
+		VM: n.cfg.VM, Process: n.process, Clock: n.clock, Configuration: n.subscriber, Catalog: n.cataloger,
 		Linker: n.linker, Random: newRand(), Registerer: n.registerer, Release: n.subscriber.ReleaseBucketAt,
 	})
 	n.forwarder = forwarder.New(forwarder.Options{
 		VM: n.cfg.VM, Clock: n.clock, Catalog: n.cataloger, Linker: n.linker, Dispatcher: n.dispatcher,
-		Process: newProcessID(),
+		Process: n.process,
 	})
 }
 
@@ -155,7 +155,7 @@
 		}
 	})
 	klog.InfoS("serving", "step", "start", "http-address", n.cfg.HTTPAddress, "peer-address", n.cfg.PeerAddress,
-		"entry", n.cfg.Entry, "control", n.cfg.Control, "incarnation", n.incarnation)
+		"entry", n.cfg.Entry, "control", n.cfg.Control, "process", n.process)
 	return nil
 }
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -140,10 +140,9 @@
 func NewRelay(cfg RelayConfig, clock zinniatide.Clock, registerer prometheus.Registerer) (*Relay, error) {
 	r := &Relay{cfg: cfg, clock: clock, process: newProcessID(), updates: make(chan struct{}, 1)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	incarnation := zinniatide.Incarnation(clock.Unix())
 	var err error
 	r.linker, err = linker.New(linker.Config{
-		Self: cfg.VM, Incarnation: incarnation, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM),
+		Self: cfg.VM, Process: r.process, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM),
 	}, clock, registerer)
 	if err != nil {
 		return nil, err
@@ -156,7 +155,7 @@
 	}
 	r.subscriber = subscriber.New(subscriber.Config{
 		Member: zinniatide.Member{
-			VM: cfg.VM, Incarnation: incarnation, Zone: cfg.Zone, HTTPAddress: cmp.Or(cfg.CallerAddress, cfg.ControlAddress),
+			VM: cfg.VM, Process: r.process, Zone: cfg.Zone, HTTPAddress: cmp.Or(cfg.CallerAddress, cfg.ControlAddress),
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
 		Control: control, ControlVMs: r.knownControlVMs(),
--- a/registrar/buckets.go
+++ b/registrar/buckets.go
@@ -95,10 +95,10 @@
 	}
 }
 
-// hasLiveOwner reports whether the incarnation that owns b is a member.
+// hasLiveOwner reports whether the process that owns b is a member.
 func hasLiveOwner(c *zinniatide.Configuration, b *zinniatide.Bucket) bool {
 	m, ok := c.Members[b.Owner]
-	return ok && m.Incarnation == b.OwnerIncarnation
+	return ok && m.Process == b.OwnerProcess
 }
 
 // assignBucket returns b with wanted as its owner or, if its owner is live, as
@@ -112,7 +112,7 @@
 	if !live {
 		delete(r.pendingMoves, key)
 		_, replaced := c.Members[b.Owner]
-		return zinniatide.Bucket{Owner: wanted, OwnerIncarnation: c.Members[wanted].Incarnation, DelayStart: replaced}
+		return zinniatide.Bucket{Owner: wanted, OwnerProcess: c.Members[wanted].Process, DelayStart: replaced}
 	}
 	if wanted == "" {
 		wanted = b.Owner // no VM can take over
@@ -144,7 +144,7 @@
 		return false
 	}
 	b := &table[key.Index]
-	return b.Owner == release.VM && b.OwnerIncarnation == release.Incarnation && b.NextOwner != "" && release.Epoch >= r.pendingMoves[key]
+	return b.Owner == release.VM && b.OwnerProcess == release.Process && b.NextOwner != "" && release.Epoch >= r.pendingMoves[key]
 }
 
 // applyRelease moves the released buckets to their next owner. It skips a bucket
@@ -158,7 +158,7 @@
 		}
 		b := table[key.Index]
 		delete(r.pendingMoves, key)
-		owner := zinniatide.Bucket{Owner: b.NextOwner, OwnerIncarnation: tx.next.Members[b.NextOwner].Incarnation}
+		owner := zinniatide.Bucket{Owner: b.NextOwner, OwnerProcess: tx.next.Members[b.NextOwner].Process}
 		tx.add(Delta{Buckets: []BucketChange{{Zone: key.Zone, Index: key.Index, Bucket: owner}}})
 	}
 	return r.commit(tx)
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -76,8 +76,8 @@
 
 // Session identifies one process that ran on a VM.
 type Session struct {
-	VM          zinniatide.VMID        `cbor:"1,keyasint"`
-	Incarnation zinniatide.Incarnation `cbor:"2,keyasint"`
+	VM      zinniatide.VMID      `cbor:"1,keyasint"`
+	Process zinniatide.ProcessID `cbor:"2,keyasint"`
 }
 
 // Bootstrap sets the initial control VMs of a system without any.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -17,6 +17,9 @@
 	tickets       ticketTable
 	pendingMoves  map[bucketKey]zinniatide.Epoch // epoch at which each pending bucket move began
 	claims        claimTable
+	// replaced are the last processes of each member that other processes have
+	// replaced, oldest first.
+	replaced map[zinniatide.VMID][]zinniatide.ProcessID
 	// routingDocument is the current routing table as the operator wrote it.
 	routingDocument []byte
 	// zoneOrders counts the zone state changes that took effect, also those that
@@ -40,6 +43,7 @@
 		tickets:       newTicketTable(),
 		pendingMoves:  map[bucketKey]zinniatide.Epoch{},
 		claims:        newClaimTable(),
+		replaced:      map[zinniatide.VMID][]zinniatide.ProcessID{},
 	}
 }
 
--- a/registrar/snapshot.go
+++ b/registrar/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"zinniatide.example/zinniatide"
@@ -26,6 +27,13 @@
 	Claims          []*claimRecord            `cbor:"8,keyasint"`
 	RoutingDocument []byte                    `cbor:"9,keyasint,omitempty"`
 	ZoneOrders      uint64                    `cbor:"10,keyasint,omitempty"`
+	Replaced        []replacedProcesses       `cbor:"11,keyasint,omitempty"`
+}
+
+// replacedProcesses are the processes of a member that others have replaced.
+type replacedProcesses struct {
+	VM        zinniatide.VMID        `cbor:"1,keyasint"`
+	Processes []zinniatide.ProcessID `cbor:"2,keyasint"`
 }
 
 // entityNumber is the highest ticket number accepted for an entity.
@@ -63,6 +71,9 @@
 		s.Claims = append(s.Claims, c)
 	}
 	slices.SortFunc(s.Claims, func(a, b *claimRecord) int { return cmp.Compare(a.ID, b.ID) })
+	for _, vm := range slices.Sorted(maps.Keys(r.replaced)) {
+		s.Replaced = append(s.Replaced, replacedProcesses{vm, r.replaced[vm]})
+	}
 	return encoder.Marshal(&s)
 }
 
@@ -95,6 +106,10 @@
 	for _, m := range s.PendingMoves {
 		r.pendingMoves[m.Bucket] = m.Since
 	}
+	r.replaced = make(map[zinniatide.VMID][]zinniatide.ProcessID, len(s.Replaced))
+	for _, p := range s.Replaced {
+		r.replaced[p.VM] = p.Processes
+	}
 	for _, f := range r.observers {
 		f(r.configuration, nil)
 	}
--- a/subscriber/install.go
+++ b/subscriber/install.go
@@ -25,7 +25,7 @@
 			s.install(&push)
 		}
 		if reply != nil {
-			reply(&controlproto.PushReply{Epoch: s.Configuration().Epoch, Incarnation: s.config.Member.Incarnation}, err)
+			reply(&controlproto.PushReply{Epoch: s.Configuration().Epoch, Process: s.config.Member.Process}, err)
 		}
 	})
 }
--- a/subscriber/release.go
+++ b/subscriber/release.go
@@ -12,7 +12,7 @@
 
 // owns reports whether this process owns b.
 func (s *Subscriber) owns(b *zinniatide.Bucket) bool {
-	return b.Owner == s.config.Member.VM && b.OwnerIncarnation == s.config.Member.Incarnation
+	return b.Owner == s.config.Member.VM && b.OwnerProcess == s.config.Member.Process
 }
 
 // ReleaseBucket reports that this VM has drained a bucket that it owns and whose
@@ -70,7 +70,7 @@
 	s.releaseInFlight = true
 	s.nextReleaseAt = now + releaseInterval
 	message := &controlproto.BucketRelease{
-		VM: s.config.Member.VM, Incarnation: s.config.Member.Incarnation, Epoch: epoch, Buckets: slices.Clone(s.releases[epoch]),
+		VM: s.config.Member.VM, Process: s.config.Member.Process, Epoch: epoch, Buckets: slices.Clone(s.releases[epoch]),
 	}
 	call(s, contacted, zinniatide.KindControlRelease, message, releaseTimeout, func(reply *controlproto.ReleaseReply, err error) {
 		s.releaseInFlight = false
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -144,22 +144,26 @@
 // VMs and the members selected by Config.SelectPeers, without this VM. The
 // subscriber updates the links itself whenever the table changes. It must be
 // called before Run or on the goroutine of Run.
-func (s *Subscriber) Peers() map[zinniatide.VMID]string {
+func (s *Subscriber) Peers() map[zinniatide.VMID]zinniatide.Peer {
 	c := s.Configuration()
-	peers := make(map[zinniatide.VMID]string, len(c.Members)+len(s.config.ControlVMs))
+	peers := make(map[zinniatide.VMID]zinniatide.Peer, len(c.Members)+len(s.config.ControlVMs))
 	for _, vm := range controlVMs(c, s.config.ControlVMs) {
-		peers[vm.VM] = vm.PeerAddress
+		peers[vm.VM] = zinniatide.Peer{Address: vm.PeerAddress, Process: c.Members[vm.VM].Process}
 	}
 	for vm, address := range s.leaderAddresses {
-		peers[vm] = address
+		peers[vm] = zinniatide.Peer{Address: address, Process: c.Members[vm].Process}
+	}
+	add := func(vm zinniatide.VMID) {
+		m := c.Members[vm]
+		peers[vm] = zinniatide.Peer{Address: m.PeerAddress, Process: m.Process}
 	}
 	if s.config.SelectPeers != nil {
 		for _, vm := range s.config.SelectPeers(c) {
-			peers[vm] = c.Members[vm].PeerAddress
+			add(vm)
 		}
 	} else {
-		for vm, m := range c.Members {
-			peers[vm] = m.PeerAddress
+		for vm := range c.Members {
+			add(vm)
 		}
 	}
 	delete(peers, s.config.Member.VM)
--- a/types.go
+++ b/types.go
@@ -29,9 +29,9 @@
 // Counters and positions.
 type (
 	// ProcessID identifies one start of a process among all starts of its VM. It is
-	// drawn at random, so that it depends on no clock and no file.
+	// drawn at random, so that it depends on no clock and no file, and has no order.
 	ProcessID uint64
-	// Incarnation distinguishes the starts of a process. It increases with each
+	// Incarnation distinguishes the starts of a backend server. It increases with each
 	// start.
 	Incarnation uint64
 	// Epoch counts the configuration changes accepted so far.
