Let no control VM acknowledge changes before a new log has a majority

What callers could see: a change that was acknowledged by the first control VM of a new system before the others had joined was on one disk only.

Cause: a new log starts with one voter, which is a majority of itself.

Change: the status of the log says that it is forming while fewer than a majority of the VMs for which it was initialised are voters; a smaller set that operators want now counts instead. Calls of operators get no-quorum until then. Joins and changes of the set are still committed.

Why it works: an acknowledgement needs two of three disks from the first one on.

Evidence: with the check taken out, TestIsolatedControlVMDecidesNothing fails ("put: got status 200, want 503", and likewise for reads and evacuations); with it, it passes.

--- a/controller/operator.go
+++ b/controller/operator.go
@@ -129,6 +129,10 @@
 // that it sees all committed entries.
 func (c *Controller) execute(f *controlproto.Forward, done func(controlproto.ForwardReply)) {
 	finish := func(value any, err error) { done(c.newForwardReply(value, err)) }
+	if c.log.Status().Forming {
+		finish(nil, zinniatide.Refuse(zinniatide.CodeNoQuorum, "too few of the control VMs have joined the new log; try again"))
+		return
+	}
 	if isWrite(f) {
 		c.executeWrite(f, func(value any, err error) {
 			if !acknowledgesInstalled(f) || err != nil && !supersedes(err) {
--- a/logkeeper/requests.go
+++ b/logkeeper/requests.go
@@ -138,7 +138,7 @@
 	s := k.replicator.Status(k.cfg.Clock.Now())
 	status := zinniatide.LogStatus{
 		Leader: s.Leader.VM, Term: s.Term, Commit: s.Commit, Applied: k.appliedIndex,
-		Voters: slices.Clone(s.Membership.Voters),
+		Voters: slices.Clone(s.Membership.Voters), Forming: s.Forming,
 	}
 	if k.failure != nil {
 		status.Leader, status.Failed = "", k.failure.Error()
--- /dev/null
+++ b/node/export_test.go
@@ -0,0 +1,13 @@
+package node
+
+// Kill ends the process of a Relay as a crash would, without a planned stop.
+func (r *Relay) Kill() {
+	r.cancel()
+	r.linker.Close()
+	if r.replicatedLog != nil {
+		_ = r.replicatedLog.Close()
+	}
+	for _, server := range r.httpServers {
+		_ = server.Shutdown()
+	}
+}
--- /dev/null
+++ b/node/isolated_test.go
@@ -0,0 +1,137 @@
+package node_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/journal"
+	"zinniatide.example/zinniatide/logkeeper"
+	"zinniatide.example/zinniatide/node"
+	"zinniatide.example/zinniatide/platform"
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// controlVM is a control VM with the endpoints of the platform.
+type controlVM struct {
+	*node.Relay
+	control, directory string
+}
+
+// startControlVM starts one of the control VMs in seeds.
+func startControlVM(t *testing.T, self zinniatide.VMID, seeds []zinniatide.ControlVM, folder string) *controlVM {
+	t.Helper()
+	r, err := node.NewRelay(node.RelayConfig{VM: self, Zone: "a", ControlAddress: freeAddress(t), DataFolder: folder, Seeds: seeds, Voters: len(seeds)},
+		clock.New(), prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	vm := &controlVM{r, freeAddress(t), freeAddress(t)}
+	if err := r.Start([]node.Endpoint{
+		{Address: vm.control, Handler: platform.NewControlHandler(r.Operator(), r.Enroller(), r.HeartbeatAddress)},
+		{Address: vm.directory, Handler: platform.NewDirectoryHandler(r.Addresses, 1000)},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return vm
+}
+
+// testCall is a call of the users' protocol to a control VM.
+type testCall struct{ name, method, path, body string }
+
+var testCalls = []testCall{
+	{"put", "POST", "/v1/config/put", `{"version":1,"routes":[],"services":[],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`},
+	{"get", "GET", "/v1/config/get", ""},
+	{"evacuate", "POST", "/v1/evacuate/a/start", ""},
+	{"end of evacuation", "POST", "/v1/evacuate/a/end", ""},
+	{"resolve", "GET", "/v1/resolve?zone=a", ""},
+}
+
+// checkRefusals sends all calls to a control VM and checks that it answers 503 to all.
+func (vm *controlVM) checkRefusals(t *testing.T) {
+	t.Helper()
+	for _, call := range testCalls {
+		address, want := vm.control, fasthttp.StatusServiceUnavailable
+		if call.name == "resolve" {
+			address = vm.directory
+		}
+		if got := send(t, call.method, "http://"+address+call.path, call.body); got != want {
+			t.Errorf("%s: got status %d, want %d", call.name, got, want)
+		}
+	}
+}
+
+// electionTime is longer than an election of the only voter needs.
+const electionTime = 1500 * time.Millisecond
+
+// Guards against a control VM that answers for all although it reaches no other one:
+// with an empty data folder, as the only voter of a new log, and after the loss of the
+// others.
+func TestIsolatedControlVMDecidesNothing(t *testing.T) {
+	self := zinniatide.VMID(freeAddress(t))
+	seeds := []zinniatide.ControlVM{{VM: self, PeerAddress: string(self)}}
+	for range 2 {
+		other := freeAddress(t)
+		seeds = append(seeds, zinniatide.ControlVM{VM: zinniatide.VMID(other), PeerAddress: other})
+	}
+	empty := startControlVM(t, self, seeds, t.TempDir())
+	time.Sleep(electionTime)
+	empty.checkRefusals(t)
+	empty.Kill()
+
+	folder := t.TempDir()
+	if err := logkeeper.Init(journal.OSFileSystem{}, folder, self, seeds); err != nil {
+		t.Fatal(err)
+	}
+	first := startControlVM(t, self, seeds, folder)
+	time.Sleep(electionTime)
+	first.checkRefusals(t)
+
+	var others []*controlVM
+	for _, vm := range seeds[1:] {
+		others = append(others, startControlVM(t, vm.VM, seeds, t.TempDir()))
+	}
+	put, end := testCalls[0], time.Now().Add(20*time.Second)
+	for send(t, put.method, "http://"+first.control+put.path, put.body) != fasthttp.StatusOK {
+		if time.Now().After(end) {
+			t.Fatal("the control VMs formed no log in time")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, vm := range others {
+		vm.Kill()
+	}
+	time.Sleep(electionTime) // longer than the lease of a leader
+	first.checkRefusals(t)
+	first.Kill()
+}
+
+// send returns the status of the answer to a request.
+func send(t *testing.T, method, url, body string) int {
+	t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(url)
+	req.SetBodyString(body)
+	if err := fasthttp.DoTimeout(req, resp, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode()
+}
--- a/replication.go
+++ b/replication.go
@@ -18,6 +18,9 @@
 	Commit  uint64  `json:"commit"`  // index of the last committed entry
 	Applied uint64  `json:"applied"` // index of the last applied entry
 	Voters  []Voter `json:"voters"`
+	// Forming is true while fewer than a majority of the VMs for which a new log was
+	// initialised are voters. Their first voter commits entries alone.
+	Forming bool `json:"forming,omitempty"`
 	// Failed is the reason why the VM stopped acknowledging entries, such as a
 	// failed fsync. It is empty on a working VM.
 	Failed string `json:"failed,omitempty"`
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -54,6 +54,17 @@
 // list stored in the membership applies.
 func (r *Replicator) SetControlVMs(vms []zinniatide.VMID) { r.desiredVMs = slices.Clone(vms) }
 
+// isForming reports whether fewer than a majority of the VMs for which the log was
+// initialised, or of the VMs that should be voters now, are voters.
+func (r *Replicator) isForming() bool {
+	m := r.Membership()
+	target := len(m.ControlVMs)
+	if n := len(r.desiredVMs); n > 0 {
+		target = min(target, n)
+	}
+	return 2*len(m.Voters) <= target
+}
+
 func (r *Replicator) isDesired(vm zinniatide.VMID) bool {
 	if len(r.desiredVMs) > 0 {
 		return slices.Contains(r.desiredVMs, vm)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -292,7 +292,7 @@
 	r.now = max(r.now, now)
 	return Status{
 		Role: r.role, Term: r.term, Leader: r.leader, Commit: r.commitIndex,
-		HasLease: r.hasLease(), Membership: r.Membership(),
+		HasLease: r.hasLease(), Membership: r.Membership(), Forming: r.isForming(),
 	}
 }
 
--- a/replicator/types.go
+++ b/replicator/types.go
@@ -170,6 +170,8 @@
 	HasLease   bool
 	Commit     uint64
 	Membership Membership
+	// Forming is as in zinniatide.LogStatus.
+	Forming bool
 }
 
 // Role is the role of a replicator in its current term.
