Acknowledge leaving servers only on a majority of the voters of the log

Cause: the number of control VMs that must record a leave was taken from the installed configuration. A VM without one needed one record, its own.

Change: the majority is one of the voters that the replicated log knows and, where they differ, of the configured set as well. Without known voters, or while a new log is forming, the VM answers 503, and the server calls another one. The same holds for any heartbeat at a VM that has neither voters nor a configuration.

Why it works: the voters are on disk before a VM can be one of a majority, so a VM that is cut off or has just started can't take itself for all.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -43,7 +43,10 @@
 	Clock          zinniatide.Clock
 	Linker         zinniatide.Linker
 	Configurations zinniatide.ConfigurationProvider
-	Registerer     prometheus.Registerer
+	// Voters passes the voters that this VM's replicated log knows to a function, which
+	// may run later on another goroutine. It must be set on control VMs.
+	Voters     func(func([]zinniatide.VMID))
+	Registerer prometheus.Registerer
 	// OnChange is called after each change of the table, with no lock held. It may
 	// be nil.
 	OnChange func()
@@ -126,13 +129,28 @@
 	if en.State == zinniatide.StateLeaving {
 		// Repeated heartbeats of a leaving server wait for a majority as well,
 		// because the reply to an earlier one may have been an error.
-		e.broadcast([]zinniatide.Enrollment{en}, done)
+		e.recordOnMajority([]zinniatide.Enrollment{en}, done)
 		return
 	}
 	if len(changed) > 0 {
-		e.broadcast(changed, nil)
+		e.broadcast(changed)
 	}
-	done(nil)
+	if len(e.deps.Configurations.Configuration().ControlVMs) > 0 {
+		done(nil)
+		return
+	}
+	// Nobody may learn of the server from this VM. It then calls another one.
+	e.deps.Voters(func(voters []zinniatide.VMID) {
+		if len(voters) == 0 {
+			done(errVotersUnknown())
+			return
+		}
+		done(nil)
+	})
+}
+
+func errVotersUnknown() error {
+	return zinniatide.Refuse(zinniatide.CodeNoQuorum, "this VM does not know the other control VMs yet")
 }
 
 // contradictsKnownServer reports whether a heartbeat under the id of a server of a
@@ -181,7 +199,7 @@
 	}
 	ended.Ended = true
 	e.merge([]zinniatide.Enrollment{ended}, "")
-	e.broadcast([]zinniatide.Enrollment{ended}, done)
+	e.recordOnMajority([]zinniatide.Enrollment{ended}, done)
 }
 
 // merge applies enrollments to the table and returns those that changed it.
@@ -218,23 +236,41 @@
 }
 
 // broadcast sends enrollments to the other control VMs and to the direct
-// recipients; the control VMs pass new ones on to the members of their zones. If
-// done is not nil, it is called once a majority of the control VMs has recorded
-// the enrollments, or can no longer do so. Without a configured set this VM's
-// record suffices.
-func (e *Enroller) broadcast(list []zinniatide.Enrollment, done func(error)) {
-	c := e.deps.Configurations.Configuration()
-	r := newRecipients(e.deps.VM, c, e.deps.Linker.Connected)
-	q := newQuorum(len(c.ControlVMs)/2+1, done)
-	if r.selfInControlSet || len(c.ControlVMs) == 0 {
-		q.addLocalRecord()
-	}
+// recipients; the control VMs pass new ones on to the members of their zones.
+func (e *Enroller) broadcast(list []zinniatide.Enrollment) {
+	r := newRecipients(e.deps.VM, e.deps.Configurations.Configuration(), e.deps.Linker.Connected)
 	e.send(r.direct, list)
-	for _, vm := range r.controlPeers {
-		q.addRequest()
-		e.deps.Linker.Call(vm, zinniatide.KindEnroll, list, broadcastTimeout, func(_ []byte, err error) { q.handleReply(err) })
-	}
-	q.finishRequests()
+	e.send(r.controlPeers, list)
+}
+
+// recordOnMajority is like broadcast and calls done once a majority of the control VMs
+// has recorded the enrollments, or can no longer do so. The control VMs are the voters
+// that the replicated log knows and, if they differ during a change, the configured
+// set. The configuration alone is not enough: until it is installed it names none.
+func (e *Enroller) recordOnMajority(list []zinniatide.Enrollment, done func(error)) {
+	e.deps.Voters(func(voters []zinniatide.VMID) {
+		if len(voters) == 0 {
+			done(errVotersUnknown())
+			return
+		}
+		r := newRecipients(e.deps.VM, e.deps.Configurations.Configuration(), e.deps.Linker.Connected)
+		configured := r.controlPeers
+		if r.selfInControlSet {
+			configured = append(slices.Clone(configured), e.deps.VM)
+		}
+		sets := [][]zinniatide.VMID{voters}
+		if len(configured) > 0 {
+			sets = append(sets, configured)
+		}
+		q := newQuorum(done, sets...)
+		q.update(e.deps.VM, nil)
+		e.send(r.direct, list)
+		for _, vm := range unionOf(voters, configured) {
+			if vm != e.deps.VM {
+				e.deps.Linker.Call(vm, zinniatide.KindEnroll, list, broadcastTimeout, func(_ []byte, err error) { q.update(vm, err) })
+			}
+		}
+	})
 }
 
 // send sends enrollments without waiting. Lost messages are recovered by the
--- a/enroller/quorum.go
+++ b/enroller/quorum.go
@@ -1,61 +1,75 @@
 package enroller
 
 import (
+	"slices"
 	"sync"
 
 	"zinniatide.example/zinniatide"
 )
 
-// quorum calls done once: with nil when the required number of control VMs have
-// recorded an update, or with a refusal when that number can no longer be
-// reached.
+// quorum calls done once: with nil when a majority of each set of control VMs has
+// recorded an update, or with a refusal when that is no longer possible.
 type quorum struct {
-	mu           sync.Mutex
-	required     int
-	recorded     int
-	pending      int  // requests without a reply
-	allRequested bool // no further requests will be sent
-	done         func(error)
+	mu       sync.Mutex
+	sets     [][]zinniatide.VMID
+	recorded map[zinniatide.VMID]bool
+	failed   map[zinniatide.VMID]bool
+	done     func(error)
 }
 
-func newQuorum(required int, done func(error)) *quorum {
-	return &quorum{required: max(required, 1), done: done}
+func newQuorum(done func(error), sets ...[]zinniatide.VMID) *quorum {
+	return &quorum{sets: sets, done: done, recorded: map[zinniatide.VMID]bool{}, failed: map[zinniatide.VMID]bool{}}
 }
 
-// addLocalRecord counts the record on this VM.
-func (q *quorum) addLocalRecord() { q.update(func() { q.recorded++ }) }
-
-// addRequest counts a request that is sent to another VM.
-func (q *quorum) addRequest() { q.update(func() { q.pending++ }) }
-
-// handleReply processes the reply to one request.
-func (q *quorum) handleReply(err error) {
-	q.update(func() {
-		q.pending--
-		if err == nil {
-			q.recorded++
-		}
-	})
-}
-
-// finishRequests marks that all requests have been sent.
-func (q *quorum) finishRequests() { q.update(func() { q.allRequested = true }) }
-
-func (q *quorum) update(change func()) {
+// update takes the result of the record on one VM.
+func (q *quorum) update(vm zinniatide.VMID, err error) {
 	q.mu.Lock()
-	change()
+	if err == nil {
+		q.recorded[vm] = true
+	} else {
+		q.failed[vm] = true
+	}
+	recorded, failed := true, false
+	for _, set := range q.sets {
+		recorded = recorded && q.isMajority(set, q.recorded)
+		failed = failed || q.isBlocked(set)
+	}
 	done := q.done
-	reached := q.recorded >= q.required
-	failed := q.allRequested && q.recorded+q.pending < q.required
-	if done != nil && (reached || failed) {
+	if recorded || failed {
 		q.done = nil
 	}
 	q.mu.Unlock()
 	switch {
 	case done == nil:
-	case reached:
+	case recorded:
 		done(nil)
 	case failed:
 		done(zinniatide.Refuse(zinniatide.CodeNoQuorum, "too few control VMs answer"))
 	}
 }
+
+func (q *quorum) isMajority(set []zinniatide.VMID, in map[zinniatide.VMID]bool) bool {
+	return 2*count(set, in) > len(set)
+}
+
+// isBlocked reports whether too many VMs of the set have failed for a majority.
+func (q *quorum) isBlocked(set []zinniatide.VMID) bool {
+	return 2*(len(set)-count(set, q.failed)) <= len(set)
+}
+
+func count(set []zinniatide.VMID, in map[zinniatide.VMID]bool) int {
+	n := 0
+	for _, vm := range set {
+		if in[vm] {
+			n++
+		}
+	}
+	return n
+}
+
+// unionOf returns the VMs of both sets, each once.
+func unionOf(a, b []zinniatide.VMID) []zinniatide.VMID {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -167,7 +167,7 @@
 		}
 	}
 	r.enroller = enroller.New(enroller.Dependencies{
-		VM: cfg.VM, Control: control, Clock: clock, Linker: r.linker, Configurations: r.subscriber,
+		VM: cfg.VM, Control: control, Clock: clock, Linker: r.linker, Configurations: r.subscriber, Voters: r.passVoters,
 		Registerer: registerer, OnChange: r.notifyChange,
 	})
 	var requestQuarantines sync.Once
@@ -315,6 +315,28 @@
 	return known
 }
 
+// passVoters passes the voters that the replicated log of this VM knows to f. There are
+// none on a VM without a log, before a leader has contacted a new one, and while a new
+// log is forming: its first voter is a majority of itself only.
+func (r *Relay) passVoters(f func([]zinniatide.VMID)) {
+	if r.replicatedLog == nil {
+		f(nil)
+		return
+	}
+	r.replicatedLog.Post(func() {
+		status := r.replicatedLog.Status()
+		if status.Forming {
+			f(nil)
+			return
+		}
+		var ids []zinniatide.VMID
+		for _, voter := range status.Voters {
+			ids = append(ids, voter.VM)
+		}
+		f(ids)
+	})
+}
+
 func (r *Relay) buildControlComponents(registerer prometheus.Registerer) error {
 	cfg := &r.cfg
 	ticketChecker, err := checker.New()
