Send nothing to cold servers while no active relay VM is known

What callers could see: several relay VMs that knew no active ones would each have sent the whole rate of a cold server. Found by the list of places that take a set from a configuration that may be absent.

Cause: an empty set of active relay VMs counted as "this VM paces the server".

Change: a VM paces a cold server only if it is the one that the known set selects.

Evidence: TestColdServersWithoutKnownRelays fails with the condition back in ("got 7 requests at cold server shard-02a, want 0"), and passes without it.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -319,9 +319,9 @@
 
 // pacesColdServer reports whether this VM is the one that sends requests to a
 // cold server. The rate limit of a cold server holds for all VMs together, so a
-// single VM uses all of it.
+// single VM uses all of it. A VM that knows no active relay VMs sends none.
 func (r *Relayer) pacesColdServer(s *selector.Server) bool {
-	return len(r.activeRelays) == 0 || picker.Pick(string(s.Server), r.activeRelays) == r.config.VM
+	return picker.Pick(string(s.Server), r.activeRelays) == r.config.VM
 }
 
 // maxTrackedRoutes bounds the routes whose latencies and concurrency limits are
