Tell links in zinniatide run which process of a VM is the member

Cause: the subscriber passed the peers on only when an address changed. zinniatide platform passes them on with each configuration and was not affected.

Change: a changed process counts too.

Evidence: TestPeersNameTheRunningProcess fails without it (got process 0, want 7).

--- a/subscriber/install.go
+++ b/subscriber/install.go
@@ -89,9 +89,7 @@
 }
 
 func peersChanged(before, after *zinniatide.Configuration) bool {
-	// Only addresses are compared: a restart changes the member but not its
-	// address.
-	samePeer := func(a, b zinniatide.Member) bool { return a.PeerAddress == b.PeerAddress }
+	samePeer := func(a, b zinniatide.Member) bool { return a.PeerAddress == b.PeerAddress && a.Process == b.Process }
 	return !maps.EqualFunc(before.Members, after.Members, samePeer) ||
 		!slices.Equal(before.ControlVMs, after.ControlVMs)
 }
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/goleak"
 
@@ -68,6 +69,22 @@
 	return push
 }
 
+// Guards against a restarted VM whose link stays with its earlier process, because the
+// links are not told which process the configuration names.
+func TestPeersNameTheRunningProcess(t *testing.T) {
+	s, links, _ := newTestSubscriber(t)
+	s.install(fullPush(t, 5))
+	member := zinniatide.Member{VM: "e2", PeerAddress: "h:9", Process: 7}
+	raw, err := encoder.Marshal(&registrar.Delta{Epoch: 6, Members: map[zinniatide.VMID]*zinniatide.Member{"e2": &member}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.install(&controlproto.ConfigurationPush{Deltas: []cbor.RawMessage{raw}})
+	if got, want := links.peers["e2"], (zinniatide.Peer{Address: "h:9", Process: 7}); got != want {
+		t.Errorf("got peer %v, want %v", got, want)
+	}
+}
+
 // Guards against epochs that decrease or skip a change, and against a corrupt
 // push that replaces the configuration.
 func TestInstallKeepsEpochOrder(t *testing.T) {
