Pass on each change of a cold time, with the time that is left

Cause: tables compared and hashed only whether a server was cold, and kept the time left as it was reported.

Change: a row keeps the instant until which the server is cold and passes on what is left of it; ColdSequence names the heartbeat that last changed it. A later end by any amount and an end that is more than 250 ms earlier reach all VMs, by broadcast and by digest. One encoding of the fields serves comparison and hash; of two copies of one heartbeat, the one with the higher ColdSequence wins, so that digests agree in the end. Zone counts as a part of a process's identity, like service and address.

Why it works: the end counts from the arrival of a heartbeat and so never lies before the true one; whatever ends later than what the others know is sent to them.

--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -114,7 +114,7 @@
 func (e *Enroller) Table() []zinniatide.Enrollment {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table.all()
+	return e.table.all(e.deps.Clock.Now())
 }
 
 // Enroll implements zinniatide.Enroller.
@@ -129,7 +129,7 @@
 	if en.State == zinniatide.StateLeaving {
 		// Repeated heartbeats of a leaving server wait for a majority as well,
 		// because the reply to an earlier one may have been an error.
-		e.recordOnMajority([]zinniatide.Enrollment{en}, done)
+		e.recordOnMajority([]zinniatide.Enrollment{e.passedOn(en)}, done)
 		return
 	}
 	if len(changed) > 0 {
@@ -149,6 +149,16 @@
 	})
 }
 
+// passedOn returns a heartbeat as this VM passes it on.
+func (e *Enroller) passedOn(en zinniatide.Enrollment) zinniatide.Enrollment {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := e.table.rows[en.Server]; r != nil && r.StartedAt == en.StartedAt && r.Sequence == en.Sequence {
+		return r.enrollment(e.deps.Clock.Now())
+	}
+	return en
+}
+
 func errVotersUnknown() error {
 	return zinniatide.Refuse(zinniatide.CodeNoQuorum, "this VM does not know the other control VMs yet")
 }
@@ -184,7 +194,7 @@
 	e.mu.Lock()
 	ended := zinniatide.Enrollment{Server: server}
 	if r := e.table.rows[server]; r != nil {
-		ended = r.Enrollment
+		ended = r.enrollment(e.deps.Clock.Now())
 	}
 	e.mu.Unlock()
 	switch {
@@ -202,14 +212,19 @@
 	e.recordOnMajority([]zinniatide.Enrollment{ended}, done)
 }
 
-// merge applies enrollments to the table and returns those that changed it.
+// merge applies enrollments to the table and returns those that changed it. from is
+// the VM that has passed them on; it is empty for heartbeats.
 func (e *Enroller) merge(list []zinniatide.Enrollment, from zinniatide.VMID) []zinniatide.Enrollment {
 	now := e.deps.Clock.Now()
 	var changed []zinniatide.Enrollment
 	e.mu.Lock()
 	for i := range list {
-		if e.table.merge(&list[i], now) {
-			changed = append(changed, list[i])
+		apply := e.table.merge
+		if from == "" {
+			apply = e.table.mergeHeartbeat
+		}
+		if apply(&list[i], now) {
+			changed = append(changed, e.table.rows[list[i].Server].enrollment(now))
 		}
 	}
 	rows := len(e.table.rows)
@@ -349,7 +364,7 @@
 // that has just started gets them from the other control VMs.
 func (e *Enroller) sendBack(to zinniatide.VMID, list []zinniatide.Enrollment, withMissing bool) {
 	e.mu.Lock()
-	newer := e.table.newerThan(list, withMissing)
+	newer := e.table.newerThan(list, withMissing, e.deps.Clock.Now())
 	e.mu.Unlock()
 	if len(newer) == 0 {
 		return
--- a/enroller/table.go
+++ b/enroller/table.go
@@ -1,8 +1,11 @@
 package enroller
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/binary"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,11 +15,86 @@
 // maxProcesses bounds the memory of the table if clients send made-up ids.
 const maxProcesses = 200_000
 
+// coldTolerance is how much earlier than recorded a server may say to be warm without
+// a change. Later ends are never tolerated, because a cold server would get too much.
+const coldTolerance zinniatide.Millis = 250
+
 // row is one process of a backend server.
 type row struct {
 	zinniatide.Enrollment
 	// updatedAt is when this VM last applied an update of the process.
 	updatedAt zinniatide.Millis
+	// coldUntil is when the server is warm, or later by the time that the heartbeat
+	// needed to get here. It replaces ColdRemaining.
+	coldUntil zinniatide.Millis
+}
+
+// newRow returns the row of an enrollment that another VM has passed on.
+func newRow(e *zinniatide.Enrollment, now zinniatide.Millis) *row {
+	r := &row{Enrollment: *e, updatedAt: now, coldUntil: now + e.ColdRemaining}
+	r.ColdRemaining = 0
+	return r
+}
+
+// rowOfHeartbeat returns the row of a heartbeat. old is the row of the server, or nil.
+// The end of the cold time stays the one that the other VMs know unless the heartbeat
+// changes it.
+func rowOfHeartbeat(e *zinniatide.Enrollment, old *row, now zinniatide.Millis) *row {
+	r := newRow(e, now)
+	if old == nil || old.StartedAt != e.StartedAt {
+		old = &row{}
+	}
+	if old.coldTimeChanged(r.coldUntil, now) {
+		r.ColdSequence = e.Sequence
+	} else {
+		r.coldUntil, r.ColdSequence = old.coldUntil, old.ColdSequence
+	}
+	return r
+}
+
+// coldTimeChanged reports whether an end of the cold time differs from the recorded one
+// in what may be sent to the server.
+func (r *row) coldTimeChanged(until, now zinniatide.Millis) bool {
+	return until > max(r.coldUntil, now) || max(until, now) < r.coldUntil-coldTolerance
+}
+
+// enrollment returns the enrollment as it is passed on now.
+func (r *row) enrollment(now zinniatide.Millis) zinniatide.Enrollment {
+	e := r.Enrollment
+	e.ColdRemaining = max(r.coldUntil-now, 0)
+	return e
+}
+
+// state encodes all that decides what may be sent to a server. Rows are compared and
+// hashed by it. Sequence only orders updates, and ColdSequence stands for the cold time.
+func (r *row) state(b []byte) []byte {
+	for _, name := range []string{string(r.Server), string(r.Service), r.Address, string(r.Zone), string(r.State)} {
+		b = append(b, name...)
+		b = append(b, 0)
+	}
+	for _, n := range []uint64{uint64(r.StartedAt), uint64(r.Slots), r.ColdSequence} { //nolint:gosec // only compared
+		b = binary.BigEndian.AppendUint64(b, n)
+	}
+	if r.Ended {
+		b = append(b, 1)
+	}
+	return b
+}
+
+// differs reports whether two rows of a server differ in what may be sent to it.
+func (r *row) differs(other *row) bool {
+	var a, b [256]byte
+	return !bytes.Equal(r.state(a[:0]), other.state(b[:0]))
+}
+
+// hash returns the hash of a row for digests. Ended processes hash to 0, so that a
+// table that has already removed them has the same checksum.
+func (r *row) hash() uint64 {
+	if r.Ended {
+		return 0
+	}
+	var buffer [256]byte
+	return xxhash.Sum64(r.state(buffer[:0]))
 }
 
 // table holds the newest process of each backend server id.
@@ -29,50 +107,54 @@
 
 func newTable() table { return table{rows: map[zinniatide.BackendServerID]*row{}} }
 
-// merge applies e and reports whether it changes what may be sent to the server.
-// An update that is older than the row, or contradicts it, is ignored.
+// merge applies an enrollment that another VM has passed on and reports whether it
+// changes what may be sent to the server. An update that is older than the row, or
+// contradicts it, is ignored.
 func (t *table) merge(e *zinniatide.Enrollment, now zinniatide.Millis) bool {
-	old := t.rows[e.Server]
+	return t.apply(newRow(e, now))
+}
+
+// mergeHeartbeat is like merge for a heartbeat of the server itself.
+func (t *table) mergeHeartbeat(e *zinniatide.Enrollment, now zinniatide.Millis) bool {
+	return t.apply(rowOfHeartbeat(e, t.rows[e.Server], now))
+}
+
+func (t *table) apply(next *row) bool {
+	old := t.rows[next.Server]
 	if old == nil {
 		if len(t.rows) >= maxProcesses {
 			return false
 		}
-		t.put(&row{Enrollment: *e, updatedAt: now})
+		t.put(next)
 		return true
 	}
-	if e.StartedAt < old.StartedAt || e.StartedAt == old.StartedAt && !isLaterUpdate(&old.Enrollment, e) {
+	if next.StartedAt < old.StartedAt || next.StartedAt == old.StartedAt && !isLaterUpdate(&old.Enrollment, &next.Enrollment) {
 		return false
 	}
-	changed := differs(&old.Enrollment, e)
 	t.remove(old)
-	t.put(&row{Enrollment: *e, updatedAt: now})
-	return changed
-}
-
-// differs reports whether two states of a server differ in what may be sent to
-// it.
-func differs(old, next *zinniatide.Enrollment) bool {
-	return next.StartedAt != old.StartedAt || next.Ended != old.Ended || next.State != old.State ||
-		next.Slots != old.Slots || (next.ColdRemaining > 0) != (old.ColdRemaining > 0)
+	t.put(next)
+	return next.differs(old)
 }
 
 // isLaterUpdate reports whether next is a later update of the same process. The
 // end of a process is final, and may come from a VM that knows only its id and
-// start time. A process never changes its service or address, so an update with
-// other values comes from a different process.
+// start time. A process never changes its service, address or zone, so an update with
+// other values comes from a different process. If two
+// control VMs got the same heartbeat, the one that it changed more decides.
 func isLaterUpdate(old, next *zinniatide.Enrollment) bool {
 	if old.Ended || next.Ended {
 		return next.Ended && !old.Ended
 	}
-	return next.Service == old.Service && next.Address == old.Address && next.Sequence > old.Sequence
+	return next.Service == old.Service && next.Address == old.Address && next.Zone == old.Zone &&
+		cmp.Or(cmp.Compare(next.Sequence, old.Sequence), cmp.Compare(next.ColdSequence, old.ColdSequence)) > 0
 }
 
 // newerThan returns the processes whose state is newer than in list. It includes
 // the processes that list lacks if withMissing is set.
-func (t *table) newerThan(list []zinniatide.Enrollment, withMissing bool) []zinniatide.Enrollment {
-	listed := make(map[zinniatide.BackendServerID]*zinniatide.Enrollment, len(list))
+func (t *table) newerThan(list []zinniatide.Enrollment, withMissing bool, now zinniatide.Millis) []zinniatide.Enrollment {
+	listed := make(map[zinniatide.BackendServerID]*row, len(list))
 	for i := range list {
-		listed[list[i].Server] = &list[i]
+		listed[list[i].Server] = newRow(&list[i], now)
 	}
 	var out []zinniatide.Enrollment
 	for id, r := range t.rows {
@@ -80,8 +162,8 @@
 		switch {
 		case other == nil && withMissing,
 			other != nil && other.StartedAt < r.StartedAt,
-			other != nil && other.StartedAt == r.StartedAt && isLaterUpdate(other, &r.Enrollment) && differs(other, &r.Enrollment):
-			out = append(out, r.Enrollment)
+			other != nil && other.StartedAt == r.StartedAt && isLaterUpdate(&other.Enrollment, &r.Enrollment) && r.differs(other):
+			out = append(out, r.enrollment(now))
 		}
 	}
 	return out
@@ -89,12 +171,12 @@
 
 func (t *table) put(r *row) {
 	t.rows[r.Server] = r
-	t.checksum += hash(&r.Enrollment)
+	t.checksum += r.hash()
 }
 
 func (t *table) remove(r *row) {
 	delete(t.rows, r.Server)
-	t.checksum -= hash(&r.Enrollment)
+	t.checksum -= r.hash()
 }
 
 // dropEnded removes ended processes whose last update is before the given time.
@@ -106,40 +188,13 @@
 	}
 }
 
-// all returns the rows sorted by server id.
-func (t *table) all() []zinniatide.Enrollment {
+// all returns the enrollments of all rows, sorted by server id, as they are passed on
+// now.
+func (t *table) all(now zinniatide.Millis) []zinniatide.Enrollment {
 	out := make([]zinniatide.Enrollment, 0, len(t.rows))
 	for _, r := range t.rows {
-		out = append(out, r.Enrollment)
+		out = append(out, r.enrollment(now))
 	}
-	slices.SortFunc(out, func(a, b zinniatide.Enrollment) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b zinniatide.Enrollment) int { return strings.Compare(string(a.Server), string(b.Server)) })
 	return out
 }
-
-// hash covers Server, StartedAt, State, Address, Service, Slots and whether
-// ColdRemaining is above 0. Zone and Sequence are not hashed. Ended processes hash to 0,
-// so that a table that has already removed them has the same checksum.
-func hash(e *zinniatide.Enrollment) uint64 {
-	if e.Ended {
-		return 0
-	}
-	var buffer [256]byte
-	b := append(buffer[:0], e.Server...)
-	b = append(b, 0)
-	b = binary.BigEndian.AppendUint64(b, uint64(e.StartedAt))
-	b = binary.BigEndian.AppendUint32(b, uint32(e.Slots)) //nolint:gosec // only compared
-	b = append(b, e.State...)
-	if e.ColdRemaining > 0 {
-		b = append(b, 1)
-	}
-	b = append(b, 0)
-	b = append(b, e.Address...)
-	b = append(b, 0)
-	b = append(b, e.Service...)
-	return xxhash.Sum64(b)
-}
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -160,10 +160,7 @@
 		r.servers[id] = s
 		r.restoreHint(id, s)
 	}
-	// Sequence is 0 while no enrollment has been applied to this server.
-	if s.ColdRemaining != e.ColdRemaining || s.Sequence == 0 {
-		s.SetColdFor(e.ColdRemaining, now)
-	}
+	s.SetColdFor(e.ColdRemaining, now)
 	leaves := e.State == zinniatide.StateLeaving && s.State != zinniatide.StateLeaving
 	s.Enrollment, s.Service = *e, service
 	if leaves {
--- a/routing.go
+++ b/routing.go
@@ -118,8 +118,12 @@
 	// Ended is set once the end of the process was reported. It is never reset for
 	// the same process.
 	Ended bool `cbor:"9,keyasint,omitempty"`
-	// ColdRemaining is the remaining cold-start time at the last heartbeat.
+	// ColdRemaining is how long the server remains cold, from the moment at which the
+	// enrollment is passed on. It is 0 if the server is warm.
 	ColdRemaining Millis `cbor:"10,keyasint,omitempty"`
+	// ColdSequence is the sequence of the heartbeat that last changed the cold time, or 0
+	// if none has. It is unset in a heartbeat itself.
+	ColdSequence uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Enroller stores the enrollments of backend servers.
