Name the asking process in cancels of delegations

What callers could see: servers went on with parts of requests whose clients had left or were answered, until their deadline.

Cause: cancels carried no process id, so the delegate found no gather request for them. The tests ran both VMs with process id 0.

Change: cancels carry the id, and the VMs of the simulation have process ids.

Evidence: with process ids in the simulation, TestCancelReachesDelegate and TestDelegateStopsAfterReply fail before the fix and pass with it.

--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -266,7 +266,7 @@
 		if d.open {
 			g.closeDelegation(d)
 			_ = g.r.deps.Links.Send(d.delegate.vm, zinniatide.KindGatherCancel,
-				&delegationCancel{Call: d.callID, Answered: answered}) // if the send fails, the delegate stops at the deadline
+				&delegationCancel{Call: d.callID, Process: g.r.config.Process, Answered: answered}) // if the send fails, the delegate stops at the deadline
 		}
 	}
 }
--- a/relayer/delegation_test.go
+++ b/relayer/delegation_test.go
@@ -80,7 +80,7 @@
 	sim.config.Members["peer"] = zinniatide.Member{VM: "peer", Zone: "b", Relay: true, State: zinniatide.StateIn}
 	links := &simLinks{sim: sim}
 	sim.relayer.deps.Links = links
-	links.peer = New(Config{VM: "peer", Zone: "b", Budget: retrybudget.Config{Ratio: 0.2, Slack: 52, Window: 10_000}, RemoteCost: 25, ReplyMargin: 11},
+	links.peer = New(Config{VM: "peer", Process: 2, Zone: "b", Budget: retrybudget.Config{Ratio: 0.2, Slack: 52, Window: 10_000}, RemoteCost: 25, ReplyMargin: 11},
 		sim.relayer.deps)
 	links.peer.Update(sim.config, sim.enrollments)
 	sim.updateRelayer()
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -232,7 +232,7 @@
 	sim.config = &zinniatide.Configuration{Routing: routing, RoutingNumber: 1, Members: map[zinniatide.VMID]zinniatide.Member{
 		"self": {VM: "self", Zone: "a", Relay: true, State: zinniatide.StateIn},
 	}}
-	sim.relayer = New(Config{VM: "self", Zone: "a", Budget: retrybudget.Config{Ratio: 0.2, Slack: 52, Window: 10_000}, RemoteCost: 25, ReplyMargin: 11},
+	sim.relayer = New(Config{VM: "self", Process: 1, Zone: "a", Budget: retrybudget.Config{Ratio: 0.2, Slack: 52, Window: 10_000}, RemoteCost: 25, ReplyMargin: 11},
 		Dependencies{
 			Lock: &sim.lock, Clock: sim.clock, Timer: sim, Random: sim.random,
 			Names: HeaderNames{RequestID: "X-Request-Id", PartStamps: "X-Parts", MissingParts: "X-Missing"},
