End hedges at other VMs when their request ends

Cause: a hedge through a delegate built a message, a count and a reply of its own beside those of a delegation and was not recorded, so nothing cancelled it. A delegate did not pass cancels on to a third VM.

Change: a hedge is a delegation with a mark. callDelegate sends and records both, checkReply and mergeReply take the replies of both, and each end of a request ends all its delegations, also those of a delegate. Runs that a hedge did not need are given back. The sizes of the two tables are gauges.

Why it works: there is one record, and every end goes through it.

--- a/relayer/delegated_hedging.go
+++ b/relayer/delegated_hedging.go
@@ -1,10 +1,11 @@
 package relayer
 
 import (
+	"errors"
+
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
-	"zinniatide.example/zinniatide/encoder"
 )
 
 // hedgeZone returns the zone of the server that would hedge a part, if that is
@@ -37,13 +38,7 @@
 		}
 		return sent, denied
 	}
-	var parts []*part
-	g.r.lastCallID++
-	msg := &delegationRequest{
-		Call: g.r.lastCallID, Process: g.r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
-		MaxAttempts: 1, TargetLatency: g.route.TargetLatency, TimeToCutoff: max(g.cutoff-now-remoteRoundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: true,
-		RecordThreshold: g.topRecords.Threshold(),
-	}
+	d := &delegation{gather: g, delegate: delegate, hedge: true}
 	for _, i := range indexes {
 		p := &g.parts[i]
 		if !p.service.Budget.TryTake(now) {
@@ -52,60 +47,42 @@
 		}
 		p.inFlight++
 		p.possibleRuns++
-		parts = append(parts, p)
-		msg.Shards = append(msg.Shards, g.route.Shards[i])
+		d.add(g, i)
 	}
-	if len(parts) == 0 {
-		return 0, denied
+	if len(d.parts) > 0 {
+		g.callDelegate(d, remoteRoundTrip, now)
 	}
-	digest := msg.digest()
-	g.r.metrics.delegations.Inc()
-	g.r.deps.Links.Call(delegate.vm, zinniatide.KindGather, msg, msg.TimeToDeadline, func(body []byte, err error) {
-		var reply delegationReply
-		if err == nil {
-			err = encoder.Unmarshal(body, &reply)
-		}
-		g.r.deps.Timer.After(0, func() {
-			g.r.deps.Lock.Lock()
-			defer g.r.deps.Lock.Unlock()
-			if err == nil {
-				err = g.checkHedgeReply(delegate, parts, digest, &reply)
-			}
-			g.handleHedgeReply(delegate, parts, &reply, err)
-		})
-	})
-	return len(parts), denied
+	return len(d.parts), denied
 }
 
-// handleHedgeReply merges a delegate's reply to hedged parts.
-func (g *gatherRequest) handleHedgeReply(delegate *delegate, parts []*part, reply *delegationReply, err error) {
-	if err != nil {
-		delegate.backoffUntil = g.r.deps.Clock.Now() + delegateBackoff
-		klog.InfoS("hedging through a delegate failed", "step", "gather", "request", g.req.ID, "peer", delegate.vm, "parts", len(parts), "err", err.Error())
-	}
-	if g.finished {
+// mergeHedgedPart merges a part that a delegate has hedged, unless its first server
+// has answered.
+func (g *gatherRequest) mergeHedgedPart(p *part, stamp string, body []byte) {
+	p.inFlight--
+	if p.done || p.failed {
 		return
 	}
-	g.mayHaveRun = g.mayHaveRun || err != nil || reply.MayHaveRun
-	g.recordDelegated(reply)
-	for _, p := range parts {
-		p.inFlight--
-	}
-	for n, i := range reply.Parts {
-		p := parts[i]
-		if p.done || p.failed {
-			continue
-		}
-		p.done, p.stamp = true, reply.Stamps[n]
-		g.pending--
-		g.received++
-		g.topRecords.Add(reply.Bodies[n])
-		if g.hedgesForPeer {
-			p.body = reply.Bodies[n]
-		}
+	g.receivePart(p, stamp)
+	g.topRecords.Add(body)
+}
+
+// failHedgedPart handles a hedged part that a delegate did not return. runs is the
+// number of servers that may have started it.
+func (g *gatherRequest) failHedgedPart(p *part, runs int) {
+	p.inFlight--
+	p.possibleRuns += runs - 1
+	g.failPart(p, "repeat failed")
+}
+
+// handleHedgeError handles hedged parts whose call failed.
+func (g *gatherRequest) handleHedgeError(d *delegation, err error) {
+	klog.InfoS("hedging through a delegate failed", "step", "gather", "request", g.req.ID, "peer", d.delegate.vm, "parts", len(d.parts), "err", err.Error())
+	runs := 1
+	if errors.Is(err, zinniatide.ErrNotSent) {
+		runs = 0
 	}
-	for _, p := range parts {
-		g.failPart(p, "repeat failed")
+	g.mayHaveRun = g.mayHaveRun || runs > 0
+	for _, p := range d.parts {
+		g.failHedgedPart(p, runs)
 	}
-	g.finishIfDecided("")
 }
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -292,29 +292,37 @@
 	return best, byZone[best]
 }
 
-// sendDelegation sends parts to a delegate.
+// sendDelegation has a delegate gather parts.
 func (g *gatherRequest) sendDelegation(delegate *delegate, indexes []int, roundTrip, now zinniatide.Millis) {
+	d := &delegation{gather: g, delegate: delegate}
+	for _, i := range indexes {
+		g.parts[i].delegation = d
+		d.add(g, i)
+	}
+	g.callDelegate(d, roundTrip, now)
+	// A working delegate replies before the cutoff with the parts that it has, so
+	// one that has not replied by then is treated as failed.
+	g.after(g.cutoff-now, func() { g.handleLateDelegate(d) })
+}
+
+// callDelegate sends a delegation to its delegate and records it until it has ended.
+func (g *gatherRequest) callDelegate(d *delegation, roundTrip, now zinniatide.Millis) {
 	r := g.r
 	r.lastCallID++
-	d := &delegation{gather: g, delegate: delegate, callID: r.lastCallID, open: true}
+	d.callID, d.open = r.lastCallID, true
 	msg := &delegationRequest{
-		Call: d.callID, Process: r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, TopRecords: g.route.TopRecords,
-		MaxAttempts: g.route.MaxAttempts, TargetLatency: g.route.TargetLatency, TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: g.deadline - now,
+		Call: d.callID, Process: r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, Shards: d.shards,
+		TopRecords: g.route.TopRecords, MaxAttempts: g.route.MaxAttempts, TargetLatency: g.route.TargetLatency,
+		TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: d.hedge,
 	}
-	for _, i := range indexes {
-		p := &g.parts[i]
-		p.delegation = d
-		d.parts = append(d.parts, p)
-		msg.Shards = append(msg.Shards, g.route.Shards[i])
+	if d.hedge {
+		msg.MaxAttempts, msg.RecordThreshold = 1, g.topRecords.Threshold()
 	}
 	d.digest = msg.digest()
 	g.delegations = append(g.delegations, d)
 	r.delegations[d.callID] = d
 	r.metrics.delegations.Inc()
-	// A working delegate replies before the cutoff with the parts that it has, so
-	// one that has not replied by then is treated as failed.
-	g.after(g.cutoff-now, func() { g.handleLateDelegate(d) })
-	r.deps.Links.Call(delegate.vm, zinniatide.KindGather, msg, max(g.deadline-now, 1), func(body []byte, err error) {
+	r.deps.Links.Call(d.delegate.vm, zinniatide.KindGather, msg, msg.TimeToDeadline, func(body []byte, err error) {
 		var reply delegationReply
 		if err == nil {
 			err = encoder.Unmarshal(body, &reply)
@@ -382,8 +390,10 @@
 	switch {
 	case g == nil:
 	case msg.Answered:
+		g.cancelDelegations(true)
 		g.finish(Reply{})
 	default:
+		g.cancelDelegations(false)
 		g.cancelLocked()
 	}
 }
@@ -420,6 +430,7 @@
 	}
 	if last {
 		delete(g.r.delegatedGathers, id)
+		g.cancelDelegations(true)
 		g.finish(Reply{})
 	}
 	switch {
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -10,19 +10,34 @@
 	"zinniatide.example/zinniatide/transporter"
 )
 
-// delegation holds the parts that one delegate gathers for a request.
+// delegation is the record of parts that another VM gathers or hedges for a request.
+// It is kept until the delegate has returned all parts or the request has ended.
 type delegation struct {
 	gather   *gatherRequest
 	delegate *delegate
 	callID   uint64
 	parts    []*part
+	shards   []zinniatide.ServiceID // of parts
 	digest   zinniatide.Fingerprint // of the delegationRequest
-	open     bool
+	// hedge is set if the parts have been sent to other servers before.
+	hedge bool
+	open  bool
 	// firstReplyReceived and finalReplyReceived may be set in any order, because
 	// the replies may be processed out of order.
 	firstReplyReceived, finalReplyReceived bool
 }
 
+// add adds part i of g to the delegation.
+func (d *delegation) add(g *gatherRequest, i int) {
+	d.parts = append(d.parts, &g.parts[i])
+	d.shards = append(d.shards, g.route.Shards[i])
+}
+
+// awaits reports whether part i may still come from the delegate.
+func (d *delegation) awaits(i int) bool {
+	return i >= 0 && i < len(d.parts) && (d.hedge || d.parts[i].delegation == d)
+}
+
 // handleDelegationReply processes the first reply of a delegate, or the error
 // of the call.
 func (g *gatherRequest) handleDelegationReply(d *delegation, reply *delegationReply, err error) {
@@ -36,6 +51,7 @@
 	if err != nil {
 		g.closeDelegation(d)
 		g.handleDelegationError(d, err)
+		g.finishIfDecided("")
 		return
 	}
 	g.mergeReply(d, reply)
@@ -46,9 +62,13 @@
 
 // handleDelegationError reassigns the parts of a delegate whose call failed.
 func (g *gatherRequest) handleDelegationError(d *delegation, err error) {
+	d.delegate.backoffUntil = g.r.deps.Clock.Now() + delegateBackoff
+	if d.hedge {
+		g.handleHedgeError(d, err)
+		return
+	}
 	klog.InfoS("delegation failed; sending its parts directly", "step", "gather", "request", g.req.ID, "peer", d.delegate.vm,
 		"parts", len(d.parts), "err", err.Error())
-	d.delegate.backoffUntil = g.r.deps.Clock.Now() + delegateBackoff
 	if errors.Is(err, zinniatide.ErrNotSent) {
 		g.sendPartsDirectly(d)
 		return
@@ -93,24 +113,14 @@
 // parts that are not awaited from it. Its records are merged from all of its parts,
 // so none of them can be used then.
 func (g *gatherRequest) checkReply(d *delegation, reply *delegationReply) error {
-	return g.checkParts(d.delegate, d.digest, reply, func(i int) bool { return i < len(d.parts) && d.parts[i].delegation == d })
-}
-
-// checkHedgeReply is like checkReply for parts that were hedged through a delegate.
-func (g *gatherRequest) checkHedgeReply(delegate *delegate, parts []*part, digest zinniatide.Fingerprint, reply *delegationReply) error {
-	err := g.checkParts(delegate, digest, reply, func(i int) bool { return i < len(parts) })
-	if err == nil && len(reply.Bodies) != len(reply.Parts) {
-		err = g.rejectReply(delegate, reply, digest)
+	valid := reply.Digest == d.digest && len(reply.Stamps) == len(reply.Parts) && len(reply.PossibleRuns) == len(reply.Missing)
+	if d.hedge {
+		valid = valid && len(reply.Bodies) == len(reply.Parts) && len(reply.Parts)+len(reply.Missing) == len(d.parts)
 	}
-	return err
-}
-
-func (g *gatherRequest) checkParts(delegate *delegate, digest zinniatide.Fingerprint, reply *delegationReply, awaited func(i int) bool) error {
-	valid := reply.Digest == digest && len(reply.Stamps) == len(reply.Parts) && len(reply.PossibleRuns) == len(reply.Missing)
 	seen := map[int]bool{}
 	for _, list := range [][]int{reply.Parts, reply.Missing} {
 		for _, i := range list {
-			valid = valid && i >= 0 && !seen[i] && awaited(i)
+			valid = valid && !seen[i] && d.awaits(i)
 			seen[i] = true
 		}
 	}
@@ -120,34 +130,39 @@
 	if valid {
 		return nil
 	}
-	return g.rejectReply(delegate, reply, digest)
-}
-
-func (g *gatherRequest) rejectReply(delegate *delegate, reply *delegationReply, digest zinniatide.Fingerprint) error {
 	g.r.metrics.foreignReplies.Inc()
-	klog.ErrorS(errForeignReply, "rejected the reply of a delegate", "step", "merge parts", "request", g.req.ID, "peer", delegate.vm,
-		"digest", reply.Digest, "want-digest", digest, "parts", len(reply.Parts), "missing", len(reply.Missing))
+	klog.ErrorS(errForeignReply, "rejected the reply of a delegate", "step", "merge parts", "request", g.req.ID, "peer", d.delegate.vm,
+		"digest", reply.Digest, "want-digest", d.digest, "hedge", d.hedge, "parts", len(reply.Parts), "missing", len(reply.Missing))
 	return errForeignReply
 }
 
-// mergeReply merges the parts that a delegate has gathered, and sends the
-// failed ones directly.
+// mergeReply merges the parts that a delegate has gathered or hedged, and sends failed
+// ones directly that no other server has.
 func (g *gatherRequest) mergeReply(d *delegation, reply *delegationReply) {
 	g.mayHaveRun = g.mayHaveRun || reply.MayHaveRun
 	g.recordDelegated(reply)
 	for n, i := range reply.Parts {
 		p := d.parts[i]
-		p.done, p.stamp, p.delegation = true, reply.Stamps[n], nil
-		g.received++
-		g.pending--
+		if d.hedge {
+			g.mergeHedgedPart(p, reply.Stamps[n], reply.Bodies[n])
+			continue
+		}
+		p.delegation = nil
+		g.receivePart(p, reply.Stamps[n])
+	}
+	if !d.hedge {
+		g.topRecords.Add(reply.Records)
 	}
-	g.topRecords.Add(reply.Records)
 	d.finalReplyReceived = d.finalReplyReceived || !reply.MorePending
 	if d.firstReplyReceived && d.finalReplyReceived {
 		g.closeDelegation(d)
 	}
 	var missing []*part
 	for n, i := range reply.Missing {
+		if d.hedge {
+			g.failHedgedPart(d.parts[i], reply.PossibleRuns[n])
+			continue
+		}
 		d.parts[i].possibleRuns += reply.PossibleRuns[n]
 		missing = append(missing, d.parts[i])
 	}
@@ -155,6 +170,13 @@
 	g.finishIfDecided("parts failed")
 }
 
+// receivePart records that a part has arrived.
+func (g *gatherRequest) receivePart(p *part, stamp string) {
+	p.done, p.stamp = true, stamp
+	g.pending--
+	g.received++
+}
+
 // recordDelegated records how the servers of a delegate fared.
 func (g *gatherRequest) recordDelegated(reply *delegationReply) {
 	g.recordDrops(max(reply.DroppedBy, 0))
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -244,11 +244,8 @@
 }
 
 func (g *gatherRequest) acceptPart(p *part, a *transporter.Answer) {
-	p.done = true
-	g.pending--
-	g.received++
+	g.receivePart(p, a.Stamp)
 	g.topRecords.Add(a.Body)
-	p.stamp = a.Stamp
 	if g.hedgesForPeer {
 		p.body = append([]byte(nil), a.Body...)
 	}
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -95,3 +95,20 @@
 }
 
 func (m *metrics) countExchange(r transporter.Result) { m.exchanges.WithLabelValues(r.String()).Inc() }
+
+// registerTables registers gauges of the tables of delegations, which are empty on a VM
+// without requests in progress.
+func (r *Relayer) registerTables(registerer prometheus.Registerer) {
+	if registerer == nil {
+		return
+	}
+	gauge := func(name, help string, size func() int) {
+		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 {
+			r.deps.Lock.Lock()
+			defer r.deps.Lock.Unlock()
+			return float64(size())
+		}))
+	}
+	gauge("zinniatide_relay_open_delegations", "Groups of parts that other VMs gather or hedge for requests in progress.", func() int { return len(r.delegations) })
+	gauge("zinniatide_relay_open_helped", "Groups of parts in progress for requests of other VMs.", func() int { return len(r.delegatedGathers) })
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -167,6 +167,7 @@
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegations: map[uint64]*delegation{},
 		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
+	r.registerTables(d.Registerer)
 	for _, name := range d.Names.Stripped {
 		r.strippedHeaders[name] = true
 	}
--- a/relayer/restart_test.go
+++ b/relayer/restart_test.go
@@ -170,3 +170,38 @@
 		t.Errorf("got status %d, want %d", got, want)
 	}
 }
+
+// Guards against work that goes on at other VMs after the client has left: parts that
+// were hedged through a delegate, and parts that a delegate hedged through a third VM.
+func TestClientLeavesDuringHedges(t *testing.T) {
+	for name, zones := range map[string][2]zinniatide.ZoneID{
+		"hedged through a delegate": {"a", "b"}, "hedged by a delegate through a third VM": {"b", "c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t, 4, map[zinniatide.VMID]zinniatide.ZoneID{"front": "a", "helper": "b", "third": "c"})
+			for i := range m.enrollments {
+				if e := &m.enrollments[i]; e.Service != "plain" {
+					e.Zone = zones[i%2]
+					m.servers[e.Server].drawWorkTime = func() zinniatide.Millis { return 700 }
+				}
+			}
+			m.update()
+			_, cancel := m.ask("front", "r")
+			m.run(m.clock.Now() + 80)
+			arrived := 0
+			for i := range 4 {
+				arrived += m.arrivals(zinniatide.ServiceID(fmt.Sprintf("shard-%02d", i)))
+			}
+			if got, want := arrived, 8; got != want {
+				t.Fatalf("got %d sends of four parts, want each hedged once", got)
+			}
+			cancel()
+			m.run(m.clock.Now() + 10)
+			for vm, p := range m.processes {
+				if got := len(p.relayer.delegatedGathers) + len(p.relayer.delegations); got != 0 {
+					t.Errorf("%s: got %d gather requests and delegations, want 0", vm, got)
+				}
+			}
+		})
+	}
+}
