Lend attempts to delegates one at a time and count them when lent

Cause: a delegate got all attempts of the route. When it was lost, one was counted, and the part was sent once more.

Change: the VM that took the request keeps the count. It lends a delegate one attempt for each part; for late and failed parts the delegate asks for another one with one message.

Why it works: no server is used without an attempt that is counted before the send, so the loss of a VM can't hide one.

The messages of the simulations know the new kind; bounds are unchanged.

--- a/interfaces.go
+++ b/interfaces.go
@@ -39,6 +39,7 @@
 	KindGather           MessageKind = 80 // relay VM to another relay VM: parts of a query
 	KindGatherCancel     MessageKind = 81 // cancels a KindGather
 	KindGatherLateParts  MessageKind = 82 // to the asking VM: parts that came after the reply
+	KindGatherAttempts   MessageKind = 83 // to the asking VM: request for attempts to send parts once more
 )
 
 // LinkHandler handles one message. It runs on the event loop of the link and must
--- a/node/relay.go
+++ b/node/relay.go
@@ -395,6 +395,7 @@
 	r.linker.Handle(zinniatide.KindGather, r.relayer.HandleGather)
 	r.linker.Handle(zinniatide.KindGatherCancel, r.relayer.HandleGatherCancel)
 	r.linker.Handle(zinniatide.KindGatherLateParts, r.relayer.HandleLateParts)
+	r.linker.Handle(zinniatide.KindGatherAttempts, r.relayer.HandleGatherAttempts)
 	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
 }
 
--- a/relayer/delegated_hedging.go
+++ b/relayer/delegated_hedging.go
@@ -11,7 +11,7 @@
 // hedgeZone returns the zone of the server that would hedge a part, if that is
 // another zone with a reachable delegate. Otherwise it returns an empty id.
 func (g *gatherRequest) hedgeZone(p *part) zinniatide.ZoneID {
-	if !g.canDelegate() || g.hedgesForPeer || p.possibleRuns >= g.route.MaxAttempts {
+	if !g.canDelegate() || g.hedgesForPeer || !p.hasAttempt() {
 		return ""
 	}
 	o := g.r.selectionOptions(p.tried)
@@ -30,7 +30,7 @@
 	delegate := g.r.delegateIn(zone, now)
 	if len(indexes) < minDelegatedParts || delegate == nil {
 		for _, i := range indexes {
-			if g.resendPart(&g.parts[i]) {
+			if g.resendPart(i) {
 				sent++
 			} else {
 				denied++
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -87,6 +87,9 @@
 	RecordThreshold []byte `cbor:"13,keyasint,omitempty"`
 	// Process is the process that sends the request and numbered Call.
 	Process zinniatide.ProcessID `cbor:"14,keyasint"`
+	// LendsAttempts is set if the sender can be asked for more attempts than
+	// MaxAttempts.
+	LendsAttempts bool `cbor:"15,keyasint,omitempty"`
 }
 
 // digest identifies what a delegate is asked for: the request and the shards in
@@ -297,6 +300,7 @@
 	d := &delegation{gather: g, delegate: delegate}
 	for _, i := range indexes {
 		g.parts[i].delegation = d
+		g.parts[i].lend()
 		d.add(g, i)
 	}
 	g.callDelegate(d, roundTrip, now)
@@ -312,11 +316,13 @@
 	d.callID, d.open = r.lastCallID, true
 	msg := &delegationRequest{
 		Call: d.callID, Process: r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, Shards: d.shards,
-		TopRecords: g.route.TopRecords, MaxAttempts: g.route.MaxAttempts, TargetLatency: g.route.TargetLatency,
+		TopRecords: g.route.TopRecords, MaxAttempts: 1, TargetLatency: g.route.TargetLatency,
 		TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: d.hedge,
 	}
 	if d.hedge {
-		msg.MaxAttempts, msg.RecordThreshold = 1, g.topRecords.Threshold()
+		msg.RecordThreshold = g.topRecords.Threshold()
+	} else {
+		msg.LendsAttempts = g.route.MaxAttempts > 1
 	}
 	d.digest = msg.digest()
 	g.delegations = append(g.delegations, d)
@@ -367,6 +373,9 @@
 		r: r, hedgesForPeer: msg.Hedge, onBehalf: true, req: &Request{ID: msg.RequestID, Head: msg.Head, Body: msg.Body, ArrivedAt: now}, route: route,
 		respond: func(Reply) {}, startedAt: now, deadline: now + msg.TimeToDeadline,
 	}, cutoff: now + msg.TimeToCutoff}
+	if msg.LendsAttempts {
+		g.onBehalfOf = &id
+	}
 	digest := msg.digest()
 	g.sendDelegationReply = func() { g.sendParts(id, &msg, digest, sendReply) }
 	r.delegatedGathers[id] = g
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -17,6 +17,7 @@
 	delegate *delegate
 	callID   uint64
 	parts    []*part
+	indexes  []int                  // of parts in the request
 	shards   []zinniatide.ServiceID // of parts
 	digest   zinniatide.Fingerprint // of the delegationRequest
 	// hedge is set if the parts have been sent to other servers before.
@@ -30,9 +31,27 @@
 // add adds part i of g to the delegation.
 func (d *delegation) add(g *gatherRequest, i int) {
 	d.parts = append(d.parts, &g.parts[i])
+	d.indexes = append(d.indexes, i)
 	d.shards = append(d.shards, g.route.Shards[i])
 }
 
+// partIndexes returns the indexes of all parts of the delegation.
+func (d *delegation) partIndexes() []int {
+	out := make([]int, len(d.parts))
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// maxRuns returns how many servers the delegate can have used for part i.
+func (d *delegation) maxRuns(i int) int {
+	if d.hedge {
+		return 1
+	}
+	return d.parts[i].lent
+}
+
 // awaits reports whether part i may still come from the delegate.
 func (d *delegation) awaits(i int) bool {
 	return i >= 0 && i < len(d.parts) && (d.hedge || d.parts[i].delegation == d)
@@ -73,12 +92,9 @@
 		g.sendPartsDirectly(d)
 		return
 	}
-	// The delegate may have sent each part once.
+	// The delegate may have used all attempts that it was lent.
 	g.mayHaveRun = true
-	for _, p := range d.parts {
-		p.possibleRuns++
-	}
-	g.resendOrFail(d, d.parts)
+	g.resendOrFail(d, d.partIndexes())
 }
 
 // HandleLateParts processes parts that a delegate sends after its first reply.
@@ -124,8 +140,8 @@
 			seen[i] = true
 		}
 	}
-	for _, n := range reply.PossibleRuns {
-		valid = valid && n >= 0 && n <= max(g.route.MaxAttempts, 1)
+	for n, i := range reply.Missing {
+		valid = valid && reply.PossibleRuns[n] >= 0 && reply.PossibleRuns[n] <= d.maxRuns(i)
 	}
 	if valid {
 		return nil
@@ -157,14 +173,14 @@
 	if d.firstReplyReceived && d.finalReplyReceived {
 		g.closeDelegation(d)
 	}
-	var missing []*part
+	var missing []int
 	for n, i := range reply.Missing {
 		if d.hedge {
 			g.failHedgedPart(d.parts[i], reply.PossibleRuns[n])
 			continue
 		}
-		d.parts[i].possibleRuns += reply.PossibleRuns[n]
-		missing = append(missing, d.parts[i])
+		d.parts[i].settle(reply.PossibleRuns[n])
+		missing = append(missing, i)
 	}
 	g.resendOrFail(d, missing)
 	g.finishIfDecided("parts failed")
@@ -191,14 +207,15 @@
 }
 
 // resendOrFail sends parts directly that a delegate did not return. A part that
-// cannot be sent again fails.
-func (g *gatherRequest) resendOrFail(d *delegation, parts []*part) {
-	for _, p := range parts {
+// cannot be sent again fails. indexes are those of the delegation.
+func (g *gatherRequest) resendOrFail(d *delegation, indexes []int) {
+	for _, i := range indexes {
+		p := d.parts[i]
 		if p.done || p.delegation != d {
 			continue
 		}
 		p.delegation = nil
-		if g.finished || g.worthResending(p) && g.resendPart(p) {
+		if g.finished || g.worthResending(p) && g.resendPart(d.indexes[i]) {
 			continue
 		}
 		g.failPart(p, "helper brought no answer")
@@ -256,15 +273,16 @@
 // sendPartsDirectly sends the parts of a delegation that never reached its
 // delegate.
 func (g *gatherRequest) sendPartsDirectly(d *delegation) {
-	for _, p := range d.parts {
+	for n, p := range d.parts {
 		p.delegation = nil
+		p.settle(0)
 		o := g.r.selectionOptions(p.tried)
 		s := p.service.Pick(o)
 		if s == nil {
 			g.failPart(p, "no server can be reached")
 		} else {
 			p.service.Budget.RecordRequest(o.Now)
-			g.sendPart(p, s)
+			g.sendPart(d.indexes[n], s)
 		}
 		if g.finished {
 			return
--- a/relayer/delegation_test.go
+++ b/relayer/delegation_test.go
@@ -26,6 +26,8 @@
 	// sends after its first reply.
 	disconnected bool
 	calls        int
+	// diesAt is when the link is lost for each call, if diesAfter is set.
+	diesAt map[uint64]zinniatide.Millis
 }
 
 func (l *simLinks) Connected(zinniatide.VMID) bool { return !l.disconnected }
@@ -42,9 +44,13 @@
 	return err
 }
 
-func (l *simLinks) Call(_ zinniatide.VMID, _ zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func([]byte, error)) {
-	l.calls++
+func (l *simLinks) Call(_ zinniatide.VMID, kind zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func([]byte, error)) {
 	raw, err := encoder.Marshal(body)
+	if kind == zinniatide.KindGatherAttempts {
+		l.askForAttempts(body.(*attemptsRequest), raw, done)
+		return
+	}
+	l.calls++
 	if err == nil {
 		err = l.fault
 	}
@@ -54,6 +60,10 @@
 	case err != nil:
 		l.sim.After(3, func() { done(nil, err) })
 	case l.diesAfter > 0:
+		if l.diesAt == nil {
+			l.diesAt = map[uint64]zinniatide.Millis{}
+		}
+		l.diesAt[body.(*delegationRequest).Call] = l.sim.clock.Now() + l.diesAfter
 		l.sim.After(1, func() { l.peer.HandleGather("self", raw, func(any, error) {}) })
 		l.sim.After(l.diesAfter, func() { done(nil, zinniatide.ErrLinkLost) })
 	case l.unresponsive:
@@ -68,6 +78,21 @@
 	}
 }
 
+// askForAttempts passes a request of the peer for attempts to the Relayer under test.
+func (l *simLinks) askForAttempts(msg *attemptsRequest, raw []byte, done func([]byte, error)) {
+	arrivesAt := l.sim.clock.Now() + 1
+	if diesAt, dies := l.diesAt[msg.Call]; dies && arrivesAt >= diesAt || l.disconnected {
+		l.sim.After(1, func() { done(nil, zinniatide.ErrLinkLost) })
+		return
+	}
+	l.sim.After(1, func() {
+		l.sim.relayer.HandleGatherAttempts("peer", raw, func(value any, err error) {
+			answer, encodeErr := encoder.Marshal(value)
+			l.sim.After(1, func() { done(answer, errors.Join(err, encodeErr)) })
+		})
+	})
+}
+
 // newTwoZoneSimulation returns a Relayer in zone a and its delegate in zone b.
 // All servers of the shards are in zone b.
 func newTwoZoneSimulation(t *testing.T, shards int) (*simulation, *simLinks) {
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -52,22 +52,30 @@
 	// firstReplySent is set once the first reply has been sent to the delegating
 	// VM.
 	firstReplySent bool
+	// onBehalfOf identifies the delegation that the request serves, if the delegating
+	// VM lends attempts. Otherwise it is nil.
+	onBehalfOf *delegationKey
 }
 
 // part is the contribution of one shard to the answer.
 type part struct {
-	service      *selector.Service
-	tried        []*selector.Server
-	inFlight     int
-	possibleRuns int // servers that may have started the request
-	sheds        int
-	done         bool
-	failed       bool
-	reported     bool // the delegating VM has been told how the part ended
-	stamp        string
-	body         []byte // kept if the request hedges parts for another VM
-	firstSentAt  zinniatide.Millis
-	delegation   *delegation // set while a delegate gathers the part
+	service  *selector.Service
+	tried    []*selector.Server
+	inFlight int
+	// possibleRuns is the number of servers that may have started the request, with
+	// lent, the attempts that a delegate was lent. attempts is how many servers this VM
+	// may use.
+	possibleRuns, lent, attempts int
+	// asking is set while the delegating VM is asked for an attempt for a failed part.
+	asking      bool
+	sheds       int
+	done        bool
+	failed      bool
+	reported    bool // the delegating VM has been told how the part ended
+	stamp       string
+	body        []byte // kept if the request hedges parts for another VM
+	firstSentAt zinniatide.Millis
+	delegation  *delegation // set while a delegate gathers the part
 }
 
 func (g *gatherRequest) start() {
@@ -77,6 +85,7 @@
 	var unavailable []*selector.Service
 	for i, shard := range g.route.Shards {
 		p := &g.parts[i]
+		p.attempts = max(g.route.MaxAttempts, 1)
 		p.service = g.r.services[shard]
 		p.failed = p.service == nil || !p.service.Available(o)
 		if !p.failed {
@@ -125,7 +134,7 @@
 		if !g.hedgesForPeer {
 			p.service.Budget.RecordRequest(o.Now)
 		}
-		g.sendPart(p, s)
+		g.sendPart(i, s)
 	}
 	if !g.finished {
 		g.after(g.hedgeDelay(), g.hedge)
@@ -150,30 +159,55 @@
 	return zinniatide.Millis(min(max(delay, minHedgeShare*target), maxHedgeShare*target))
 }
 
-func (g *gatherRequest) sendPart(p *part, s *selector.Server) {
+func (g *gatherRequest) sendPart(i int, s *selector.Server) {
+	p := &g.parts[i]
 	if len(p.tried) == 0 {
 		p.firstSentAt = g.r.deps.Clock.Now()
 	}
 	p.tried = append(p.tried, s)
 	p.possibleRuns++
 	p.inFlight++
-	g.send(s, func(_ *attempt, a transporter.Answer) { g.handleAnswer(p, a) })
+	g.send(s, func(_ *attempt, a transporter.Answer) { g.handleAnswer(i, a) })
 }
 
 // hedge sends each late part to a second server.
 func (g *gatherRequest) hedge() {
+	var late, lacking []int
+	for i := range g.parts {
+		p := &g.parts[i]
+		switch {
+		case !g.isLate(p):
+		case g.mayAskForAttempt(p):
+			lacking = append(lacking, i)
+		default:
+			late = append(late, i)
+		}
+	}
+	g.hedgeParts(late)
+	if len(lacking) > 0 && !g.finished {
+		g.askForAttempts(lacking, g.hedgeParts)
+	}
+}
+
+// isLate reports whether a part waits for a single server.
+func (g *gatherRequest) isLate(p *part) bool {
+	return !p.done && !p.failed && p.inFlight == 1 && p.delegation == nil
+}
+
+// hedgeParts sends the parts that are still late to second servers.
+func (g *gatherRequest) hedgeParts(indexes []int) {
 	sent, denied := 0, 0
 	remote := map[zinniatide.ZoneID][]int{}
-	for i := range g.parts {
+	for _, i := range indexes {
 		p := &g.parts[i]
-		if g.finished || p.done || p.failed || p.inFlight != 1 || p.delegation != nil {
+		if g.finished || !g.isLate(p) {
 			continue
 		}
 		if zone := g.hedgeZone(p); zone != "" {
 			remote[zone] = append(remote[zone], i)
 			continue
 		}
-		if g.resendPart(p) {
+		if g.resendPart(i) {
 			sent++
 		} else {
 			denied++
@@ -191,8 +225,9 @@
 }
 
 // resendPart sends a part to another server and reports whether it did.
-func (g *gatherRequest) resendPart(p *part) bool {
-	if p.possibleRuns >= max(g.route.MaxAttempts, 1) {
+func (g *gatherRequest) resendPart(i int) bool {
+	p := &g.parts[i]
+	if !p.hasAttempt() {
 		return false
 	}
 	o := g.r.selectionOptions(p.tried)
@@ -200,11 +235,12 @@
 	if s == nil || !p.service.Budget.TryTake(o.Now) {
 		return false
 	}
-	g.sendPart(p, s)
+	g.sendPart(i, s)
 	return true
 }
 
-func (g *gatherRequest) handleAnswer(p *part, a transporter.Answer) {
+func (g *gatherRequest) handleAnswer(i int, a transporter.Answer) {
+	p := &g.parts[i]
 	p.inFlight--
 	if !a.Result.MayHaveRun() {
 		p.possibleRuns--
@@ -219,8 +255,14 @@
 	if a.Result == transporter.NotRun {
 		p.sheds++
 	}
-	if p.sheds < maxSheds && g.worthResending(p) && g.resendPart(p) {
-		return
+	if p.sheds < maxSheds && g.worthResending(p) {
+		if p.inFlight == 0 && g.mayAskForAttempt(p) {
+			g.resendWithLentAttempt(i, a.Result.String())
+			return
+		}
+		if g.resendPart(i) {
+			return
+		}
 	}
 	g.failPart(p, a.Result.String())
 }
@@ -236,7 +278,7 @@
 // failPart marks a part as failed unless an attempt or a delegate may still
 // deliver it.
 func (g *gatherRequest) failPart(p *part, reason string) {
-	if p.inFlight == 0 && p.delegation == nil && !p.failed && !p.done {
+	if p.inFlight == 0 && p.delegation == nil && !p.asking && !p.failed && !p.done {
 		p.failed = true
 		g.pending--
 		g.finishIfDecided("parts failed: " + reason)
--- a/relayer/mesh_test.go
+++ b/relayer/mesh_test.go
@@ -197,7 +197,7 @@
 }
 
 // Call implements Links.
-func (p *meshProcess) Call(peer zinniatide.VMID, _ zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func([]byte, error)) {
+func (p *meshProcess) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, timeout zinniatide.Millis, done func([]byte, error)) {
 	raw, err := encoder.Marshal(body)
 	if err != nil {
 		done(nil, err)
@@ -206,7 +206,11 @@
 	c := &meshCall{done: func(body []byte, err error) { p.run(func() { done(body, err) }) }}
 	l := p.links[peer]
 	if err := p.deliver(peer, func(receiver *meshProcess) {
-		receiver.relayer.HandleGather(p.vm, raw, func(value any, err error) {
+		handle := receiver.relayer.HandleGather
+		if kind == zinniatide.KindGatherAttempts {
+			handle = receiver.relayer.HandleGatherAttempts
+		}
+		handle(p.vm, raw, func(value any, err error) {
 			if first, ok := value.(*delegationReply); ok && receiver.tamper != nil {
 				receiver.tamper(first)
 			}
