Run each delegation once, and none that nobody awaits

What callers saw: nothing; a delegate worked on for a relay VM that had been killed, and would have worked for a delegation whose cancel arrived first.

Cause: a delegate knew only the gather requests in progress. One from a process that had ended ran to its deadline, and an ended one could begin again.

Change: a delegate keeps the last process and number of each VM that delegates to it. Numbers that are not higher are refused. The first message of a new process ends what the one before had asked for; messages of earlier processes have no effect. A gather request ends if the link of its call is lost before its first reply.

Why it works: a process sends its delegations in the order of their numbers on one link, so a number that is not higher is late, repeated or cancelled.

Evidence: TestDelegationsThatNobodyAwaits fails without the check ("cancel first", "twice") and without the end on a lost link; TestDelegationsOfTwoProcessesAreSeparate requires the end of the earlier process's work.

--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"unicode/utf8"
 
@@ -187,6 +188,7 @@
 			known[d.vm] = d
 		}
 	}
+	maps.DeleteFunc(r.delegatingVMs, func(vm zinniatide.VMID, _ *delegatingVM) bool { return !c.Members[vm].Relay })
 	r.delegates = map[zinniatide.ZoneID][]*delegate{}
 	for vm, member := range c.Members {
 		if !member.Relay || member.State != zinniatide.StateIn || vm == r.config.VM {
@@ -361,9 +363,9 @@
 	defer r.deps.Lock.Unlock()
 	now := r.deps.Clock.Now()
 	id := delegationKey{from, msg.Process, msg.Call}
-	if r.delegatedGathers[id] != nil {
-		klog.ErrorS(nil, "refused a delegation whose number is in use", "step", "gather", "request", msg.RequestID, "peer", from, "call", msg.Call)
-		sendReply(nil, zinniatide.Refuse(zinniatide.CodeRequestIDReused, "delegation %d runs already", msg.Call))
+	if !r.advanceDelegations(id) {
+		klog.ErrorS(nil, "refused a repeated, cancelled or overtaken delegation", "step", "gather", "request", msg.RequestID, "peer", from, "call", msg.Call)
+		sendReply(nil, zinniatide.Refuse(zinniatide.CodeRequestIDReused, "delegation %d is not newer than the last one", msg.Call))
 		return
 	}
 	route := &router.Route{Route: zinniatide.Route{
@@ -394,15 +396,63 @@
 	r.deps.Lock.Lock()
 	defer r.deps.Lock.Unlock()
 	id := delegationKey{from, msg.Process, msg.Call}
+	r.advanceDelegations(id) // the cancel may have overtaken the delegation
+	r.endDelegated(id, msg.Answered)
+}
+
+// delegatingVM is what a delegate knows of a VM that delegates to it.
+type delegatingVM struct {
+	// last is the last delegation of the process that runs now, as far as known.
+	last delegationKey
+	// earlier are the last processes before it, oldest first.
+	earlier []zinniatide.ProcessID
+}
+
+// maxEarlierProcesses bounds delegatingVM.earlier.
+const maxEarlierProcesses = 16
+
+// advanceDelegations records that a message about a delegation has arrived, and reports
+// whether it is later than all before from the same process. Each delegation is run
+// once: a process sends them in the order of their numbers. The first message of
+// another process ends what the process before it has asked for; messages of processes
+// before that are late.
+func (r *Relayer) advanceDelegations(id delegationKey) bool {
+	vm := r.delegatingVMs[id.from]
+	switch {
+	case vm == nil:
+		r.delegatingVMs[id.from] = &delegatingVM{last: id}
+		return true
+	case vm.last.process == id.process:
+		later := id.callID > vm.last.callID
+		vm.last.callID = max(vm.last.callID, id.callID)
+		return later
+	case slices.Contains(vm.earlier, id.process):
+		return false
+	}
+	ended := vm.last.process
+	vm.earlier = append(vm.earlier, ended)
+	vm.earlier = vm.earlier[max(len(vm.earlier)-maxEarlierProcesses, 0):]
+	vm.last = id
+	for other := range r.delegatedGathers {
+		if other.from == id.from && other.process == ended {
+			r.endDelegated(other, false)
+		}
+	}
+	return true
+}
+
+// endDelegated ends a gather request that runs on behalf of another VM. Answered is
+// set if its caller has been answered; otherwise its servers are told to stop.
+func (r *Relayer) endDelegated(id delegationKey, answered bool) {
 	g := r.delegatedGathers[id]
+	if g == nil {
+		return
+	}
 	delete(r.delegatedGathers, id)
-	switch {
-	case g == nil:
-	case msg.Answered:
-		g.cancelDelegations(true)
+	g.cancelDelegations(answered)
+	if answered {
 		g.finish(Reply{})
-	default:
-		g.cancelDelegations(false)
+	} else {
 		g.cancelLocked()
 	}
 }
@@ -413,6 +463,10 @@
 // and lists its pending parts as missing, because the sender may still get them
 // from their first servers.
 func (g *gatherRequest) sendParts(id delegationKey, msg *delegationRequest, digest zinniatide.Fingerprint, sendReply func(any, error)) {
+	if !g.firstReplySent && !g.r.deps.Links.Connected(id.from) {
+		g.r.endDelegated(id, false) // the link of the call is lost, and with it its reply
+		return
+	}
 	last := msg.Hedge || g.pending == 0 || g.r.deps.Clock.Now() >= g.deadline-deadlineMargin
 	reply := &delegationReply{Digest: digest, MayHaveRun: g.mayHaveRun || len(g.openAttempts) > 0, MorePending: !last, DroppedBy: g.droppedBy, Survived: g.survived, Leaving: g.leaving}
 	g.droppedBy, g.leaving = 0, nil
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -127,6 +127,8 @@
 	// delegatedGathers are the gather requests that run here on behalf of other
 	// VMs.
 	delegatedGathers map[delegationKey]*gatherRequest
+	// delegatingVMs are the VMs that have delegated to this one.
+	delegatingVMs map[zinniatide.VMID]*delegatingVM
 	// delegations are the open delegations of this VM by call id.
 	delegations map[uint64]*delegation
 	lastCallID  uint64
@@ -164,7 +166,7 @@
 		strippedHeaders: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, limiters: map[zinniatide.RouteID]*limiter.Limiter{},
-		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegations: map[uint64]*delegation{},
+		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegatingVMs: map[zinniatide.VMID]*delegatingVM{}, delegations: map[uint64]*delegation{},
 		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
 	r.registerTables(d.Registerer)
