Recall requests that wait for servers of an evacuated zone

Cause: an evacuation only kept VMs from choosing these servers.

Change: the exchanges that wait are recalled when the zone is taken out, and sent again.

Evidence: TestEvacuationRecallsWaitingRequests fails without it (got 0 recalls, want 1).

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -156,6 +156,8 @@
 	// preopened is the number of connections to keep open while the process is in
 	// use.
 	preopened int
+	// evacuated is set while the zone of the process is taken out.
+	evacuated bool
 }
 
 // New returns a Relayer without a routing table.
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -162,8 +162,9 @@
 	}
 	s.SetColdFor(e.ColdRemaining, now)
 	leaves := e.State == zinniatide.StateLeaving && s.State != zinniatide.StateLeaving
-	s.Enrollment, s.Service = *e, service
-	if leaves {
+	evacuated := r.excludedZones[e.Zone] && !s.evacuated
+	s.Enrollment, s.Service, s.evacuated = *e, service, r.excludedZones[e.Zone]
+	if leaves || evacuated {
 		s.pool.Recall()
 	}
 	// The other VMs leave enough connections for this one until it has stopped.
