Bound the bytes of the deltas kept for pushes

Cause: kept deltas were bounded in number only.

Change: over 8 MiB the oldest are dropped until 4 MiB are left.

--- a/controller/push.go
+++ b/controller/push.go
@@ -10,16 +10,20 @@
 	"zinniatide.example/zinniatide/registrar"
 )
 
-// minCachedDeltas is the number of newest deltas that are always kept once there
-// are as many. A VM gets the full configuration only if it lacks more epochs than
-// the kept deltas cover, or has none installed. At 20,000 configuration changes a
-// day, the kept deltas cover more than an hour.
-const minCachedDeltas = 1024
+// minCachedDeltas is the number of newest deltas that are kept once there are as many,
+// unless they take more than maxCachedDeltaBytes. A VM gets the full configuration only
+// if it lacks more epochs than the kept deltas cover, or has none installed. At 20,000
+// configuration changes a day, the kept deltas cover more than an hour.
+const (
+	minCachedDeltas     = 1024
+	maxCachedDeltaBytes = 8 << 20
+)
 
 // pushCache holds the encoded deltas of the newest epochs and the encoded
 // configuration. Each is encoded once and shared by the pushes to all VMs.
 type pushCache struct {
 	deltas        []cbor.RawMessage // consecutive epochs up to configuration.Epoch
+	deltaBytes    int               // total size of deltas
 	configuration *zinniatide.Configuration
 	full          cbor.RawMessage
 	fullEpoch     zinniatide.Epoch
@@ -28,18 +32,37 @@
 func (p *pushCache) add(c *zinniatide.Configuration, delta *registrar.Delta) {
 	p.configuration = c
 	if delta == nil {
-		p.deltas = nil
+		p.deltas, p.deltaBytes = nil, 0
 		return
 	}
 	encoded, err := encoder.Marshal(delta)
 	if err != nil {
 		klog.ErrorS(err, "failed to encode configuration delta", "step", "push", "epoch", delta.Epoch)
-		p.deltas = nil
+		p.deltas, p.deltaBytes = nil, 0
 		return
 	}
 	p.deltas = append(p.deltas, encoded)
-	if len(p.deltas) >= 2*minCachedDeltas {
-		p.deltas = append([]cbor.RawMessage(nil), p.deltas[len(p.deltas)-minCachedDeltas:]...)
+	p.deltaBytes += len(encoded)
+	if len(p.deltas) >= 2*minCachedDeltas || p.deltaBytes > maxCachedDeltaBytes {
+		p.dropOldest()
+	}
+}
+
+// dropOldest keeps the newest minCachedDeltas deltas, or fewer if they take more than
+// half of maxCachedDeltaBytes.
+func (p *pushCache) dropOldest() {
+	kept, size := 0, 0
+	for kept < min(len(p.deltas), minCachedDeltas) {
+		size += len(p.deltas[len(p.deltas)-1-kept])
+		if size > maxCachedDeltaBytes/2 {
+			break
+		}
+		kept++
+	}
+	p.deltas = append([]cbor.RawMessage(nil), p.deltas[len(p.deltas)-kept:]...)
+	p.deltaBytes = 0
+	for _, delta := range p.deltas {
+		p.deltaBytes += len(delta)
 	}
 }
 
