Serve requests when the idle timeout is 0

Cause: the idle timeout also bounds the wait for the first request of a connection and for its body.

Change: the acceptor waits at least 250 ms.

Evidence: TestIdleTimeoutOfZeroServesRequests fails without it (broken pipe).

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -196,9 +196,15 @@
 	return n
 }
 
+// minIdleTimeout is applied if the configured one is shorter. A connection is idle too
+// until its first request has arrived.
+const minIdleTimeout zinniatide.Millis = 250
+
 func (a *Acceptor) limits() zinniatide.CallerLimits {
-	if limits, ok := a.handler.Limits(); ok {
-		return limits
+	limits, ok := a.handler.Limits()
+	if !ok {
+		return defaultLimits
 	}
-	return defaultLimits
+	limits.IdleTimeout = max(limits.IdleTimeout, minIdleTimeout)
+	return limits
 }
--- a/acceptor/limits_test.go
+++ b/acceptor/limits_test.go
@@ -86,3 +86,21 @@
 		}
 	}
 }
+
+// Guards against an idle timeout of 0 that closes connections before their first
+// request, or while its body is read.
+func TestIdleTimeoutOfZeroServesRequests(t *testing.T) {
+	f := newFakeHandler()
+	f.limits.IdleTimeout = 0
+	_, address := start(t, f)
+	for range 5 {
+		c := dial(t, address)
+		time.Sleep(20 * time.Millisecond)
+		c.write("POST /a HTTP/1.1\r\n" + head + "Content-Length: 3\r\n\r\na")
+		time.Sleep(20 * time.Millisecond)
+		c.write("bc")
+		if status, body, _ := c.answer(); status != 200 || body != "got:abc" {
+			t.Errorf("got %d %q, want 200 \"got:abc\"", status, body)
+		}
+	}
+}
