Play restarts of relay processes with requests under way in the soak

zinniasoak restarts kills and freezes relay processes in series, on three gathered routes with slow shards in two zones, with requests just before and just after. Every answer is checked for foreign, doubled and missing parts; the servers count the runs of each part and record what they work on; clients leave; a server turns cold again before it is warm. The count of runs is checked in the other soak as well.

--- a/cmd/zinniasoak/main.go
+++ b/cmd/zinniasoak/main.go
@@ -28,7 +28,7 @@
 	}
 	command.Flags().DurationVar(&cfg.FaultDuration, "faults", 30*time.Second, "duration of fault injection")
 	addFlags(command, &cfg, 4)
-	command.AddCommand(newStormCommand())
+	command.AddCommand(newStormCommand(), newRestartsCommand())
 	if command.Execute() != nil {
 		os.Exit(1)
 	}
@@ -43,6 +43,23 @@
 	flags.StringVar(&cfg.Dir, "folder", "", "directory for settings, data and logs (default: a temporary directory that is kept only after a failure)")
 }
 
+// newRestartsCommand returns the command that kills and freezes relay processes with
+// requests under way.
+func newRestartsCommand() *cobra.Command {
+	var cfg soak.Config
+	command := &cobra.Command{
+		Use: "restarts", Short: "Kill and freeze relay processes with requests under way and verify every answer", SilenceUsage: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			summary, err := soak.RunRestarts(cfg)
+			fmt.Println(summary)
+			return err
+		},
+	}
+	addFlags(command, &cfg, 6)
+	command.Flags().DurationVar(&cfg.FaultDuration, "faults", 30*time.Second, "duration of the restarts")
+	return command
+}
+
 // newStormCommand returns the command that sends storms of configuration changes.
 func newStormCommand() *cobra.Command {
 	var cfg soak.StormConfig
--- a/cmd/zinniasoak/soak/backend.go
+++ b/cmd/zinniasoak/soak/backend.go
@@ -45,16 +45,20 @@
 	admitted    atomic.Int64  // executing and queued requests
 	// lostResponses is the number of responses out of 256 that are dropped after
 	// the request was executed.
-	lostResponses     atomic.Int64
-	extraLatency      atomic.Int64 // per request, ns
-	leaving           atomic.Bool  // answers say so
-	pausing           atomic.Bool  // turns all requests away and asks for pauses
-	mu                sync.Mutex
-	drainAckedAt      time.Time
-	hints             map[string]*hints // by the IP address of the VM
-	stop              chan struct{}
-	heartbeatsStopped atomic.Bool // no periodic heartbeats are sent
-	closeOnce         sync.Once
+	lostResponses atomic.Int64
+	extraLatency  atomic.Int64 // per request, ns
+	leaving       atomic.Bool  // answers say so
+	pausing       atomic.Bool  // turns all requests away and asks for pauses
+	mu            sync.Mutex
+	drainAckedAt  time.Time
+	hints         map[string]*hints // by the IP address of the VM
+	// coldUntil is when the server is warm, coldSince when it became cold for the first
+	// time, and arrivals are the times of the requests since then.
+	coldUntil, coldSince time.Time
+	arrivals             []time.Time
+	stop                 chan struct{}
+	heartbeatsStopped    atomic.Bool // no periodic heartbeats are sent
+	closeOnce            sync.Once
 }
 
 func (h *harness) startBackend(service, zone string, n int) (*backend, error) {
@@ -85,6 +89,7 @@
 	if err != nil || id == "" {
 		return
 	}
+	b.recordArrival()
 	b.h.checkArrival(b, id)
 	b.checkHints(id, r.URL.Path)
 	b.sayLeaving(rw, id, r.URL.Path)
@@ -104,7 +109,12 @@
 		return
 	}
 	b.h.recordExecution(id, r.URL.Path, string(body))
-	time.Sleep(2*time.Millisecond + time.Duration(b.extraLatency.Load()))
+	work := b.h.beginWork(b, id)
+	select {
+	case <-time.After(2*time.Millisecond + time.Duration(b.extraLatency.Load())):
+	case <-r.Context().Done(): // the VM has closed the connection
+	}
+	b.h.endWork(work)
 	<-b.running
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(b.id + id))
@@ -155,6 +165,7 @@
 	e := zinniatide.Enrollment{
 		Server: zinniatide.BackendServerID(b.id), StartedAt: zinniatide.Millis(b.startedAtMS), Sequence: uint64(b.sequence.Add(1)),
 		Service: zinniatide.ServiceID(b.service), Address: b.address, Zone: zinniatide.ZoneID(b.zone), Slots: slotCount, State: state,
+		ColdRemaining: zinniatide.Millis(b.coldLeft().Milliseconds()),
 	}
 	raw, err := platform.EncodeHeartbeat(e)
 	if err != nil {
--- a/cmd/zinniasoak/soak/harness.go
+++ b/cmd/zinniasoak/soak/harness.go
@@ -28,6 +28,7 @@
 	nonIdempotentPath = "/once/"
 	soakHost          = "soak.example"
 	callTimeout       = 3 * time.Second
+	maxAttempts       = 2 // of each part
 )
 
 // harness generates the load and holds what the checks compare.
@@ -49,19 +50,27 @@
 	ackedVersion, sentVersion int
 	ackedAt                   time.Time // of ackedVersion
 	lastDiskLoss              time.Time
+	// works is what servers did, and leftAt when clients left without an answer.
+	works  []*work
+	leftAt map[string]time.Time
+	// document returns the configuration of a version.
+	document func(version int) []byte
 }
 
 func newHarness(c *cluster, random *rand.Rand) *harness {
 	return &harness{
 		cluster: c, random: random, sent: map[string]string{}, origins: map[string]origin{}, executions: map[string]int{},
-		notExecuted: map[string]bool{}, outcomes: map[string]int{},
+		notExecuted: map[string]bool{}, outcomes: map[string]int{}, leftAt: map[string]time.Time{}, document: configDocument,
 	}
 }
 
 // violate records a violated guarantee. The text starts with its name:
 //   - DRAIN: a draining server, or one that says that it is leaving, gets no new
 //     work.
-//   - BUDGET: a server that asks for a pause gets one.
+//   - BUDGET: a server that asks for a pause gets one, and no part runs on more servers
+//     than its route allows.
+//   - GONE: servers do not go on for clients that have left.
+//   - FAILBACK: a cold server gets no more than it bears.
 //   - UNASKED: only sent requests run.
 //   - TWICE: a non-idempotent request runs at most once.
 //   - REFUSED: a request that was answered as not executed does not run.
@@ -191,7 +200,7 @@
 		h.violate("DENIED: valid request %s for %s was answered with status %d", id, path, resp.StatusCode)
 	case resp.StatusCode != http.StatusOK:
 	case kind <= lastGatherRequest:
-		h.checkGathered(id, resp, body)
+		h.checkParts(id, resp, body, gatheredRoute{soakShards(), topRecords, minCoverage})
 	default:
 		if stamp, want := expectedPart("plain", id); resp.Header.Get(platform.HeaderServerStamp) != stamp || !bytes.Equal(body, want) {
 			h.violate("MIXED: response to request %s has the wrong stamp or body: stamp %q, %d bytes", id, resp.Header.Get(platform.HeaderServerStamp), len(body))
@@ -199,15 +208,29 @@
 	}
 }
 
-// checkGathered verifies a response that is merged from the parts of several
-// shards.
-func (h *harness) checkGathered(id string, resp *http.Response, body []byte) {
+// gatheredRoute is what the check of a gathered response must know of its route.
+type gatheredRoute struct {
+	shards      []string
+	topRecords  int
+	minCoverage float64 // of the shards
+}
+
+func soakShards() []string {
+	var shards []string
+	for i := range shardCount {
+		shards = append(shards, fmt.Sprintf("shard%d", i))
+	}
+	return shards
+}
+
+// checkParts verifies a response that is merged from the parts of several shards.
+func (h *harness) checkParts(id string, resp *http.Response, body []byte, route gatheredRoute) {
 	var records [][]byte
 	seen := map[string]bool{}
 	stamps := strings.Split(resp.Header.Get(platform.HeaderPartStamps), ",")
 	for _, stamp := range stamps {
 		service, requestID, ok := strings.Cut(strings.TrimSpace(stamp), ".")
-		if !ok || requestID != id || seen[service] || !strings.HasPrefix(service, "shard") {
+		if !ok || requestID != id || seen[service] || !slices.Contains(route.shards, service) {
 			h.violate("MIXED: response to request %s has an invalid part stamp %q", id, stamp)
 			return
 		}
@@ -218,15 +241,15 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	want := bytes.Join(records[:min(topRecords, len(records))], nil)
+	want := bytes.Join(records[:min(route.topRecords, len(records))], nil)
 	if !bytes.Equal(body, want) {
 		h.violate("MIXED: response to request %s has %d bytes that are not the top records of its %d parts", id, len(body), len(stamps))
 	}
-	if missing := fmt.Sprint(shardCount - len(stamps)); resp.Header.Get(platform.HeaderMissingParts) != missing {
+	if missing := fmt.Sprint(len(route.shards) - len(stamps)); resp.Header.Get(platform.HeaderMissingParts) != missing {
 		h.violate("MIXED: response to request %s reports %s missing parts, want %s", id, resp.Header.Get(platform.HeaderMissingParts), missing)
 	}
-	if float64(len(stamps)) < minCoverage*shardCount {
-		h.violate("MIXED: response to request %s has only %d of %d parts", id, len(stamps), shardCount)
+	if float64(len(stamps)) < route.minCoverage*float64(len(route.shards)) {
+		h.violate("MIXED: response to request %s has only %d of %d parts", id, len(stamps), len(route.shards))
 	}
 }
 
@@ -294,7 +317,7 @@
 	}
 	addRoute := func(id zinniatide.RouteID, prefix string, idempotent bool) *zinniatide.Route {
 		r.Routes = append(r.Routes, zinniatide.Route{ID: id, Host: soakHost, PathPrefix: prefix, Idempotent: idempotent, Timeout: 1500,
-			TargetLatency: 200, MaxAttempts: 2, Targets: []zinniatide.WeightedService{{Service: "plain", Weight: 1}}})
+			TargetLatency: 200, MaxAttempts: maxAttempts, Targets: []zinniatide.WeightedService{{Service: "plain", Weight: 1}}})
 		return &r.Routes[len(r.Routes)-1]
 	}
 	gather := addRoute("gather", gatherPath, true)
@@ -315,7 +338,7 @@
 	client := &http.Client{Timeout: 1200 * time.Millisecond}
 	controls := h.cluster.controls()
 	resp, err := client.Post(fmt.Sprintf("http://%s:%d%s", controls[h.randomIntN(len(controls))].ip, controlPort, platform.PathConfigPut),
-		"application/json", bytes.NewReader(configDocument(version)))
+		"application/json", bytes.NewReader(h.document(version)))
 	if err != nil {
 		return 0
 	}
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -119,6 +119,7 @@
 	close(stop)
 	running.Wait()
 	h.checkRecovery(successRatio)
+	h.checkPartRuns(maxAttempts)
 	report = &Report{Seed: cfg.Seed, Outcomes: h.outcomes, Faults: faults, ConfigVersion: h.ackedVersion, SuccessRatio: successRatio, Violations: h.violations, Dir: dir}
 	if len(h.violations) > 0 {
 		return report, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, dir, strings.Join(h.violations, "\n"))
--- a/cmd/zinniasoak/soak/soak_test.go
+++ b/cmd/zinniasoak/soak/soak_test.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// Guards against foreign, doubled and missing parts, parts on too many servers, work for
+// clients that have left and full load of cold servers, when relay processes are killed
+// and frozen with requests under way.
+func TestShortRestarts(t *testing.T) {
+	summary, err := RunRestarts(Config{Seed: 1, FaultDuration: 10 * time.Second, BinaryPath: buildProgram(t), Relays: 6})
+	if err != nil {
+		t.Error(err)
+	}
+	t.Log(summary)
+}
+
 // Guards against concurrent runs whose processes use the same addresses: the processes of
 // one end because their addresses are taken, and its requests reach the other's servers.
 func TestRunsUseDifferentNetworks(t *testing.T) {
