Measure delegations, and check their replies without a map

The check marks parts in a slice, records have their size from the start, and the digest has 32 bits.

--- a/relayer/delegated_hedging.go
+++ b/relayer/delegated_hedging.go
@@ -38,7 +38,8 @@
 		}
 		return sent, denied
 	}
-	d := &delegation{gather: g, delegate: delegate, hedge: true}
+	d := newDelegation(g, delegate, len(indexes))
+	d.hedge = true
 	for _, i := range indexes {
 		p := &g.parts[i]
 		if !p.service.Budget.TryTake(now) {
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -95,7 +95,7 @@
 
 // digest identifies what a delegate is asked for: the request and the shards in
 // their order, to which the indexes in its replies refer.
-func (m *delegationRequest) digest() zinniatide.Fingerprint {
+func (m *delegationRequest) digest() uint32 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(m.RequestID)
@@ -103,7 +103,7 @@
 		_, _ = d.Write([]byte{0})
 		_, _ = d.WriteString(string(shard))
 	}
-	return zinniatide.Fingerprint(d.Sum64())
+	return uint32(d.Sum64()) //nolint:gosec // half of the hash is enough
 }
 
 // maxDelegatedTime bounds the times of a delegationRequest. It is longer than the
@@ -151,7 +151,7 @@
 	// since the last reply.
 	Leaving []leavingProcess `cbor:"11,keyasint,omitempty"`
 	// Digest is the digest of the delegationRequest that is answered.
-	Digest zinniatide.Fingerprint `cbor:"12,keyasint"`
+	Digest uint32 `cbor:"12,keyasint"`
 }
 
 // leavingProcess identifies a process that has said that it is leaving.
@@ -299,7 +299,7 @@
 
 // sendDelegation has a delegate gather parts.
 func (g *gatherRequest) sendDelegation(delegate *delegate, indexes []int, roundTrip, now zinniatide.Millis) {
-	d := &delegation{gather: g, delegate: delegate}
+	d := newDelegation(g, delegate, len(indexes))
 	for _, i := range indexes {
 		g.parts[i].delegation = d
 		g.parts[i].lend()
@@ -462,7 +462,7 @@
 // needs them gets a late answer instead of none. A hedge sends a single reply
 // and lists its pending parts as missing, because the sender may still get them
 // from their first servers.
-func (g *gatherRequest) sendParts(id delegationKey, msg *delegationRequest, digest zinniatide.Fingerprint, sendReply func(any, error)) {
+func (g *gatherRequest) sendParts(id delegationKey, msg *delegationRequest, digest uint32, sendReply func(any, error)) {
 	if !g.firstReplySent && !g.r.deps.Links.Connected(id.from) {
 		g.r.endDelegated(id, false) // the link of the call is lost, and with it its reply
 		return
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -19,7 +19,7 @@
 	parts    []*part
 	indexes  []int                  // of parts in the request
 	shards   []zinniatide.ServiceID // of parts
-	digest   zinniatide.Fingerprint // of the delegationRequest
+	digest   uint32                 // of the delegationRequest
 	// hedge is set if the parts have been sent to other servers before.
 	hedge bool
 	open  bool
@@ -28,6 +28,11 @@
 	firstReplyReceived, finalReplyReceived bool
 }
 
+// newDelegation returns a delegation for up to n parts of g.
+func newDelegation(g *gatherRequest, delegate *delegate, n int) *delegation {
+	return &delegation{gather: g, delegate: delegate, parts: make([]*part, 0, n), indexes: make([]int, 0, n), shards: make([]zinniatide.ServiceID, 0, n)}
+}
+
 // add adds part i of g to the delegation.
 func (d *delegation) add(g *gatherRequest, i int) {
 	d.parts = append(d.parts, &g.parts[i])
@@ -133,10 +138,13 @@
 	if d.hedge {
 		valid = valid && len(reply.Bodies) == len(reply.Parts) && len(reply.Parts)+len(reply.Missing) == len(d.parts)
 	}
-	seen := map[int]bool{}
-	for _, list := range [][]int{reply.Parts, reply.Missing} {
+	seen := make([]bool, len(d.parts))
+	for _, list := range [2][]int{reply.Parts, reply.Missing} {
 		for _, i := range list {
-			valid = valid && !seen[i] && d.awaits(i)
+			if !d.awaits(i) || seen[i] {
+				valid = false
+				break
+			}
 			seen[i] = true
 		}
 	}
--- a/relayer/mesh_test.go
+++ b/relayer/mesh_test.go
@@ -26,6 +26,8 @@
 	// disorder lets one in so many one-way messages arrive twice, before or after the
 	// copy that arrives in order. 0 lets none.
 	disorder int
+	// sentBytes is the size of all messages between VMs so far, without frame headers.
+	sentBytes int
 }
 
 // meshProcess is one process of a VM. It implements Links and timer.Timer for its
@@ -65,7 +67,7 @@
 }
 
 // newMesh returns a mesh with a running relay VM for each name in zones.
-func newMesh(t *testing.T, shards int, zones map[zinniatide.VMID]zinniatide.ZoneID) *mesh {
+func newMesh(t testing.TB, shards int, zones map[zinniatide.VMID]zinniatide.ZoneID) *mesh {
 	t.Helper()
 	m := &mesh{simulation: newSimulation(t, shards), processes: map[zinniatide.VMID]*meshProcess{},
 		latency: func() zinniatide.Millis { return 1 }}
@@ -200,6 +202,7 @@
 	if err != nil {
 		return err
 	}
+	p.mesh.sentBytes += len(raw)
 	return p.deliver(peer, true, func(receiver *meshProcess) {
 		if kind == zinniatide.KindGatherCancel {
 			receiver.relayer.HandleGatherCancel(p.vm, raw, nil)
@@ -216,6 +219,7 @@
 		done(nil, err)
 		return
 	}
+	p.mesh.sentBytes += len(raw)
 	c := &meshCall{done: func(body []byte, err error) { p.run(func() { done(body, err) }) }}
 	l := p.links[peer]
 	if err := p.deliver(peer, false, func(receiver *meshProcess) {
@@ -228,6 +232,7 @@
 				receiver.tamper(first)
 			}
 			reply, encodeErr := encoder.Marshal(value)
+			p.mesh.sentBytes += len(reply)
 			if encodeErr != nil {
 				err = fmt.Errorf("encode reply: %w", encodeErr)
 			}
--- a/relayer/restart_test.go
+++ b/relayer/restart_test.go
@@ -38,7 +38,7 @@
 
 // newMeshWithRemoteShards returns a mesh in which the servers of the first remote
 // shards are in zone b, and a front in zone a that needs all shards.
-func newMeshWithRemoteShards(t *testing.T, shards, remote int) *mesh {
+func newMeshWithRemoteShards(t testing.TB, shards, remote int) *mesh {
 	t.Helper()
 	m := newMesh(t, shards, map[zinniatide.VMID]zinniatide.ZoneID{"front": "a", "helper": "b"})
 	m.config.Routing.Routes[0].MinCoverage = 1
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -18,7 +18,7 @@
 
 // simulation runs a Relayer against simulated backend servers in virtual time.
 type simulation struct {
-	t            *testing.T
+	t            testing.TB
 	lock         sync.Mutex
 	clock        *clock.Clock
 	random       *rand.Rand
@@ -205,7 +205,7 @@
 
 // newSimulation returns shards with one server in each of the zones a and b,
 // and a plain service with four servers.
-func newSimulation(t *testing.T, shards int) *simulation {
+func newSimulation(t testing.TB, shards int) *simulation {
 	t.Helper()
 	sim := &simulation{t: t, clock: clock.NewManual(1000, 1_700_000_000_000), random: rand.New(rand.NewPCG(1, 2)), //nolint:gosec // fixed seed
 		servers: map[zinniatide.BackendServerID]*simServer{}}
@@ -312,7 +312,7 @@
 	})
 }
 
-func missingParts(t *testing.T, reply Reply) int {
+func missingParts(t testing.TB, reply Reply) int {
 	t.Helper()
 	var n int
 	for _, line := range splitLines(string(reply.Header)) {
