--- a/cmd/zinniasoak/soak/harness.go
+++ b/cmd/zinniasoak/soak/harness.go
@@ -34,6 +34,8 @@
 // harness generates the load and holds what the checks compare.
 type harness struct {
 	cluster *cluster
+	dir     string       // of settings, data and logs
+	claim   net.Listener // of the loopback addresses
 
 	mu          sync.Mutex
 	random      *rand.Rand
--- a/cmd/zinniasoak/soak/restarts.go
+++ b/cmd/zinniasoak/soak/restarts.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -74,31 +73,12 @@
 // requests under way just before and just after, lets clients leave, and turns a server
 // cold again. It verifies every answer and what the servers have run.
 func RunRestarts(cfg Config) (summary string, err error) {
-	dir, err := cfg.resolvePaths()
+	h, err := cfg.startSystem(nil)
 	if err != nil {
 		return "", err
 	}
-	network, claim, err := claimNetwork()
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = claim.Close() }() // nothing is sent over it
-	c := newCluster(&cfg, dir, network)
-	h := newHarness(c, rand.New(rand.NewPCG(cfg.Seed, 1))) //nolint:gosec // reproducible for each seed
+	defer func() { h.stopSystem(cfg.Dir == "" && err == nil) }()
 	h.document = restartDocument
-	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
-	defer func() {
-		c.stop()
-		if cfg.Dir == "" && err == nil {
-			_ = os.RemoveAll(dir) // a leftover folder is only untidy
-		}
-	}()
-	if err := c.start(); err != nil {
-		return "", err
-	}
-	if err := c.waitUntilListening(startTimeout); err != nil {
-		return "", err
-	}
 	r := &restarts{h: h, random: rand.New(rand.NewPCG(cfg.Seed, 2))} //nolint:gosec // reproducible for each seed
 	if err := r.prepare(); err != nil {
 		return "", err
@@ -113,12 +93,12 @@
 	r.clients.Wait()
 	h.checkPartRuns(restartMaxAttempts)
 	if r.checked == 0 {
-		return "", fmt.Errorf("seed %d: no request was served, logs in %s", cfg.Seed, dir)
+		return "", fmt.Errorf("seed %d: no request was served, logs in %s", cfg.Seed, h.dir)
 	}
 	summary = fmt.Sprintf("restarts seed %d: %d kills, %d freezes, requests %v, %d answers checked, violations %d, not judged: %v",
 		cfg.Seed, r.kills, r.freezes, h.outcomes, r.checked, len(h.violations), r.unjudged)
 	if len(h.violations) > 0 {
-		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, dir, strings.Join(h.violations, "\n"))
+		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, h.dir, strings.Join(h.violations, "\n"))
 	}
 	return summary, nil
 }
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -66,31 +66,11 @@
 // Run starts the system, injects faults and verifies its guarantees. The error
 // lists the seed and the violations.
 func Run(cfg Config) (report *Report, err error) {
-	dir, err := cfg.resolvePaths()
+	h, err := cfg.startSystem(nil)
 	if err != nil {
 		return nil, err
 	}
-	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
-	network, claim, err := claimNetwork()
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = claim.Close() }() // nothing is sent over it
-	c := newCluster(&cfg, dir, network)
-	h := newHarness(c, random)
-	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
-	defer func() {
-		c.stop()
-		if cfg.Dir == "" && err == nil {
-			_ = os.RemoveAll(dir) // a leftover folder is only untidy
-		}
-	}()
-	if err := c.start(); err != nil {
-		return nil, err
-	}
-	if err := c.waitUntilListening(startTimeout); err != nil {
-		return nil, err
-	}
+	defer func() { h.stopSystem(cfg.Dir == "" && err == nil) }()
 	if err := h.startBackends(); err != nil {
 		return nil, err
 	}
@@ -120,13 +100,47 @@
 	running.Wait()
 	h.checkRecovery(successRatio)
 	h.checkPartRuns(maxAttempts)
-	report = &Report{Seed: cfg.Seed, Outcomes: h.outcomes, Faults: faults, ConfigVersion: h.ackedVersion, SuccessRatio: successRatio, Violations: h.violations, Dir: dir}
+	report = &Report{Seed: cfg.Seed, Outcomes: h.outcomes, Faults: faults, ConfigVersion: h.ackedVersion, SuccessRatio: successRatio, Violations: h.violations, Dir: h.dir}
 	if len(h.violations) > 0 {
-		return report, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, dir, strings.Join(h.violations, "\n"))
+		return report, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, h.dir, strings.Join(h.violations, "\n"))
 	}
 	return report, nil
 }
 
+// startSystem starts the processes on the given processors, or on all, and waits until
+// they listen. The caller must call stopSystem unless there is an error.
+func (c *Config) startSystem(processors []int) (h *harness, err error) {
+	dir, err := c.resolvePaths()
+	if err != nil {
+		return nil, err
+	}
+	network, claim, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	h = newHarness(newCluster(c, dir, network), rand.New(rand.NewPCG(c.Seed, 1))) //nolint:gosec // reproducible for each seed
+	h.dir, h.claim = dir, claim
+	h.cluster.processors = processors
+	h.cluster.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
+	if err = h.cluster.start(); err == nil {
+		err = h.cluster.waitUntilListening(startTimeout)
+	}
+	if err != nil {
+		h.stopSystem(false)
+		return nil, err
+	}
+	return h, nil
+}
+
+// stopSystem ends the processes, and removes their folder if it is not needed any more.
+func (h *harness) stopSystem(removeFolder bool) {
+	h.cluster.stop()
+	_ = h.claim.Close() // nothing is sent over it
+	if removeFolder {
+		_ = os.RemoveAll(h.dir) // a leftover folder is only untidy
+	}
+}
+
 // resolvePaths makes the path of the binary absolute and returns the directory of the
 // run, which it creates if none is set.
 func (c *Config) resolvePaths() (dir string, err error) {
--- a/cmd/zinniasoak/soak/storm.go
+++ b/cmd/zinniasoak/soak/storm.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -84,33 +83,13 @@
 // RunStorm starts the system, sends storms of configuration changes and verifies
 // that requests and reads follow what was acknowledged.
 func RunStorm(cfg StormConfig) (summary string, err error) {
-	dir, err := cfg.resolvePaths()
+	h, err := cfg.startSystem(cfg.Processors)
 	if err != nil {
 		return "", err
 	}
-	random := rand.New(rand.NewPCG(cfg.Seed, 1)) //nolint:gosec // reproducible for each seed
-	network, claim, err := claimNetwork()
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = claim.Close() }() // nothing is sent over it
-	c := newCluster(&cfg.Config, dir, network)
-	c.processors = cfg.Processors
-	h := newHarness(c, random)
-	c.onOwnExit = func(name string, err error) { h.violate("EXIT: %s ended by itself: %v", name, err) }
+	defer func() { h.stopSystem(cfg.Dir == "" && err == nil) }()
+	c := h.cluster
 	s := &storm{h: h, cfg: cfg, stop: make(chan struct{}), reads: map[string]int{}, probes: map[string]int{}}
-	defer func() {
-		c.stop()
-		if cfg.Dir == "" && err == nil {
-			_ = os.RemoveAll(dir) // a leftover folder is only untidy
-		}
-	}()
-	if err := c.start(); err != nil {
-		return "", err
-	}
-	if err := c.waitUntilListening(startTimeout); err != nil {
-		return "", err
-	}
 	for i := range plainServerCount {
 		if err := h.addBackend("plain", zones[i%3]); err != nil {
 			return "", err
@@ -127,7 +106,7 @@
 	summary = fmt.Sprintf("storm seed %d: version %d, slowest acknowledgement %v, late %d, reads %v, probes %v, elections %d, peak memory of a control VM %d MB, violations %d",
 		cfg.Seed, h.ackedVersion, s.slowestAck.Round(time.Millisecond), s.lateAcks, s.reads, s.probes, elections, memory>>10, len(h.violations))
 	if len(h.violations) > 0 {
-		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, dir, strings.Join(h.violations, "\n"))
+		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, h.dir, strings.Join(h.violations, "\n"))
 	}
 	return summary, nil
 }
--- a/relayer/delegation_attempts.go
+++ b/relayer/delegation_attempts.go
@@ -67,7 +67,7 @@
 
 // mayAskForAttempt reports whether the delegating VM may lend one more attempt for a
 // part that has none left.
-func (g *gatherRequest) mayAskForAttempt(p *part) bool { return g.onBehalfOf != nil && !p.hasAttempt() }
+func (g *gatherRequest) mayAskForAttempt(p *part) bool { return g.lender != nil && !p.hasAttempt() }
 
 // askForAttempts asks the delegating VM for one more attempt for each of some parts,
 // and calls done with those for which it has lent one.
@@ -76,9 +76,9 @@
 	for _, i := range indexes {
 		asked[i] = true
 	}
-	msg := &attemptsRequest{Call: g.onBehalfOf.callID, Process: g.onBehalfOf.process, Parts: indexes}
+	msg := &attemptsRequest{Call: g.lender.callID, Process: g.lender.process, Parts: indexes}
 	timeout := max(g.deadline-r.deps.Clock.Now(), 1)
-	r.deps.Links.Call(g.onBehalfOf.from, zinniatide.KindGatherAttempts, msg, timeout, func(body []byte, err error) {
+	r.deps.Links.Call(g.lender.from, zinniatide.KindGatherAttempts, msg, timeout, func(body []byte, err error) {
 		var reply attemptsReply
 		if err == nil {
 			err = encoder.Unmarshal(body, &reply)
@@ -91,13 +91,13 @@
 				return
 			}
 			if err != nil {
-				klog.InfoS("got no more attempts", "step", "gather", "request", g.req.ID, "peer", g.onBehalfOf.from, "parts", len(indexes), "err", err.Error())
+				klog.InfoS("got no more attempts", "step", "gather", "request", g.req.ID, "peer", g.lender.from, "parts", len(indexes), "err", err.Error())
 				reply.Parts = nil
 			}
 			var lent []int
 			for _, i := range reply.Parts {
 				if !asked[i] {
-					klog.ErrorS(nil, "was lent an attempt that was not asked for", "step", "gather", "request", g.req.ID, "peer", g.onBehalfOf.from, "part", i)
+					klog.ErrorS(nil, "was lent an attempt that was not asked for", "step", "gather", "request", g.req.ID, "peer", g.lender.from, "part", i)
 					continue
 				}
 				asked[i] = false
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -52,9 +52,9 @@
 	// firstReplySent is set once the first reply has been sent to the delegating
 	// VM.
 	firstReplySent bool
-	// onBehalfOf identifies the delegation that the request serves, if the delegating
-	// VM lends attempts. Otherwise it is nil.
-	onBehalfOf *delegationKey
+	// lender identifies the delegation that the request serves, if the delegating VM
+	// can be asked for attempts. Otherwise it is nil.
+	lender *delegationKey
 }
 
 // part is the contribution of one shard to the answer.
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -70,7 +70,7 @@
 }
 
 // Guards against a restarted VM whose link stays with its earlier process, because the
-// links are not told which process the configuration names.
+// links do not learn which process the configuration names.
 func TestPeersNameTheRunningProcess(t *testing.T) {
 	s, links, _ := newTestSubscriber(t)
 	s.install(fullPush(t, 5))
