Test attempts beyond what may be lent, and fuzz the messages that ask for them

Cause: the new message had no test of wrong processes, numbers, parts and repeated requests, and was not in the fuzz target.

Evidence: TestAttemptsAreBounded passes; FuzzDelegationMessages with the new message: 20,000 runs by hand without a finding.

--- a/relayer/restart_test.go
+++ b/relayer/restart_test.go
@@ -123,12 +123,43 @@
 	}
 }
 
+// Guards against attempts beyond what the route allows, and for parts that were never
+// delegated, when a delegate asks for them again and again.
+func TestAttemptsAreBounded(t *testing.T) {
+	m := newMeshWithRemoteShards(t, 4, 2) // shards 0 and 1 are delegated
+	m.ask("front", "r")
+	front := m.processes["front"].relayer
+	for _, row := range []struct {
+		from zinniatide.VMID
+		ask  attemptsRequest
+		want int
+	}{
+		{"helper", attemptsRequest{Call: 1, Process: 7, Parts: []int{0}}, 0},
+		{"helper", attemptsRequest{Call: 2, Process: 1, Parts: []int{0}}, 0},
+		{"other", attemptsRequest{Call: 1, Process: 1, Parts: []int{0}}, 0},
+		{"helper", attemptsRequest{Call: 1, Process: 1, Parts: []int{-1, 2, 99, 0, 0}}, 1},
+		{"helper", attemptsRequest{Call: 1, Process: 1, Parts: []int{0, 1}}, 1},
+		{"helper", attemptsRequest{Call: 1, Process: 1, Parts: []int{0, 1}}, 0},
+	} {
+		raw, err := encoder.Marshal(&row.ask)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := -1
+		front.HandleGatherAttempts(row.from, raw, func(value any, _ error) { got = len(value.(*attemptsReply).Parts) })
+		if got != row.want {
+			t.Errorf("%s asked for %+v: got %d attempts, want %d", row.from, row.ask, got, row.want)
+		}
+	}
+}
+
 // FuzzDelegationMessages guards against messages of other VMs that end the process.
 func FuzzDelegationMessages(f *testing.F) {
 	for _, message := range []any{
 		&delegationRequest{Call: 1, Process: 2, RequestID: "r", Route: "gather", Shards: []zinniatide.ServiceID{"shard-00", "none"}, TimeToCutoff: 20, TimeToDeadline: 50},
 		&lateDelegationReply{Call: 1, Process: 1, Reply: delegationReply{Parts: []int{0}, Stamps: []string{"s"}, Records: []byte("r")}},
 		&delegationCancel{Call: 1, Process: 2},
+		&attemptsRequest{Call: 1, Process: 1, Parts: []int{0, 0, -1, 1 << 40}},
 	} {
 		raw, err := encoder.Marshal(message)
 		if err != nil {
@@ -141,6 +172,7 @@
 		front, helper := m.processes["front"].relayer, m.processes["helper"].relayer
 		a, _ := m.ask("front", "r")
 		front.HandleLateParts("helper", raw, nil)
+		front.HandleGatherAttempts("helper", raw, func(any, error) {})
 		helper.HandleGatherCancel("front", raw, nil)
 		helper.HandleGather("front", raw, func(any, error) {})
 		m.run(m.clock.Now() + maxDelegatedTime + 1000)
