Count a leaving answer of the soak from when a VM has passed it on

Trace: the VM answered r1452 with the answer of i-plain-15 after it had hedged the request (12:40:51.078), and learned of the leave from r2738 itself; the stand-in counted from the moment at which it wrote an answer, received or not.

Change: the time counts from a successful answer to the client, of a request that ran on that server alone.

All tests of the package pass.

--- a/cmd/zinniasoak/soak/harness.go
+++ b/cmd/zinniasoak/soak/harness.go
@@ -55,6 +55,9 @@
 	// works is what servers did, and leftAt when clients left without an answer.
 	works  []*work
 	leftAt map[string]time.Time
+	// leavingAnswers are the servers that said in an answer to a request that they are
+	// leaving.
+	leavingAnswers map[string][]*backend
 	// document returns the configuration of a version.
 	document func(version int) []byte
 }
@@ -62,7 +65,7 @@
 func newHarness(c *cluster, random *rand.Rand) *harness {
 	return &harness{
 		cluster: c, random: random, sent: map[string]string{}, origins: map[string]origin{}, executions: map[string]int{},
-		notExecuted: map[string]bool{}, outcomes: map[string]int{}, leftAt: map[string]time.Time{}, document: configDocument,
+		notExecuted: map[string]bool{}, outcomes: map[string]int{}, leftAt: map[string]time.Time{}, leavingAnswers: map[string][]*backend{}, document: configDocument,
 	}
 }
 
@@ -178,6 +181,9 @@
 		return false
 	}
 	h.countOutcome(fmt.Sprint(resp.StatusCode))
+	if resp.StatusCode == http.StatusOK {
+		h.recordPassedOn(id)
+	}
 	h.checkResponse(id, path, kind, resp, got)
 	return resp.StatusCode == http.StatusOK
 }
--- a/cmd/zinniasoak/soak/serverhints.go
+++ b/cmd/zinniasoak/soak/serverhints.go
@@ -33,7 +33,7 @@
 
 // hints records what a backend server has announced to one VM in its answers.
 type hints struct {
-	leavingAt     time.Time // of the first answer that said so
+	leavingAt     time.Time // when the VM had passed on the first answer that said so
 	pausedAt      time.Time
 	pauseArrivals int
 }
@@ -116,13 +116,28 @@
 		return
 	}
 	rw.Header().Set(platform.HeaderServerLeaving, "1")
-	o, known := b.h.originOf(id, path)
-	if !known {
+	if _, known := b.h.originOf(id, path); !known {
+		return
+	}
+	b.h.mu.Lock()
+	defer b.h.mu.Unlock()
+	b.h.leavingAnswers[id] = append(b.h.leavingAnswers[id], b)
+}
+
+// recordPassedOn records that a VM has passed on an answer. If it can only be that of a
+// server that said that it is leaving, the VM knows it from then on. The answer to a
+// request that was sent to two servers may be that of the other one.
+func (h *harness) recordPassedOn(id string) {
+	h.mu.Lock()
+	servers, runs, ip := h.leavingAnswers[id], h.executions[id], h.origins[id].ip
+	h.mu.Unlock()
+	if len(servers) != 1 || runs != 1 {
 		return
 	}
+	b := servers[0]
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if w := b.hintsOf(o.ip); w.leavingAt.IsZero() || b.h.cluster.disturbedSince(o.ip, w.leavingAt) {
+	if w := b.hintsOf(ip); w.leavingAt.IsZero() || h.cluster.disturbedSince(ip, w.leavingAt) {
 		w.leavingAt = time.Now()
 	}
 }
