--- a/node/isolated_test.go
+++ b/node/isolated_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
 	"testing"
 	"time"
@@ -18,17 +17,6 @@
 	"zinniatide.example/zinniatide/platform"
 )
 
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // controlVM is a control VM with the endpoints of the platform.
 type controlVM struct {
 	*node.Relay
@@ -38,12 +26,12 @@
 // startControlVM starts one of the control VMs in seeds.
 func startControlVM(t *testing.T, self zinniatide.VMID, seeds []zinniatide.ControlVM, folder string) *controlVM {
 	t.Helper()
-	r, err := node.NewRelay(node.RelayConfig{VM: self, Zone: "a", ControlAddress: freeAddress(t), DataFolder: folder, Seeds: seeds, Voters: len(seeds)},
+	r, err := node.NewRelay(node.RelayConfig{VM: self, Zone: "a", ControlAddress: node.FreeAddress(t), DataFolder: folder, Seeds: seeds, Voters: len(seeds)},
 		clock.New(), prometheus.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
 	}
-	vm := &controlVM{r, freeAddress(t), freeAddress(t)}
+	vm := &controlVM{r, node.FreeAddress(t), node.FreeAddress(t)}
 	if err := r.Start([]node.Endpoint{
 		{Address: vm.control, Handler: platform.NewControlHandler(r.Operator(), r.Enroller(), r.HeartbeatAddress)},
 		{Address: vm.directory, Handler: platform.NewDirectoryHandler(r.Addresses, 1000)},
@@ -97,10 +85,10 @@
 // with an empty data folder, as the only voter of a new log, and after the loss of the
 // others.
 func TestIsolatedControlVMDecidesNothing(t *testing.T) {
-	self := zinniatide.VMID(freeAddress(t))
+	self := zinniatide.VMID(node.FreeAddress(t))
 	seeds := []zinniatide.ControlVM{{VM: self, PeerAddress: string(self)}}
 	for range 2 {
-		other := freeAddress(t)
+		other := node.FreeAddress(t)
 		seeds = append(seeds, zinniatide.ControlVM{VM: zinniatide.VMID(other), PeerAddress: other})
 	}
 	empty := startControlVM(t, self, seeds, t.TempDir())
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -71,7 +71,7 @@
 	sheds       int
 	done        bool
 	failed      bool
-	reported    bool // the delegating VM has been told how the part ended
+	reported    bool // a reply to the delegating VM lists how the part ended
 	stamp       string
 	body        []byte // kept if the request hedges parts for another VM
 	firstSentAt zinniatide.Millis
