Log lost contact to the control leader, and who follows acknowledged changes

A relay VM logged each failed heartbeat, up to five lines a second since the errors of several control VMs took turns, but not for how long it had had no leader nor what it knew; the leader did not log an acknowledgement, only VMs that it had waited for in vain.

Change: a VM logs the loss of the leader after 2 s and each 10 s, with the time since the last answer, its epoch and table and whom it contacted, and the regained contact. Errors of heartbeats are logged once for each control VM. The leader logs each acknowledgement with the members that have not installed it. Two metrics: age of the contact, requests handled by an unconfirmed table. No decision changes.

--- a/controller/installation.go
+++ b/controller/installation.go
@@ -17,10 +17,14 @@
 
 // installWait is an accepted change that is not acknowledged yet.
 type installWait struct {
-	epoch zinniatide.Epoch
-	done  func(error)
+	epoch     zinniatide.Epoch
+	startedAt zinniatide.Millis
+	done      func(error)
 }
 
+// maxLoggedVMs bounds the VMs named in the log line of an acknowledgement.
+const maxLoggedVMs = 8
+
 // acknowledgesInstalled reports whether the acknowledgement of f means that relay VMs
 // follow the change. The status of other tickets is reported separately.
 func acknowledgesInstalled(f *controlproto.Forward) bool {
@@ -33,7 +37,7 @@
 // them by the last configuration that they have. done gets an error if this VM stops
 // leading before.
 func (c *Controller) awaitInstallation(done func(error)) {
-	c.installWaits = append(c.installWaits, installWait{c.stateMachine.Configuration().Epoch, done})
+	c.installWaits = append(c.installWaits, installWait{c.stateMachine.Configuration().Epoch, c.clock.Now(), done})
 	c.finishInstallWaits()
 }
 
@@ -51,11 +55,27 @@
 		finished = append(finished, w)
 		return true
 	})
+	c.logAcknowledgement(finished)
 	for _, w := range finished {
 		w.done(nil)
 	}
 }
 
+// logAcknowledgement logs which VMs may not follow the changes that are about to be
+// acknowledged, in one line.
+func (c *Controller) logAcknowledgement(finished []installWait) {
+	if len(finished) == 0 {
+		return
+	}
+	epoch, longest, now := zinniatide.Epoch(0), zinniatide.Millis(0), c.clock.Now()
+	for _, w := range finished {
+		epoch, longest = max(epoch, w.epoch), max(longest, now-w.startedAt)
+	}
+	behind := c.membersBehind(epoch)
+	klog.InfoS("acknowledging changes", "step", "install", "epoch", epoch, "table", c.stateMachine.Configuration().RoutingNumber,
+		"changes", len(finished), "waited-ms", longest, "members", c.sessions.size(), "behind", len(behind), "without", behind[:min(len(behind), maxLoggedVMs)])
+}
+
 // oldestAwaitedEpoch returns the lowest epoch installed by a relay VM that is waited for.
 func (c *Controller) oldestAwaitedEpoch() zinniatide.Epoch {
 	configuration, now := c.stateMachine.Configuration(), c.clock.Now()
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -23,6 +23,8 @@
 	// leaves counts the processes that said in an answer that they are leaving, pauses
 	// the pauses that they asked for.
 	leaves, pauses prometheus.Counter
+	// unconfirmedRequests counts requests handled by a table that may be outdated.
+	unconfirmedRequests prometheus.Counter
 }
 
 // newMetrics creates the metrics and registers them unless registerer is nil.
@@ -63,8 +65,12 @@
 	m.pauses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_backend_pauses_total", Help: "Pauses that backend servers asked for when they turned a request away.",
 	})
+	m.unconfirmedRequests = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_relay_unconfirmed_requests_total", Help: "Requests handled by a table that the control leader has not confirmed for 3 s.",
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.foreignReplies, m.leaves, m.pauses)
+		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.foreignReplies, m.leaves, m.pauses,
+			m.unconfirmedRequests)
 	}
 	return m
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -239,6 +239,9 @@
 			return noop
 		}
 	}
+	if r.confirmationAge() > maxConfirmationAge {
+		r.metrics.unconfirmedRequests.Inc()
+	}
 	if route.Gathers() {
 		g := &gatherRequest{activeRequest: base}
 		g.start()
@@ -256,14 +259,20 @@
 // acknowledged configuration must be followed.
 const maxConfirmationAge zinniatide.Millis = 3000
 
+// confirmationAge returns how long ago the configuration was known to be the newest.
+func (r *Relayer) confirmationAge() zinniatide.Millis {
+	if r.deps.ConfirmedAt == nil {
+		return 0
+	}
+	return r.deps.Clock.Now() - r.deps.ConfirmedAt()
+}
+
 // refuseWithoutRoute answers a request that matches no route. A VM that may have missed
 // a newer table asks the caller to come back: the request may have a route there.
 func (r *Relayer) refuseWithoutRoute(req *Request, respond func(Reply)) {
-	if r.deps.ConfirmedAt != nil {
-		if age := r.deps.Clock.Now() - r.deps.ConfirmedAt(); age > maxConfirmationAge {
-			r.refuse(req, nil, respond, fasthttp.StatusServiceUnavailable, "no route in an unconfirmed table", startupRetryAfter, "confirmed-ms-ago", age)
-			return
-		}
+	if age := r.confirmationAge(); age > maxConfirmationAge {
+		r.refuse(req, nil, respond, fasthttp.StatusServiceUnavailable, "no route in an unconfirmed table", startupRetryAfter, "confirmed-ms-ago", age)
+		return
 	}
 	r.refuse(req, nil, respond, fasthttp.StatusNotFound, "no route", 0)
 }
--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -15,7 +15,6 @@
 	lastAnswered       uint64 // highest sequence answered by a leader
 	nextHeartbeatAt    zinniatide.Millis
 	inFlight           bool
-	lastLoggedError    string // of an unanswered heartbeat, empty after an answer
 	deregisteringSince zinniatide.Millis
 	// pendingUntil is the end of a granted lease that becomes valid once
 	// pendingEpoch is installed.
@@ -23,12 +22,6 @@
 	pendingEpoch zinniatide.Epoch
 }
 
-// controlContact is the control VM to which messages are sent.
-type controlContact struct {
-	vm    zinniatide.VMID
-	index int
-}
-
 // sendHeartbeatIfDue sends the next heartbeat if it is due and none is in flight.
 func (s *Subscriber) sendHeartbeatIfDue(now zinniatide.Millis) {
 	if s.deregistering && now-s.lease.deregisteringSince > zinniatide.LeaseDuration {
@@ -38,6 +31,7 @@
 	if s.lease.inFlight || now < s.lease.nextHeartbeatAt || s.deregistering && len(s.deregisterCallbacks) == 0 {
 		return
 	}
+	s.contact.reportLoss(s, now)
 	contacted := s.contactVM()
 	if contacted == "" {
 		return
@@ -68,7 +62,7 @@
 // handleHeartbeatReply processes the reply to h, which was sent at sentAt.
 func (s *Subscriber) handleHeartbeatReply(contacted zinniatide.VMID, h *controlproto.Heartbeat, sentAt zinniatide.Millis, reply *controlproto.HeartbeatReply, err error) {
 	if err != nil {
-		s.logUnanswered(contacted, err)
+		s.contact.logUnanswered(s, contacted, err)
 		s.switchContact(contacted, "")
 		return
 	}
@@ -77,7 +71,7 @@
 		s.switchContact(contacted, reply.Leader)
 		return
 	}
-	s.lease.lastLoggedError = ""
+	s.contact.answered(s, contacted)
 	if known := s.knownLeader.Load(); known == nil || *known != contacted {
 		s.knownLeader.Store(&contacted)
 	}
@@ -105,37 +99,6 @@
 	s.extendLease()
 }
 
-// storeLeaderAddress adds the address of a leader that is not among the peers, so
-// that a VM whose settings name other control VMs can reach it.
-func (s *Subscriber) storeLeaderAddress(leader zinniatide.VMID, address string) {
-	if leader == "" || address == "" || leader == s.config.Member.VM {
-		return
-	}
-	if _, known := s.Peers()[leader]; known {
-		return
-	}
-	s.leaderAddresses = map[zinniatide.VMID]string{leader: address}
-	s.links.SetPeers(s.Peers())
-}
-
-// logUnanswered logs the error of an unanswered heartbeat if it differs from the
-// last one logged. Some errors, such as the refusal of a second process with the
-// same VM id, recur until an operator intervenes.
-func (s *Subscriber) logUnanswered(peer zinniatide.VMID, err error) {
-	s.metrics.unansweredHeartbeats.Inc()
-	text := err.Error()
-	if text == s.lease.lastLoggedError {
-		return
-	}
-	s.lease.lastLoggedError = text
-	if errors.Is(err, zinniatide.ErrNotSent) {
-		// Expected while links are being established.
-		klog.InfoS("heartbeat not sent", "step", "heartbeat", "peer", peer, "err", text)
-		return
-	}
-	klog.ErrorS(err, "heartbeat not answered", "step", "heartbeat", "peer", peer)
-}
-
 // extendLease applies a granted lease once its epoch is installed. Applying it
 // earlier would let this VM continue to work with a configuration that the
 // leader has replaced.
@@ -154,41 +117,3 @@
 	}
 	s.deregisterCallbacks = nil
 }
-
-// contactVM returns the control VM to contact, or empty if none is known.
-func (s *Subscriber) contactVM() zinniatide.VMID {
-	if s.contact.vm == "" {
-		s.rotateContact()
-	}
-	return s.contact.vm
-}
-
-func (s *Subscriber) rotateContact() {
-	vms := controlVMs(s.Configuration(), s.config.ControlVMs)
-	if len(vms) == 0 {
-		return
-	}
-	if s.contact.vm == "" {
-		s.contact.index = s.random.IntN(len(vms))
-	} else {
-		s.contact.index++
-	}
-	s.contact.vm = vms[s.contact.index%len(vms)].VM
-}
-
-// switchContact switches away from a control VM that failed or does not lead. If
-// newLeader is known it is contacted at once, otherwise the next control VM is
-// contacted after a random delay.
-func (s *Subscriber) switchContact(failed, newLeader zinniatide.VMID) {
-	if s.contact.vm != failed {
-		return // an earlier reply already caused a switch
-	}
-	now := s.clock.Now()
-	if newLeader != "" && newLeader != failed {
-		s.contact.vm = newLeader
-		s.lease.nextHeartbeatAt = now
-		return
-	}
-	s.rotateContact()
-	s.lease.nextHeartbeatAt = now + zinniatide.Millis(s.random.Int64N(int64(maxFailoverDelay)+1))
-}
--- a/subscriber/metrics.go
+++ b/subscriber/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"zinniatide.example/zinniatide"
 )
 
 type metrics struct {
@@ -25,3 +27,10 @@
 			Name: "zinniatide_claim_results_unrecorded_total", Help: "Results of claims that could not be recorded."}),
 	}
 }
+
+// registerContactAge registers the gauge of the time since a control leader answered.
+func registerContactAge(registerer prometheus.Registerer, age func() zinniatide.Millis) {
+	promauto.With(registerer).NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "zinniatide_control_contact_age_seconds", Help: "Time since a control leader answered a heartbeat, at first since the start.",
+	}, func() float64 { return float64(age()) / 1000 })
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -107,7 +107,10 @@
 		metrics:  newMetrics(registerer),
 		wake:     make(chan struct{}, 1),
 		releases: map[zinniatide.Epoch][]bucketID{},
+		contact:  controlContact{errors: map[zinniatide.VMID]string{}},
 	}
+	s.contact.answeredAt.Store(int64(clock.Now()))
+	registerContactAge(registerer, func() zinniatide.Millis { return s.contact.silence(clock.Now()) })
 	s.installed.Store(registrar.NewConfiguration())
 	links.Handle(zinniatide.KindControlPush, s.pushHandler)
 	links.SetPeers(s.Peers())
