Show that a relay VM away while all control VMs are replaced follows its old table

Callers saw: requests handled by a routing table that was replaced long before, on one relay VM, also long after it was back.

Run that fails: 'zinniasoak replacements' starts three control and six relay processes, replaces the control processes one after the other by empty ones at other addresses (the old addresses refuse or stay silent), suspends or ends two relay processes meanwhile, and sends a change each 0.3 s. A relay process is judged once it and the control processes have run undisturbed for 4 s.

--- a/cmd/zinniasoak/main.go
+++ b/cmd/zinniasoak/main.go
@@ -28,7 +28,7 @@
 	}
 	command.Flags().DurationVar(&cfg.FaultDuration, "faults", 30*time.Second, "duration of fault injection")
 	addFlags(command, &cfg, 4)
-	command.AddCommand(newStormCommand(), newRestartsCommand())
+	command.AddCommand(newStormCommand(), newRestartsCommand(), newReplacementsCommand())
 	if command.Execute() != nil {
 		os.Exit(1)
 	}
@@ -60,6 +60,23 @@
 	return command
 }
 
+// newReplacementsCommand returns the command that replaces all control processes while
+// relay processes are away.
+func newReplacementsCommand() *cobra.Command {
+	var cfg soak.Config
+	command := &cobra.Command{
+		Use: "replacements", Short: "Replace all control processes while relay processes are away and verify which version is in force",
+		SilenceUsage: true, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			summary, err := soak.RunReplacements(cfg)
+			fmt.Println(summary)
+			return err
+		},
+	}
+	addFlags(command, &cfg, 6)
+	return command
+}
+
 // newStormCommand returns the command that sends storms of configuration changes.
 func newStormCommand() *cobra.Command {
 	var cfg soak.StormConfig
--- a/cmd/zinniasoak/soak/badpeer.go
+++ b/cmd/zinniasoak/soak/badpeer.go
@@ -32,7 +32,7 @@
 		h.mu.Lock()
 		b := h.backends[random.IntN(len(h.backends))]
 		h.mu.Unlock()
-		p, opening, ending := h.cluster.processes[random.IntN(len(h.cluster.processes))], openings[random.IntN(len(openings))], random.IntN(3)
+		p, opening, ending := h.cluster.all()[random.IntN(len(h.cluster.all()))], openings[random.IntN(len(openings))], random.IntN(3)
 		faultDuration := time.Duration(200+random.IntN(1500)) * time.Millisecond
 		var kind string
 		var inject func()
--- a/cmd/zinniasoak/soak/cluster.go
+++ b/cmd/zinniasoak/soak/cluster.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +39,10 @@
 	command   *exec.Cmd
 	suspended bool // by SIGSTOP
 	wipeData  bool // remove the data folder before the next start
+	retired   bool // not started again
+	// downUntil delays the next start.
+	downUntil time.Time
+	startedAt time.Time
 	ending    bool // sent a signal that ends it
 	// lastFault is the time of the last signal or exit.
 	lastFault time.Time
@@ -47,7 +52,13 @@
 type cluster struct {
 	binaryPath string
 	network    string // first two octets of the addresses
-	processes  []*process
+	dir        string
+	// mu guards processes, of which the first three are the control processes, retired,
+	// the former control processes, and lastReplacement.
+	mu              sync.Mutex
+	processes       []*process
+	retired         []*process
+	lastReplacement time.Time
 	// processors are those that the processes may use; all if it is empty.
 	processors []int
 	closing    chan struct{}
@@ -74,25 +85,72 @@
 }
 
 func newCluster(cfg *Config, dir, network string) *cluster {
-	c := &cluster{binaryPath: cfg.BinaryPath, network: network, closing: make(chan struct{})}
+	c := &cluster{binaryPath: cfg.BinaryPath, network: network, dir: dir, closing: make(chan struct{})}
 	for i := range 3 {
-		c.add(dir, fmt.Sprintf("control-%d", i), fmt.Sprintf("%s.1.%d", network, i+1), zones[i], true)
+		c.processes = append(c.processes, c.newControl(i, zones[i]))
 	}
 	for i := range cfg.Relays {
-		c.add(dir, fmt.Sprintf("relay-%d", i), fmt.Sprintf("%s.2.%d", network, i+1), zones[i%3], false)
+		c.processes = append(c.processes, c.newProcess(fmt.Sprintf("relay-%d", i), fmt.Sprintf("%s.2.%d", network, i+1), zones[i%3], false))
 	}
 	return c
 }
 
-func (c *cluster) add(dir, name, ip, zone string, control bool) {
-	c.processes = append(c.processes, &process{name: name, ip: ip, zone: zone, control: control, dir: filepath.Join(dir, name), cluster: c})
+func (c *cluster) newProcess(name, ip, zone string, control bool) *process {
+	return &process{name: name, ip: ip, zone: zone, control: control, dir: filepath.Join(c.dir, name), cluster: c}
+}
+
+// newControl returns the n-th control process.
+func (c *cluster) newControl(n int, zone string) *process {
+	return c.newProcess(fmt.Sprintf("control-%d", n), fmt.Sprintf("%s.1.%d", c.network, n+1), zone, true)
+}
+
+// all returns the processes, without those that were replaced.
+func (c *cluster) all() []*process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.processes)
 }
 
 // controls returns the control processes.
-func (c *cluster) controls() []*process { return c.processes[:3] }
+func (c *cluster) controls() []*process { return c.all()[:3] }
 
 // relays returns the relay processes.
-func (c *cluster) relays() []*process { return c.processes[3:] }
+func (c *cluster) relays() []*process { return c.all()[3:] }
+
+// replaceControl ends the i-th control process for good and starts one with an empty
+// data folder at another address after gap. If silent is set, the address of the former
+// one accepts connections and answers nothing.
+func (c *cluster) replaceControl(i int, gap time.Duration, silent bool) error {
+	old := c.controls()[i]
+	old.retire(silent)
+	c.touchControls()
+	time.Sleep(gap)
+	c.mu.Lock()
+	c.retired = append(c.retired, old)
+	next := c.newControl(2+len(c.retired), old.zone)
+	c.processes[i] = next
+	c.mu.Unlock()
+	c.touchControls()
+	return c.startProcess(next, false)
+}
+
+func (c *cluster) touchControls() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastReplacement = time.Now()
+}
+
+// retire ends the process for good, or suspends it if silent is set.
+func (p *process) retire(silent bool) {
+	p.mu.Lock()
+	p.retired = true
+	p.mu.Unlock()
+	if silent {
+		p.signal(syscall.SIGSTOP)
+		return
+	}
+	p.signal(syscall.SIGKILL)
+}
 
 // writeSettings writes the settings file of the process.
 func (p *process) writeSettings(firstStart bool) error {
@@ -116,13 +174,19 @@
 		if err := p.runOnce(); err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", p.name, err)
 		}
-		if p.writeSettings(false) != nil {
+		p.mu.Lock()
+		retired, delay := p.retired, max(restartDelay, time.Until(p.downUntil))
+		p.mu.Unlock()
+		if retired {
 			return
 		}
 		select {
 		case <-p.cluster.closing:
 			return
-		case <-time.After(restartDelay):
+		case <-time.After(delay):
+		}
+		if p.writeSettings(false) != nil {
+			return
 		}
 	}
 }
@@ -139,7 +203,7 @@
 	command.Stdout, command.Stderr = log, log
 	p.mu.Lock()
 	err = startOn(p.cluster.processors, command)
-	p.command, p.ending = command, false
+	p.command, p.ending, p.startedAt = command, false, time.Now()
 	p.mu.Unlock()
 	if err != nil {
 		return err
@@ -172,6 +236,15 @@
 	p.lastFault = time.Now()
 }
 
+// reload tells the process that its settings have changed. That is not a fault.
+func (p *process) reload() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		_ = p.command.Process.Signal(syscall.SIGHUP) // fails if the process has just exited
+	}
+}
+
 // loseDisk kills the process and has its data folder removed before the
 // restart.
 func (p *process) loseDisk() {
@@ -183,16 +256,23 @@
 
 // start starts all processes.
 func (c *cluster) start() error {
-	for _, p := range c.processes {
-		if err := p.writeSettings(true); err != nil {
+	for _, p := range c.all() {
+		if err := c.startProcess(p, true); err != nil {
 			return err
 		}
-		c.wg.Add(1)
-		go p.run()
 	}
 	return nil
 }
 
+func (c *cluster) startProcess(p *process, firstStart bool) error {
+	if err := p.writeSettings(firstStart); err != nil {
+		return err
+	}
+	c.wg.Add(1)
+	go p.run()
+	return nil
+}
+
 // stop kills all processes and waits for their exit. It repeats the signal,
 // since a process may just be restarting.
 func (c *cluster) stop() {
@@ -203,7 +283,10 @@
 		close(exited)
 	}()
 	for {
-		for _, p := range c.processes {
+		c.mu.Lock()
+		processes := slices.Concat(c.processes, c.retired)
+		c.mu.Unlock()
+		for _, p := range processes {
 			p.signal(syscall.SIGKILL)
 		}
 		select {
@@ -218,15 +301,37 @@
 // while a process is suspended.
 func (c *cluster) lastFault() time.Time {
 	var last time.Time
-	for _, p := range c.processes {
-		p.mu.Lock()
-		if p.lastFault.After(last) {
-			last = p.lastFault
+	for _, p := range c.all() {
+		if fault := p.latestFault(); fault.After(last) {
+			last = fault
 		}
-		if p.suspended {
-			last = time.Now()
-		}
-		p.mu.Unlock()
 	}
 	return last
 }
+
+// latestFault returns the time of the last fault of the process, which is now while it
+// is suspended.
+func (p *process) latestFault() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.suspended {
+		return time.Now()
+	}
+	return p.lastFault
+}
+
+// calmSince reports whether the process has run without a fault since the given time.
+func (p *process) calmSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil && !p.suspended && !p.ending && p.startedAt.Before(since) && p.lastFault.Before(since)
+}
+
+// controlsCalmSince reports whether all control processes have run without a fault and
+// none was replaced since the given time.
+func (c *cluster) controlsCalmSince(since time.Time) bool {
+	c.mu.Lock()
+	replaced := c.lastReplacement.After(since)
+	c.mu.Unlock()
+	return !replaced && !slices.ContainsFunc(c.controls(), func(p *process) bool { return !p.calmSince(since) })
+}
--- a/cmd/zinniasoak/soak/harness.go
+++ b/cmd/zinniasoak/soak/harness.go
@@ -426,7 +426,7 @@
 // waitUntilListening waits until all processes accept connections.
 func (c *cluster) waitUntilListening(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
-	for _, p := range c.processes {
+	for _, p := range c.all() {
 		port := readyPort
 		if p.control {
 			port = controlPort
--- /dev/null
+++ b/cmd/zinniasoak/soak/replacements.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// replacementRoutes is the number of routes that no change touches.
+	replacementRoutes = 20
+	// replacementInterval is longer than a control process needs to take the place of
+	// another one: its lease has to expire first.
+	replacementInterval = 8500 * time.Millisecond
+	// replacementGap is the longest time between the end of a control process and the
+	// start of the next one.
+	replacementGap = time.Second
+	// seedLag is how long settings files name a control process that is gone.
+	seedLag        = 3 * time.Second
+	changeInterval = 300 * time.Millisecond
+)
+
+// settingsUpdate is how a running process learns of changed settings.
+type settingsUpdate int
+
+const (
+	settingsWithSignal settingsUpdate = iota
+	settingsWithoutSignal
+	settingsUnchanged // until the next start
+	settingsUpdateCount
+)
+
+// replacements plays control processes that are replaced one after the other by empty
+// ones at other addresses, while relay processes are away.
+type replacements struct {
+	*storm
+	random  *rand.Rand
+	updates map[string]settingsUpdate // by name of a relay process
+	// absences describes the relay processes that were away.
+	absences []string
+}
+
+// RunReplacements starts the system and replaces all control processes. Meanwhile some
+// relay processes are suspended or down, for any time up to that of all replacements.
+// It verifies which version of the configuration is in force, and that every relay
+// process follows the newest one at the end.
+func RunReplacements(cfg Config) (summary string, err error) {
+	h, err := cfg.startSystem(nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { h.stopSystem(cfg.Dir == "" && err == nil) }()
+	h.document = func(version int) []byte { return stormDocument(version, replacementRoutes) }
+	r := &replacements{
+		storm:   &storm{h: h, stop: make(chan struct{}), reads: map[string]int{}, probes: map[string]int{}},
+		random:  rand.New(rand.NewPCG(cfg.Seed, 2)), //nolint:gosec // reproducible for each seed
+		updates: map[string]settingsUpdate{},
+	}
+	r.judges = r.mustFollow
+	if err := r.run(); err != nil {
+		return "", err
+	}
+	summary = fmt.Sprintf("replacements seed %d: version %d, slowest acknowledgement %v, reads %v, probes %v, away %v, violations %d",
+		cfg.Seed, h.ackedVersion, r.slowestAck.Round(time.Millisecond), r.reads, r.probes, r.absences, len(h.violations))
+	if len(h.violations) > 0 {
+		return summary, fmt.Errorf("seed %d, logs in %s:\n%s", cfg.Seed, h.dir, strings.Join(h.violations, "\n"))
+	}
+	return summary, nil
+}
+
+// mustFollow reports whether p is bound by what was acknowledged: it and the control
+// processes have run undisturbed for calmTime before the given time and since.
+func (r *replacements) mustFollow(p *process, at time.Time) bool {
+	return p.calmSince(at.Add(-calmTime)) && r.h.cluster.controlsCalmSince(at.Add(-calmTime))
+}
+
+func (r *replacements) run() error {
+	for i := range plainServerCount {
+		if err := r.h.addBackend("plain", zones[i%3]); err != nil {
+			return err
+		}
+	}
+	for first := time.Now(); !r.change(1, 0); {
+		if time.Since(first) > startTimeout {
+			return fmt.Errorf("no control process accepts the first configuration within %v", startTimeout)
+		}
+	}
+	time.Sleep(applyTimeout)
+	r.start = time.Now()
+	var checks, absent sync.WaitGroup
+	for _, p := range r.h.cluster.relays() {
+		r.updates[p.name] = settingsUpdate(r.random.IntN(int(settingsUpdateCount)))
+		checks.Add(1)
+		go func() {
+			defer checks.Done()
+			r.probe(p)
+		}()
+	}
+	checks.Add(1)
+	go func() {
+		defer checks.Done()
+		r.sendChanges()
+	}()
+	r.sendAway(&absent)
+	for _, i := range r.random.Perm(3) {
+		next := time.Now().Add(replacementInterval + time.Duration(r.random.IntN(1000))*time.Millisecond)
+		gap, silent := time.Duration(r.random.Int64N(int64(replacementGap))), r.random.IntN(2) == 0
+		if err := r.h.cluster.replaceControl(i, gap, silent); err != nil {
+			return err
+		}
+		time.Sleep(seedLag)
+		r.updateSettings()
+		time.Sleep(time.Until(next))
+	}
+	absent.Wait()
+	time.Sleep(2*calmTime + applyTimeout)
+	close(r.stop)
+	checks.Wait()
+	r.checkFollowed()
+	return nil
+}
+
+// sendAway suspends or ends two relay processes for a random time.
+func (r *replacements) sendAway(absent *sync.WaitGroup) {
+	relays := r.h.cluster.relays()
+	for _, i := range r.random.Perm(len(relays))[:2] {
+		p, suspend := relays[i], r.random.IntN(3) > 0
+		delay := time.Duration(r.random.IntN(4000)) * time.Millisecond
+		away := time.Duration(1+r.random.IntN(4)) * replacementInterval * 9 / 10
+		r.absences = append(r.absences, fmt.Sprintf("%s %v after %v, suspended %v, settings %d", p.name, away, delay, suspend, r.updates[p.name]))
+		absent.Add(1)
+		go func() {
+			defer absent.Done()
+			time.Sleep(delay)
+			if !suspend {
+				p.mu.Lock()
+				p.downUntil = time.Now().Add(away)
+				p.mu.Unlock()
+				p.signal(syscall.SIGKILL)
+				time.Sleep(away)
+				return
+			}
+			p.signal(syscall.SIGSTOP)
+			time.Sleep(away)
+			p.signal(syscall.SIGCONT)
+		}()
+	}
+}
+
+// updateSettings writes the present control processes into the settings files, also of
+// suspended processes.
+func (r *replacements) updateSettings() {
+	for _, p := range r.h.cluster.all() {
+		update := r.updates[p.name] // with a signal for control processes
+		if update == settingsUnchanged {
+			continue
+		}
+		if err := p.writeSettings(false); err != nil {
+			r.h.violate("RUN: settings of %s cannot be written: %v", p.name, err)
+		}
+		if update == settingsWithSignal {
+			p.reload()
+		}
+	}
+}
+
+// sendChanges sends versions of the configuration until the run ends.
+func (r *replacements) sendChanges() {
+	for version := 2; ; version++ {
+		r.sendUntilAcknowledged(version)
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(changeInterval):
+		}
+	}
+}
+
+// checkFollowed verifies that each relay process serves the newest route, and that the
+// configuration can be read back.
+func (r *replacements) checkFollowed() {
+	client := &http.Client{Timeout: callTimeout}
+	newest := r.ackedBefore(time.Now())
+	for _, p := range r.h.cluster.relays() {
+		status := 0
+		for end := time.Now().Add(applyTimeout); status != http.StatusOK && time.Now().Before(end); time.Sleep(probeInterval) {
+			status = r.sendProbe(client, p, newest)
+		}
+		if status != http.StatusOK {
+			r.h.violate("RECOVER: %s answers %d on the newest route, version %d, %v after the last fault", p.name, status, newest, 2*calmTime+2*applyTimeout)
+		}
+	}
+	for range 20 {
+		if r.h.checkConfig() {
+			return
+		}
+		time.Sleep(readInterval)
+	}
+	r.h.violate("CONFIG: the configuration cannot be read back")
+}
--- a/cmd/zinniasoak/soak/serverhints.go
+++ b/cmd/zinniasoak/soak/serverhints.go
@@ -61,7 +61,7 @@
 // disturbedSince reports whether the process of a VM was restarted or suspended after
 // the given time.
 func (c *cluster) disturbedSince(ip string, since time.Time) bool {
-	for _, p := range c.processes {
+	for _, p := range c.all() {
 		if p.ip != ip {
 			continue
 		}
--- a/cmd/zinniasoak/soak/soak.go
+++ b/cmd/zinniasoak/soak/soak.go
@@ -240,7 +240,7 @@
 	h.mu.Lock()
 	b := h.backends[random.IntN(len(h.backends))]
 	h.mu.Unlock()
-	p, control := h.cluster.processes[random.IntN(len(h.cluster.processes))], h.cluster.controls()[random.IntN(3)]
+	p, control := h.cluster.all()[random.IntN(len(h.cluster.all()))], h.cluster.controls()[random.IntN(3)]
 	// Each number keeps its fault, so that seeds keep their meaning: 0 and 1 kill,
 	// 2 stop, 3 freeze, 4 hup, 5 delay, 6 silence, 7 reset, 8 lost answers, 9 slow,
 	// 10 replace backend, 11 drain backend, 12 lost disk, 13 leave, 14 pause.
--- a/cmd/zinniasoak/soak/soak_test.go
+++ b/cmd/zinniasoak/soak/soak_test.go
@@ -83,6 +83,22 @@
 	}
 }
 
+// Guards against relay processes that follow an outdated configuration for good after
+// all control processes that they knew were replaced while they were away.
+func TestShortReplacements(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range []uint64{1, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			summary, err := RunReplacements(Config{Seed: seed, BinaryPath: binary, Relays: 6})
+			if err != nil {
+				t.Error(err)
+			}
+			t.Log(summary)
+		})
+	}
+}
+
 // Guards against concurrent runs whose processes use the same addresses: the processes of
 // one end because their addresses are taken, and its requests reach the other's servers.
 func TestRunsUseDifferentNetworks(t *testing.T) {
--- a/cmd/zinniasoak/soak/storm.go
+++ b/cmd/zinniasoak/soak/storm.go
@@ -66,6 +66,9 @@
 	cfg   StormConfig
 	stop  chan struct{}
 	start time.Time // of the storms
+	// judges reports whether a process must follow the configuration, if it has done so
+	// since the given time. All must if it is nil.
+	judges func(p *process, since time.Time) bool
 	// The fields below are guarded by h.mu. acks lists the acknowledgements that
 	// raised the acknowledged version, in order of time.
 	acks       []acknowledgement
@@ -88,6 +91,7 @@
 		return "", err
 	}
 	defer func() { h.stopSystem(cfg.Dir == "" && err == nil) }()
+	h.document = func(version int) []byte { return stormDocument(version, stormRoutes) }
 	c := h.cluster
 	s := &storm{h: h, cfg: cfg, stop: make(chan struct{}), reads: map[string]int{}, probes: map[string]int{}}
 	for i := range plainServerCount {
@@ -228,7 +232,7 @@
 	controls := s.h.cluster.controls()
 	client := &http.Client{Timeout: stormRequestTimeout}
 	resp, err := client.Post(fmt.Sprintf("http://%s:%d%s", controls[(version+attempt)%len(controls)].ip, controlPort, platform.PathConfigPut),
-		"application/json", bytes.NewReader(stormDocument(version)))
+		"application/json", bytes.NewReader(s.h.document(version)))
 	if err != nil {
 		return false
 	}
@@ -281,7 +285,11 @@
 		if route < 1 {
 			continue
 		}
+		sentAt := time.Now()
 		status := s.sendProbe(client, p, route)
+		if s.judges != nil && !s.judges(p, sentAt) {
+			continue
+		}
 		s.h.mu.Lock()
 		newest := s.h.sentVersion
 		s.probes[fmt.Sprint(status)]++
@@ -338,8 +346,9 @@
 	}
 }
 
-// stormDocument returns an encoded configuration with many routes.
-func stormDocument(version int) []byte {
+// stormDocument returns an encoded configuration with probe routes and a number of
+// routes that no version changes.
+func stormDocument(version, constantRoutes int) []byte {
 	r := &zinniatide.Routing{
 		Services: []zinniatide.RelayService{{Service: "plain", HealthPath: "/healthz", MaxConnections: 40}},
 		Limits:   zinniatide.CallerLimits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 64 << 10, HeaderTimeout: 3000, IdleTimeout: 10_000},
@@ -348,7 +357,7 @@
 		r.Routes = append(r.Routes, zinniatide.Route{ID: zinniatide.RouteID(id), Host: soakHost, PathPrefix: prefix, Idempotent: true, Timeout: 1500,
 			TargetLatency: 200, MaxAttempts: 2, Targets: []zinniatide.WeightedService{{Service: "plain", Weight: 1}}})
 	}
-	for i := range stormRoutes {
+	for i := range constantRoutes {
 		add(fmt.Sprint("route-", i), fmt.Sprintf("/grown%d/", i))
 	}
 	for i := max(1, version-probeRoutes+1); i <= version; i++ {
