Search for the control leader by the settings too, and read them again meanwhile

Callers saw: requests handled by a routing table that had been replaced, on one relay VM, for good.

Cause: once a VM had a configuration, it asked only the control VMs named in it for a newer one. When all of them were replaced while the VM was suspended or cut off, it asked VMs that were gone, for ever. It had even reloaded its settings, which named the new ones, and did not use them. The settings were read again only on SIGHUP, though they may change without it. Class of fault: the only way to newer knowledge leads through the outdated knowledge itself.

Change: after 2 s without an answer of a leader, the control VMs of the settings are asked and linked as well, and the settings are read again each 500 ms. With a leader nothing changes.

TestSeedsAreReadAgainWithoutLeader is new.

--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/asyncwriter"
 	"zinniatide.example/zinniatide/common/clock"
 	"zinniatide.example/zinniatide/common/logger"
@@ -74,7 +75,7 @@
 	}
 	relay, err := node.NewRelay(node.RelayConfig{
 		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, ControlAddress: s.ControlAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
-		Seeds: s.Seeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
+		Seeds: s.Seeds, LoadSeeds: loadSeeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
 		CallerNames: platform.CallerHeaders(), RelayNames: platform.ResponseHeaders(), BackendNames: platform.BackendHeaders(),
 	}, systemClock, registry)
 	if err != nil {
@@ -90,7 +91,7 @@
 			klog.InfoS("starting graceful shutdown", "step", "stop", "signal", sig.String())
 			break
 		}
-		reload(relay)
+		relay.ReloadSeeds()
 	}
 	relay.Stop()
 	return nil
@@ -119,15 +120,14 @@
 	return out
 }
 
-// reload reads the settings file again and applies the seeds, the only setting
-// that can change while the process runs.
-func reload(relay *node.Relay) {
+// loadSeeds reads the seeds from the settings file, the only setting that can change
+// while the process runs.
+func loadSeeds() ([]zinniatide.ControlVM, error) {
 	s, err := platform.Load(os.Getenv(platform.SettingsVariable))
 	if err != nil {
-		klog.ErrorS(err, "failed to reload settings; keeping the previous ones", "step", "reload")
-		return
+		return nil, err
 	}
-	relay.SetSeeds(s.Seeds)
+	return s.Seeds, nil
 }
 
 // goMemoryFraction is the memory limit of the Go runtime, stacks included, as a
--- a/node/relay.go
+++ b/node/relay.go
@@ -54,6 +54,9 @@
 	FirstStart bool
 	// Seeds are the control VMs named in the settings, sorted by id.
 	Seeds []zinniatide.ControlVM
+	// LoadSeeds reads the seeds of the present settings. It is called by ReloadSeeds and
+	// while no control leader answers, and may be nil.
+	LoadSeeds func() ([]zinniatide.ControlVM, error)
 	// Voters is the target number of control VMs.
 	Voters int
 	// RelayCapacity is the target load of one relay VM in requests per second
@@ -106,6 +109,9 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	leaving  bool // guarded by mu, as is cfg.Seeds once the process serves
+	// lastReloadError is the error of the last attempt to read the settings again, empty
+	// after a success. It is guarded by mu.
+	lastReloadError string
 	// lastLoadAt, lastSends and lastLoad are only used by measureLoad.
 	lastLoadAt zinniatide.Millis
 	lastSends  uint64
@@ -159,7 +165,7 @@
 			PeerAddress: string(cfg.VM), State: zinniatide.StateIn, Relay: cfg.CallerAddress != "", Control: control,
 		},
 		Control: control, ControlVMs: r.knownControlVMs(),
-		SelectPeers: r.linkedPeers, Load: r.measureLoad, HeartbeatInterval: heartbeatInterval,
+		SelectPeers: r.linkedPeers, Load: r.measureLoad, HeartbeatInterval: heartbeatInterval, OnSearch: func() { r.reloadSeeds(false) },
 	}, r.linker, clock, newRand(), registerer)
 	if control {
 		if err := r.buildControlComponents(registerer); err != nil {
@@ -547,11 +553,36 @@
 	return r.cfg.Seeds
 }
 
+// ReloadSeeds reads the seeds of the settings again.
+func (r *Relay) ReloadSeeds() { r.reloadSeeds(true) }
+
+// reloadSeeds reads the seeds of the settings again, and applies and logs them if they
+// have changed or always is set.
+func (r *Relay) reloadSeeds(always bool) {
+	if r.cfg.LoadSeeds == nil {
+		return
+	}
+	seeds, err := r.cfg.LoadSeeds()
+	if err != nil {
+		r.mu.Lock()
+		repeated := err.Error() == r.lastReloadError
+		r.lastReloadError = err.Error()
+		r.mu.Unlock()
+		if !repeated || always {
+			klog.ErrorS(err, "failed to reload settings; keeping the previous ones", "step", "reload")
+		}
+		return
+	}
+	if always || !slices.Equal(seeds, r.seeds()) {
+		r.SetSeeds(seeds)
+	}
+}
+
 // SetSeeds replaces the seeds after the settings have been reloaded.
 func (r *Relay) SetSeeds(seeds []zinniatide.ControlVM) {
 	klog.InfoS("reloaded settings", "step", "reload", "seeds", seeds)
 	r.mu.Lock()
-	r.cfg.Seeds = seeds
+	r.cfg.Seeds, r.lastReloadError = seeds, ""
 	r.mu.Unlock()
 	r.subscriber.SetControlVMs(r.knownControlVMs())
 	if r.replicatedLog != nil {
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -131,3 +132,33 @@
 		t.Errorf("got peers %v before the first configuration, want the new seed only", peers)
 	}
 }
+
+// Guards against a VM that uses the seeds it started with although its settings have
+// changed without a signal, while none of those seeds exists any more.
+func TestSeedsAreReadAgainWithoutLeader(t *testing.T) {
+	before := []zinniatide.ControlVM{{VM: "127.0.0.1:7001", PeerAddress: "127.0.0.1:7001"}}
+	after := []zinniatide.ControlVM{{VM: "127.0.0.1:7002", PeerAddress: "127.0.0.1:7002"}}
+	manual, reads := clock.NewManual(1000, 0), 0
+	load := func() ([]zinniatide.ControlVM, error) {
+		reads++
+		if reads == 1 {
+			return nil, errors.New("the file is just being written")
+		}
+		return after, nil
+	}
+	r, err := NewRelay(RelayConfig{VM: "127.0.0.1:7100", Zone: "a", CallerAddress: "127.0.0.1:7101", Seeds: before, LoadSeeds: load}, manual, prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.subscriber.Step()
+	if reads != 0 {
+		t.Errorf("got %d reads of the settings at the start, want 0", reads)
+	}
+	for range 20 {
+		manual.Advance(200)
+		r.subscriber.Step()
+	}
+	if got := r.subscriber.Peers()["127.0.0.1:7002"].Address; got != after[0].PeerAddress {
+		t.Errorf("got address %q of the new seed after %d reads, want %q", got, reads, after[0].PeerAddress)
+	}
+}
--- a/subscriber/contact.go
+++ b/subscriber/contact.go
@@ -12,18 +12,25 @@
 )
 
 const (
-	// contactLossAfter is how long no control leader has answered when the loss is logged.
-	// It is longer than an election.
+	// contactLossAfter is how long no control leader has answered when the loss is logged
+	// and the search for one begins. It is longer than an election.
 	contactLossAfter zinniatide.Millis = 2000
+	// searchInterval is the time between two steps of the search for a leader.
+	searchInterval zinniatide.Millis = 500
 	// contactLossInterval is the time between two log lines on a loss that lasts.
 	contactLossInterval zinniatide.Millis = 10_000
 )
 
-// controlContact is the control VM to which messages are sent, and the time since a
-// control leader answered.
+// controlContact is the control VM to which messages are sent, and the search for the
+// leader while none answers. The configuration may be outdated then, and name only
+// control VMs that are gone. So the search does not depend on it alone: it includes the
+// control VMs of the settings.
 type controlContact struct {
 	vm    zinniatide.VMID
 	index int
+	// searching is set while the search goes on, and nextSearchAt is its next step.
+	searching    bool
+	nextSearchAt zinniatide.Millis
 	// answeredAt is when a leader last answered a heartbeat, at first when the
 	// subscriber was created. It is read on any goroutine.
 	answeredAt atomic.Int64
@@ -46,11 +53,32 @@
 	c.answeredAt.Store(int64(now))
 	c.reportedAt = 0
 	clear(c.errors)
+	if c.searching {
+		c.searching = false
+		s.links.SetPeers(s.Peers())
+	}
+}
+
+// searchIfDue starts or continues the search for a leader.
+func (s *Subscriber) searchIfDue(now zinniatide.Millis) {
+	c := &s.contact
+	if c.silence(now) < contactLossAfter || now < c.nextSearchAt {
+		return
+	}
+	c.nextSearchAt = now + searchInterval
+	if !c.searching {
+		c.searching = true
+		s.links.SetPeers(s.Peers())
+	}
+	c.reportLoss(s, now)
+	if s.config.OnSearch != nil {
+		s.config.OnSearch()
+	}
 }
 
 // reportLoss logs that no leader has answered for a while, and which VMs were asked.
 func (c *controlContact) reportLoss(s *Subscriber, now zinniatide.Millis) {
-	if c.silence(now) < contactLossAfter || c.reportedAt != 0 && now-c.reportedAt < contactLossInterval {
+	if c.reportedAt != 0 && now-c.reportedAt < contactLossInterval {
 		return
 	}
 	c.reportedAt = now
@@ -98,8 +126,24 @@
 	return s.contact.vm
 }
 
+// controlVMs returns the control VMs that this VM contacts: those of the configuration,
+// and during a search or without any also those of the settings.
+func (s *Subscriber) controlVMs() []zinniatide.ControlVM {
+	vms := s.Configuration().ControlVMs
+	if len(vms) > 0 && !s.contact.searching {
+		return vms
+	}
+	vms = slices.Clone(vms)
+	for _, vm := range s.config.ControlVMs {
+		if !slices.Contains(vms, vm) {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
 func (s *Subscriber) rotateContact() {
-	vms := controlVMs(s.Configuration(), s.config.ControlVMs)
+	vms := s.controlVMs()
 	if len(vms) == 0 {
 		return
 	}
--- a/subscriber/lease.go
+++ b/subscriber/lease.go
@@ -31,7 +31,6 @@
 	if s.lease.inFlight || now < s.lease.nextHeartbeatAt || s.deregistering && len(s.deregisterCallbacks) == 0 {
 		return
 	}
-	s.contact.reportLoss(s, now)
 	contacted := s.contactVM()
 	if contacted == "" {
 		return
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -43,8 +43,12 @@
 	// Member.Control decides who may join the set of control VMs.
 	Control bool
 	// ControlVMs is the set from the settings file. It is used until a
-	// configuration with its own set is installed.
+	// configuration with its own set is installed, and while no control leader
+	// answers.
 	ControlVMs []zinniatide.ControlVM
+	// OnSearch is called repeatedly while no control leader answers, so that changed
+	// settings can be passed to SetControlVMs. It must not block and may be nil.
+	OnSearch func()
 	// SelectPeers returns the members to which this VM keeps links. A nil function
 	// selects all members.
 	SelectPeers func(*zinniatide.Configuration) []zinniatide.VMID
@@ -150,7 +154,7 @@
 func (s *Subscriber) Peers() map[zinniatide.VMID]zinniatide.Peer {
 	c := s.Configuration()
 	peers := make(map[zinniatide.VMID]zinniatide.Peer, len(c.Members)+len(s.config.ControlVMs))
-	for _, vm := range controlVMs(c, s.config.ControlVMs) {
+	for _, vm := range s.controlVMs() {
 		peers[vm.VM] = zinniatide.Peer{Address: vm.PeerAddress, Process: c.Members[vm.VM].Process}
 	}
 	for vm, address := range s.leaderAddresses {
@@ -173,8 +177,7 @@
 	return peers
 }
 
-// SetControlVMs replaces the control VMs of Config, which this VM contacts until it
-// has a configuration.
+// SetControlVMs replaces the control VMs of Config.
 func (s *Subscriber) SetControlVMs(vms []zinniatide.ControlVM) {
 	s.post(func() {
 		s.config.ControlVMs = vms
@@ -182,13 +185,6 @@
 	})
 }
 
-func controlVMs(c *zinniatide.Configuration, settings []zinniatide.ControlVM) []zinniatide.ControlVM {
-	if len(c.ControlVMs) > 0 {
-		return c.ControlVMs
-	}
-	return settings
-}
-
 // Run calls Step whenever a task is posted or a timer is due, until ctx is done.
 func (s *Subscriber) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -213,6 +209,9 @@
 	if !s.lease.inFlight {
 		next = min(next, s.lease.nextHeartbeatAt)
 	}
+	if s.contact.searching {
+		next = min(next, s.contact.nextSearchAt)
+	}
 	if len(s.releases) > 0 && !s.releaseInFlight {
 		next = min(next, s.nextReleaseAt)
 	}
@@ -236,6 +235,7 @@
 		}
 	}
 	now := s.clock.Now()
+	s.searchIfDue(now)
 	s.sendHeartbeatIfDue(now)
 	s.sendReleasesIfDue(now)
 	s.claims.sendDue(s, now)
