Ask other VMs for the control leader when all known control VMs are gone

Without a reload, both the configuration and the settings of a VM that was away name only control VMs that are gone, while the VMs next to it are in contact with the leader.

Change: during a search a linked VM that is no control VM is asked for the leader each 500 ms (KindControlLeader); without such a link three members get one. A VM names only a leader that has answered it within 2 s, so outdated knowledge is not passed on, and KnownLeader follows the same rule. Control VMs with a link are contacted first. Names beyond the length of ids are refused with a logged error.

TestOtherVMsNameTheLeader and TestOnlyLeadersInContactAreNamed are new.

--- a/interfaces.go
+++ b/interfaces.go
@@ -21,6 +21,7 @@
 	KindControlForward   MessageKind = 13 // control VM to leader: operator operations
 	KindClaim            MessageKind = 14 // entry VM to control leader: Claim
 	KindClaimResult      MessageKind = 15 // entry VM to control leader: ClaimResult
+	KindControlLeader    MessageKind = 16 // any VM that has lost the control leader to any VM: request for the leader's address
 	KindReplicate        MessageKind = 20 // between control VMs: messages of the replicated log
 	KindSubRequest       MessageKind = 30 // coordinator to owner: sub-requests (forwarder.batchMessage)
 	KindSubResult        MessageKind = 31 // owner to coordinator: results (forwarder.resultMessage)
--- a/subscriber/contact.go
+++ b/subscriber/contact.go
@@ -15,22 +15,16 @@
 	// contactLossAfter is how long no control leader has answered when the loss is logged
 	// and the search for one begins. It is longer than an election.
 	contactLossAfter zinniatide.Millis = 2000
-	// searchInterval is the time between two steps of the search for a leader.
-	searchInterval zinniatide.Millis = 500
 	// contactLossInterval is the time between two log lines on a loss that lasts.
 	contactLossInterval zinniatide.Millis = 10_000
 )
 
 // controlContact is the control VM to which messages are sent, and the search for the
-// leader while none answers. The configuration may be outdated then, and name only
-// control VMs that are gone. So the search does not depend on it alone: it includes the
-// control VMs of the settings.
+// leader while none answers.
 type controlContact struct {
-	vm    zinniatide.VMID
-	index int
-	// searching is set while the search goes on, and nextSearchAt is its next step.
-	searching    bool
-	nextSearchAt zinniatide.Millis
+	vm     zinniatide.VMID
+	index  int
+	search leaderSearch
 	// answeredAt is when a leader last answered a heartbeat, at first when the
 	// subscriber was created. It is read on any goroutine.
 	answeredAt atomic.Int64
@@ -53,29 +47,12 @@
 	c.answeredAt.Store(int64(now))
 	c.reportedAt = 0
 	clear(c.errors)
-	if c.searching {
-		c.searching = false
+	if c.search.active {
+		c.search = leaderSearch{}
 		s.links.SetPeers(s.Peers())
 	}
 }
 
-// searchIfDue starts or continues the search for a leader.
-func (s *Subscriber) searchIfDue(now zinniatide.Millis) {
-	c := &s.contact
-	if c.silence(now) < contactLossAfter || now < c.nextSearchAt {
-		return
-	}
-	c.nextSearchAt = now + searchInterval
-	if !c.searching {
-		c.searching = true
-		s.links.SetPeers(s.Peers())
-	}
-	c.reportLoss(s, now)
-	if s.config.OnSearch != nil {
-		s.config.OnSearch()
-	}
-}
-
 // reportLoss logs that no leader has answered for a while, and which VMs were asked.
 func (c *controlContact) reportLoss(s *Subscriber, now zinniatide.Millis) {
 	if c.reportedAt != 0 && now-c.reportedAt < contactLossInterval {
@@ -127,18 +104,25 @@
 }
 
 // controlVMs returns the control VMs that this VM contacts: those of the configuration,
-// and during a search or without any also those of the settings.
+// and during a search or without any also those of the settings and the leader that
+// another VM has named.
 func (s *Subscriber) controlVMs() []zinniatide.ControlVM {
 	vms := s.Configuration().ControlVMs
-	if len(vms) > 0 && !s.contact.searching {
+	if len(vms) > 0 && !s.contact.search.active {
 		return vms
 	}
 	vms = slices.Clone(vms)
-	for _, vm := range s.config.ControlVMs {
+	add := func(vm zinniatide.ControlVM) {
 		if !slices.Contains(vms, vm) {
 			vms = append(vms, vm)
 		}
 	}
+	for _, vm := range s.config.ControlVMs {
+		add(vm)
+	}
+	for vm, address := range s.leaderAddresses {
+		add(zinniatide.ControlVM{VM: vm, PeerAddress: address})
+	}
 	return vms
 }
 
@@ -152,9 +136,23 @@
 	} else {
 		s.contact.index++
 	}
+	if s.contact.search.active {
+		s.contact.index = s.nextConnected(vms, s.contact.index)
+	}
 	s.contact.vm = vms[s.contact.index%len(vms)].VM
 }
 
+// nextConnected returns the index, from first on, of a VM with a link, or first if there
+// is none.
+func (s *Subscriber) nextConnected(vms []zinniatide.ControlVM, first int) int {
+	for i := range vms {
+		if s.links.Connected(vms[(first+i)%len(vms)].VM) {
+			return first + i
+		}
+	}
+	return first
+}
+
 // switchContact switches away from a control VM that failed or does not lead. If
 // newLeader is known it is contacted at once, otherwise the next control VM is
 // contacted after a random delay.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -117,6 +117,7 @@
 	registerContactAge(registerer, func() zinniatide.Millis { return s.contact.silence(clock.Now()) })
 	s.installed.Store(registrar.NewConfiguration())
 	links.Handle(zinniatide.KindControlPush, s.pushHandler)
+	links.Handle(zinniatide.KindControlLeader, s.leaderHandler)
 	links.SetPeers(s.Peers())
 	return s
 }
@@ -133,9 +134,10 @@
 	return s.LeaseUntil() - zinniatide.LeaseDuration
 }
 
-// KnownLeader returns the VM that last replied as control leader, or empty.
+// KnownLeader returns the VM that last replied as control leader, or empty if it has
+// not done so for a while.
 func (s *Subscriber) KnownLeader() zinniatide.VMID {
-	if vm := s.knownLeader.Load(); vm != nil {
+	if vm := s.knownLeader.Load(); vm != nil && s.contact.silence(s.clock.Now()) < contactLossAfter {
 		return *vm
 	}
 	return ""
@@ -168,6 +170,11 @@
 		for _, vm := range s.config.SelectPeers(c) {
 			add(vm)
 		}
+		for _, vm := range s.contact.search.referrers {
+			if _, member := c.Members[vm]; member {
+				add(vm)
+			}
+		}
 	} else {
 		for vm := range c.Members {
 			add(vm)
@@ -209,8 +216,8 @@
 	if !s.lease.inFlight {
 		next = min(next, s.lease.nextHeartbeatAt)
 	}
-	if s.contact.searching {
-		next = min(next, s.contact.nextSearchAt)
+	if s.contact.search.active {
+		next = min(next, s.contact.search.nextStepAt)
 	}
 	if len(s.releases) > 0 && !s.releaseInFlight {
 		next = min(next, s.nextReleaseAt)
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -22,12 +22,28 @@
 type fakeLinker struct {
 	zinniatide.Linker
 	pushHandler zinniatide.LinkHandler
+	handlers    map[zinniatide.MessageKind]zinniatide.LinkHandler
 	peers       map[zinniatide.VMID]zinniatide.Peer
+	down        []zinniatide.VMID // peers without a link
 	respond     func(peer zinniatide.VMID, kind zinniatide.MessageKind, body any) (any, error)
 }
 
-func (l *fakeLinker) Handle(_ zinniatide.MessageKind, h zinniatide.LinkHandler) { l.pushHandler = h }
-func (l *fakeLinker) SetPeers(peers map[zinniatide.VMID]zinniatide.Peer)        { l.peers = peers }
+func (l *fakeLinker) Handle(kind zinniatide.MessageKind, h zinniatide.LinkHandler) {
+	if kind == zinniatide.KindControlPush {
+		l.pushHandler = h
+	}
+	if l.handlers == nil {
+		l.handlers = map[zinniatide.MessageKind]zinniatide.LinkHandler{}
+	}
+	l.handlers[kind] = h
+}
+
+func (l *fakeLinker) Connected(peer zinniatide.VMID) bool {
+	_, known := l.peers[peer]
+	return known && !slices.Contains(l.down, peer)
+}
+
+func (l *fakeLinker) SetPeers(peers map[zinniatide.VMID]zinniatide.Peer) { l.peers = peers }
 func (l *fakeLinker) Call(peer zinniatide.VMID, kind zinniatide.MessageKind, body any, _ zinniatide.Millis, done func([]byte, error)) {
 	value, err := l.respond(peer, kind, body)
 	encoded, _ := encoder.Marshal(value)
