--- a/cmd/zinniasoak/soak/cluster.go
+++ b/cmd/zinniasoak/soak/cluster.go
@@ -245,6 +245,23 @@
 	}
 }
 
+// resumeRetired continues the former control processes that were suspended and returns
+// them.
+func (c *cluster) resumeRetired() []*process {
+	c.mu.Lock()
+	retired := slices.Clone(c.retired)
+	c.mu.Unlock()
+	return slices.DeleteFunc(retired, func(p *process) bool {
+		p.mu.Lock()
+		suspended := p.suspended
+		p.mu.Unlock()
+		if suspended {
+			p.signal(syscall.SIGCONT)
+		}
+		return !suspended
+	})
+}
+
 // loseDisk kills the process and has its data folder removed before the
 // restart.
 func (p *process) loseDisk() {
--- a/cmd/zinniasoak/soak/replacements.go
+++ b/cmd/zinniasoak/soak/replacements.go
@@ -116,8 +116,13 @@
 		r.updateSettings()
 		time.Sleep(time.Until(next))
 	}
+	r.strikeCore()
 	absent.Wait()
+	returned := r.h.cluster.resumeRetired()
 	time.Sleep(2*calmTime + applyTimeout)
+	for _, p := range returned {
+		r.readFrom(p)
+	}
 	close(r.stop)
 	checks.Wait()
 	r.checkFollowed()
@@ -151,6 +156,31 @@
 	}
 }
 
+// strikeCore ends all control processes at the same time, in every other run.
+func (r *replacements) strikeCore() {
+	if r.random.IntN(2) == 0 {
+		return
+	}
+	r.absences = append(r.absences, "all control processes, killed at once")
+	for _, p := range r.h.cluster.controls() {
+		p.signal(syscall.SIGKILL)
+	}
+}
+
+// readFrom verifies that a former control process answers no read with an older version.
+func (r *replacements) readFrom(p *process) {
+	outcome := "refused by a former control process"
+	for end := time.Now().Add(applyTimeout); time.Now().Before(end); time.Sleep(readInterval) {
+		if r.h.readConfig(p) {
+			outcome = "ok from a former control process"
+			break
+		}
+	}
+	r.h.mu.Lock()
+	r.reads[outcome]++
+	r.h.mu.Unlock()
+}
+
 // updateSettings writes the present control processes into the settings files, also of
 // suspended processes.
 func (r *replacements) updateSettings() {
