--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -100,7 +100,7 @@
 		sim.controlVMs = append(sim.controlVMs, zinniatide.ControlVM{VM: id, PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i+1)})
 	}
 	for _, c := range sim.controlVMs {
-		sim.startVM(zinniatide.Member{VM: c.VM, Zone: "z1", PeerAddress: c.PeerAddress, Process: 1})
+		sim.startVM(zinniatide.Member{VM: c.VM, Zone: "z1", PeerAddress: c.PeerAddress, Process: 1, Control: true})
 	}
 	sim.setLeader("c1")
 	return sim
@@ -308,7 +308,11 @@
 func (l *fakeLog) TransferLeadership()                      {}
 func (l *fakeLog) isLeader() bool                           { return l.vm.sim.leader == l.vm.member.VM }
 func (l *fakeLog) Status() zinniatide.LogStatus {
-	return zinniatide.LogStatus{Leader: l.vm.sim.leader, Leading: l.isLeader()}
+	status := zinniatide.LogStatus{Leader: l.vm.sim.leader, Leading: l.isLeader()}
+	for _, c := range l.vm.stateMachine.Configuration().ControlVMs {
+		status.Voters = append(status.Voters, zinniatide.Voter{VM: c.VM})
+	}
+	return status
 }
 
 func (l *fakeLog) Barrier(done func(error)) {
