Keep connections without a hello in order of acceptance

Cause of what was found: for each connection accepted above the limit of 1,024 the oldest one was searched in a map, on the event loop that accepts; an overdue connection was closed again at each tick until the event loop came to it; and one that had ended while it was answered stayed in the map for good. The busier the event loops, the more connections wait, and the longer each accept takes.

Change: a list in order of acceptance. Adding, removing and finding the oldest take constant time, and a connection is closed once.

--- a/linker/server.go
+++ b/linker/server.go
@@ -36,21 +36,7 @@
 	runError  error         // set before stopped is closed
 
 	mu         sync.Mutex
-	handshakes map[gnet.Conn]*handshake
-	accepted   uint64 // connections accepted so far
-}
-
-// handshake is the state of an accepted connection before its hello message.
-type handshake struct {
-	// address is kept here because gnet forgets it once the connection is closed,
-	// also if a failed write closes it in the middle of a callback.
-	address    string
-	acceptedAt zinniatide.Millis
-	sequence   uint64 // order of acceptance
-	upgraded   bool
-	// closing is set, with the server's lock held, once the connection is to be closed.
-	// gnet does so later, and may deliver the hello before.
-	closing bool
+	handshakes handshakeQueue // guarded by mu
 }
 
 const (
@@ -69,7 +55,7 @@
 )
 
 func newServer(l *Linker) *server {
-	return &server{linker: l, ready: make(chan struct{}), stopped: make(chan struct{}), handshakes: make(map[gnet.Conn]*handshake)}
+	return &server{linker: l, ready: make(chan struct{}), stopped: make(chan struct{})}
 }
 
 func (s *server) start(address string) error {
@@ -220,16 +206,14 @@
 		}
 		return nil, gnet.None
 	}
-	hs := &handshake{address: remoteAddress(c), acceptedAt: s.linker.clock.Now()}
+	hs := &handshake{conn: c, address: remoteAddress(c), acceptedAt: s.linker.clock.Now()}
 	c.SetContext(hs)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.handshakes) >= maxHandshakes {
+	if s.handshakes.len() >= maxHandshakes {
 		s.closeOldestHandshake()
 	}
-	s.accepted++
-	hs.sequence = s.accepted
-	s.handshakes[c] = hs
+	s.handshakes.accept(hs)
 	return nil, gnet.None
 }
 
@@ -237,16 +221,10 @@
 // hello. A VM sends its hello within milliseconds, so connections that stay silent
 // do not keep VMs out. The caller holds the lock.
 func (s *server) closeOldestHandshake() {
-	var oldest gnet.Conn
-	for c, hs := range s.handshakes {
-		if oldest == nil || hs.sequence < s.handshakes[oldest].sequence {
-			oldest = c
-		}
-	}
-	s.handshakes[oldest].closing = true
-	delete(s.handshakes, oldest)
+	oldest := s.handshakes.oldest()
+	s.handshakes.remove(oldest)
 	s.linker.metrics.refusedConnections.Inc()
-	_ = oldest.Close()
+	oldest.close()
 }
 
 // remoteAddress returns the address of the peer, or "closed" if gnet has already
@@ -264,41 +242,48 @@
 	case *link:
 		s.linker.dropLink(state, "connection closed", err)
 	case *handshake:
-		s.removeHandshake(c)
+		s.mu.Lock()
+		s.handshakes.remove(state)
+		s.mu.Unlock()
 	}
 	return gnet.None
 }
 
-func (s *server) removeHandshake(c gnet.Conn) {
-	s.mu.Lock()
-	delete(s.handshakes, c)
-	s.mu.Unlock()
-}
-
 // claimHandshake takes a connection out of the handshakes, so that it is not closed as
 // one of them. It returns false if it is already to be closed.
-func (s *server) claimHandshake(c gnet.Conn, hs *handshake) bool {
+func (s *server) claimHandshake(hs *handshake) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if hs.closing {
 		return false
 	}
-	delete(s.handshakes, c)
+	s.handshakes.remove(hs)
 	return true
 }
 
+// returnHandshake undoes claimHandshake.
+func (s *server) returnHandshake(hs *handshake) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshakes.add(hs)
+}
+
 // closeOverdueHandshakes closes connections that sent no hello in time. It reports
 // whether there are connections without a hello.
 func (s *server) closeOverdueHandshakes(now zinniatide.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, hs := range s.handshakes {
-		if now-hs.acceptedAt >= zinniatide.LinkSilenceTimeout {
-			hs.closing = true
-			_ = c.Close()
+	for {
+		hs := s.handshakes.oldest()
+		if hs == nil {
+			return false
+		}
+		if now-hs.acceptedAt < zinniatide.LinkSilenceTimeout {
+			return true
 		}
+		s.handshakes.remove(hs)
+		hs.close()
 	}
-	return len(s.handshakes) > 0
 }
 
 // OnTraffic implements gnet.EventHandler. gnet also calls it after a wake-up.
@@ -385,7 +370,7 @@
 	if err != nil {
 		return err
 	}
-	if !s.claimHandshake(c, hs) {
+	if !s.claimHandshake(hs) {
 		return errTooManyHandshakes
 	}
 	lk, err := s.linker.answerHello(c, &peerHello)
@@ -393,9 +378,7 @@
 		return err
 	}
 	if lk == nil { // the peer closes the connection, or it becomes overdue
-		s.mu.Lock()
-		s.handshakes[c] = hs
-		s.mu.Unlock()
+		s.returnHandshake(hs)
 		return nil
 	}
 	c.SetContext(lk)
