Let no delayed hello replace a newer link of the same process

Seen once in 40 race runs of TestBadPeersDoNotEndProcess at a load over 100, subtest garbage/half-close: 'message not sent: link to b closed before the message left'.

Cause, from its log: a dial timed out and was repeated; the dialled VM read the hello of the first connection, which the peer had closed, after that of the second one, and let it replace the link.

Change: dials are numbered in the hello, and a lower number of the same process does not replace its link.

Evidence: TestDelayedHelloReplacesNoNewerLink fails without the comparison (checked with it switched off). It also holds for peers that send no number and for other processes.

--- a/linker/handshakeorder_test.go
+++ b/linker/handshakeorder_test.go
@@ -7,6 +7,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/clock"
 )
 
@@ -66,3 +67,45 @@
 		})
 	}
 }
+
+// Guards against a connection that its peer has given up, and whose hello was delayed,
+// that replaces the newer link of the same process. Calls on that link are lost.
+func TestDelayedHelloReplacesNoNewerLink(t *testing.T) {
+	l, err := New(Config{Self: "b", Process: 1, ListenAddress: "127.0.0.1:0"}, clock.NewManual(1000, 0), prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	connect := func(process zinniatide.ProcessID, dial uint64) *queuedConn {
+		t.Helper()
+		c := &queuedConn{}
+		l.server.OnOpen(c)
+		message, err := encodeHello(hello{VM: "a", Process: process, VersionMin: 1, VersionMax: protocolVersion, Address: "127.0.0.1:1", Dial: dial}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.context.(*handshake).upgraded = true
+		c.sliceReader = sliceReader{message}
+		if l.server.OnTraffic(c) == gnet.Close {
+			l.server.OnClose(c, nil)
+		}
+		return c
+	}
+	linked := func(c *queuedConn) bool {
+		lk, ok := c.context.(*link)
+		return ok && l.linkTo("a") == lk
+	}
+	newer := connect(1, 2)
+	if delayed := connect(1, 1); linked(delayed) || !linked(newer) {
+		t.Error("got the link of a delayed hello, want that of the newer connection")
+	}
+	if redialled := connect(1, 3); !linked(redialled) {
+		t.Error("got no link of a newer dial, want one")
+	}
+	if old := connect(1, 0); !linked(old) {
+		t.Error("got no link of a peer that does not number its dials, want one")
+	}
+	l.dropLink(l.linkTo("a"), "connection closed", nil)
+	if again := connect(2, 1); !linked(again) {
+		t.Error("got no link of another process whose dials count from 1, want one")
+	}
+}
--- a/linker/hello.go
+++ b/linker/hello.go
@@ -21,6 +21,7 @@
 	errEventLoopsStopped = errors.New("event loops are not running")
 	errSuperseded        = errors.New("another process of the VM has taken its place")
 	errRefused           = errors.New("peer refused the link")
+	errOutdatedDial      = errors.New("a newer connection of the same process is established")
 	errOtherProcess      = errors.New("another process of the VM is connected")
 )
 
@@ -42,6 +43,9 @@
 	Process    zinniatide.ProcessID `json:"incarnation"`
 	// Address is the address at which peers reach the sender.
 	Address string `json:"address"`
+	// Dial counts the dials of the sending process. It tells the order of connections
+	// whose hellos arrive in another one. It is 0 in an answer.
+	Dial uint64 `json:"dial,omitempty"`
 	// DialBack is set in an answer if the answering side will dial instead, so
 	// that this connection is closed.
 	DialBack bool `json:"dial-back,omitempty"`
@@ -138,7 +142,9 @@
 }
 
 func (l *Linker) exchangeHello(conn net.Conn) (hello, error) {
-	message, err := encodeHello(l.ownHello(), true)
+	own := l.ownHello()
+	own.Dial = l.dialSequence.Add(1)
+	message, err := encodeHello(own, true)
 	if err != nil {
 		return hello{}, err
 	}
@@ -190,7 +196,7 @@
 		}
 	default:
 		lk = newLink(l, h.VM, h.Process)
-		lk.transport, lk.compresses = connTransport{conn}, l.compresses(h)
+		lk.transport, lk.compresses, lk.dial = connTransport{conn}, l.compresses(h), h.Dial
 		if err = l.checkInstallable(lk); errors.Is(err, errOtherProcess) {
 			l.probeOther(h.VM, h.Process)
 		}
@@ -225,7 +231,7 @@
 		return errClosing
 	}
 	if p := l.peers[lk.peer]; p != nil {
-		return p.checkProcess(lk.process)
+		return p.check(lk)
 	}
 	return nil
 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -31,8 +31,9 @@
 type link struct {
 	peer         zinniatide.VMID
 	process      zinniatide.ProcessID
-	dialled      bool // this side dialled, so it must mask the frames it sends
-	compresses   bool // both sides support compressed payloads
+	dialled      bool   // this side dialled, so it must mask the frames it sends
+	dial         uint64 // hello.Dial of the peer, 0 if this side dialled
+	compresses   bool   // both sides support compressed payloads
 	transport    transport
 	linker       *Linker
 	established  zinniatide.Millis
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -90,10 +90,12 @@
 	ticker     *ticker.Ticker
 	compressor *compressor.Compressor // shared by all links
 	lastCall   atomic.Uint64
-	started    atomic.Bool
-	ctx        context.Context
-	cancel     context.CancelFunc
-	running    sync.WaitGroup
+	// dialSequence is the number of the last dial.
+	dialSequence atomic.Uint64
+	started      atomic.Bool
+	ctx          context.Context
+	cancel       context.CancelFunc
+	running      sync.WaitGroup
 
 	mu      sync.RWMutex
 	closing bool
--- a/linker/peers.go
+++ b/linker/peers.go
@@ -17,6 +17,9 @@
 	configured bool
 	// process is the process that had the last link.
 	process zinniatide.ProcessID
+	// dial is the number of the dial with which process last established a link, 0 if this
+	// VM dialled.
+	dial uint64
 	// registered is the process that the table passed to SetPeers names, or 0.
 	registered zinniatide.ProcessID
 	// superseded are the last processes whose links were taken over by other
@@ -134,6 +137,15 @@
 	return nil
 }
 
+// check returns an error if lk may not become the link to the peer: see checkProcess, and
+// a connection whose hello was delayed does not replace a newer one.
+func (p *peerState) check(lk *link) error {
+	if p.link != nil && lk.process == p.process && lk.dial != 0 && lk.dial < p.dial {
+		return errOutdatedDial
+	}
+	return p.checkProcess(lk.process)
+}
+
 // take records that a process has the link to the peer.
 func (p *peerState) take(process zinniatide.ProcessID) {
 	if process == p.process {
@@ -160,7 +172,7 @@
 		p = &peerState{}
 		l.peers[lk.peer] = p
 	}
-	if err := p.checkProcess(lk.process); err != nil {
+	if err := p.check(lk); err != nil {
 		old := p.link
 		l.mu.Unlock()
 		l.probe(old)
@@ -168,7 +180,7 @@
 	}
 	old := p.link
 	p.take(lk.process)
-	p.link = lk
+	p.link, p.dial = lk, lk.dial
 	p.failures, p.lastError = 0, ""
 	l.mu.Unlock()
 	l.ticker.Wake()
