Let no failed part clear a query that crashes the other servers

Callers could see: a query that crashes the servers of all shards but one is never recognised, so it takes servers down each time it comes.

Cause: any answer cleared the suspicion, also a 500 of one shard, whose servers may fail the query before they run it.

Change: of a gathered query only answers with a status below 500 count. Requests to one server are unchanged.

Evidence: TestFailedPartsDoNotClearCrashingQueries, rows 'error status' and 'no answer in the protocol', failed before (0 reports, want 3); 'success' and 'rejected as bad' hold the other side.

--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -26,7 +26,7 @@
 	// onBehalf is set if the request runs on behalf of another VM.
 	onBehalf bool
 	// droppedBy counts the servers that dropped their connection while they ran the
-	// request. survived is set once a server has answered it, with any status.
+	// request. survived is set once an answer shows that it does not crash servers.
 	droppedBy      int
 	firstDroppedAt zinniatide.Millis
 	survived       bool
@@ -93,7 +93,7 @@
 	if a.Dropped {
 		ar.recordDrops(1)
 	}
-	if a.Result == transporter.Answered || a.Result == transporter.InvalidAnswer {
+	if ar.showsSurvival(a) {
 		ar.recordSurvival()
 	}
 	defer ar.reportIfUnanswered()
@@ -156,6 +156,16 @@
 	ar.droppedBy += n
 }
 
+// showsSurvival reports whether an answer shows that the request does not crash servers.
+// A failed part does not: the servers of its shard may fail the query before they run
+// it, while it crashes those of all others.
+func (ar *activeRequest) showsSurvival(a *transporter.Answer) bool {
+	if a.Result == transporter.Answered && a.Status < 500 {
+		return true
+	}
+	return (a.Result == transporter.Answered || a.Result == transporter.InvalidAnswer) && !ar.route.Gathers()
+}
+
 // recordSurvival records that a server has answered the request, and clears equal
 // requests that were reported as unanswered.
 func (ar *activeRequest) recordSurvival() {
--- a/relayer/crashing_test.go
+++ b/relayer/crashing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 
 	"zinniatide.example/zinniatide"
@@ -120,6 +121,42 @@
 	}
 }
 
+// Guards against a query that crashes the servers of all shards but one and is not
+// recognised, because the servers of that shard fail it with an error status.
+func TestFailedPartsDoNotClearCrashingQueries(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		part func() (transporter.Result, int)
+		want int // reports
+	}{
+		{"error status", func() (transporter.Result, int) { return transporter.Answered, 500 }, 3},
+		{"no answer in the protocol", func() (transporter.Result, int) { return transporter.InvalidAnswer, 0 }, 3},
+		{"success", func() (transporter.Result, int) { return transporter.Answered, 200 }, 0},
+		{"rejected as bad", func() (transporter.Result, int) { return transporter.Answered, 400 }, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			sim, q := newSimulation(t, testShards), newRecordedReports()
+			sim.relayer.deps.Quarantine = q
+			for id, s := range sim.servers {
+				s.fault = func() (transporter.Result, int) { return transporter.ConnectionLost, 0 }
+				if strings.HasPrefix(string(id), "shard-00") {
+					s.fault = row.part
+				}
+			}
+			for n := range 3 {
+				sim.serve(fmt.Sprint("a", n), "/q/x")
+			}
+			got := 0
+			for _, attempts := range q.reports {
+				got += len(attempts)
+			}
+			if got != row.want {
+				t.Errorf("got %d reports, want %d", got, row.want)
+			}
+		})
+	}
+}
+
 // Guards against a suspicion that stays although servers answer the request.
 func TestAnsweredRequestsAreReported(t *testing.T) {
 	for _, path := range []string{"/p/x", "/once/x", "/q/x"} {
