Acknowledge no change while the leader has no sessions

Cause: when the lease of a leader lapses for a moment, it drops its sessions and leads on in the same term. An entry committed in between was acknowledged at once, since there was no session to wait for. Right after, the leadership was lost for good.

Evidence: the new line of the acknowledgement says members 0, 86 ms after leadership was lost and in the millisecond in which it was regained; the relay VM that broke the rule got the table 8.9 s later, from the next leader.

Change: no acknowledgement without leadership. The outcome is unknown, and the operator sends the change again.

--- a/controller/installation.go
+++ b/controller/installation.go
@@ -15,6 +15,8 @@
 // expect an acknowledgement.
 const installTimeout zinniatide.Millis = 2000
 
+var errNotLeading = errors.New("this VM stopped leading before all VMs had installed the change")
+
 // installWait is an accepted change that is not acknowledged yet.
 type installWait struct {
 	epoch     zinniatide.Epoch
@@ -35,8 +37,13 @@
 // Relay VMs that are not connected, or that have installed nothing for installTimeout
 // although they should, are not waited for. They serve the callers that still reach
 // them by the last configuration that they have. done gets an error if this VM stops
-// leading before.
+// leading before, or does not lead now: an entry can be committed between two times of
+// leading in the same term, while there are no sessions that tell what is installed.
 func (c *Controller) awaitInstallation(done func(error)) {
+	if !c.leading {
+		done(errNotLeading)
+		return
+	}
 	c.installWaits = append(c.installWaits, installWait{c.stateMachine.Configuration().Epoch, c.clock.Now(), done})
 	c.finishInstallWaits()
 }
@@ -102,7 +109,7 @@
 	waits := c.installWaits
 	c.installWaits = nil
 	for _, w := range waits {
-		w.done(errors.New("this VM stopped leading before all VMs had installed the change"))
+		w.done(errNotLeading)
 	}
 }
 
