Add the shared types of rollouts, workspaces and quotas

Configurations and their deltas carry them, and enrollments the version of the software. Nothing uses them yet.

--- a/configuration.go
+++ b/configuration.go
@@ -166,6 +166,8 @@
 	// ActiveRelays is the number of relay VMs per zone whose addresses are given
 	// to callers. A zone without an entry uses all its relay VMs.
 	ActiveRelays map[ZoneID]int `json:"active-relays,omitempty"`
+	// Rollouts holds the last rollout of each service that had one.
+	Rollouts map[ServiceID]Rollout `json:"rollouts,omitempty"`
 }
 
 // ZoneServing reports whether zone may take new work.
--- a/interfaces.go
+++ b/interfaces.go
@@ -41,6 +41,9 @@
 	KindGatherCancel     MessageKind = 81 // cancels a KindGather
 	KindGatherLateParts  MessageKind = 82 // to the asking VM: parts that came after the reply
 	KindGatherAttempts   MessageKind = 83 // to the asking VM: request for attempts to send parts once more
+	KindRolloutReport    MessageKind = 90 // relay VM to control leader: results by version of the servers
+	KindQuotaTake        MessageKind = 91 // relay VM to the VM that counts a workspace: request for tokens
+	KindQuotaHandover    MessageKind = 92 // VM that stops counting workspaces to its successors: token buckets
 )
 
 // LinkHandler handles one message. It runs on the event loop of the link and must
--- a/registrar/delta.go
+++ b/registrar/delta.go
@@ -20,6 +20,7 @@
 	Buckets           []BucketChange                                          `cbor:"8,keyasint,omitempty"`
 	Routing           *RoutingDelta                                           `cbor:"9,keyasint,omitempty"`
 	ActiveRelays      map[zinniatide.ZoneID]int                               `cbor:"10,keyasint,omitempty"`
+	Rollouts          map[zinniatide.ServiceID]*zinniatide.Rollout            `cbor:"11,keyasint,omitempty"`
 }
 
 // BucketChange replaces one bucket.
@@ -31,7 +32,7 @@
 
 func (d *Delta) empty() bool {
 	return len(d.Services)+len(d.AvailabilityZones)+len(d.VMs)+len(d.BackendServers)+
-		len(d.ControlVMs)+len(d.Members)+len(d.Buckets)+len(d.ActiveRelays) == 0 && d.Routing == nil
+		len(d.ControlVMs)+len(d.Members)+len(d.Buckets)+len(d.ActiveRelays)+len(d.Rollouts) == 0 && d.Routing == nil
 }
 
 // NewConfiguration returns the empty configuration of epoch 0.
@@ -62,7 +63,7 @@
 type configurationBuilder struct {
 	next *zinniatide.Configuration
 	// The flags tell which maps of next have been copied.
-	servicesCopied, zonesCopied, vmsCopied, serversCopied, membersCopied bool
+	servicesCopied, zonesCopied, vmsCopied, serversCopied, membersCopied, rolloutsCopied bool
 	// bucketsCopied holds the zones whose bucket table has been copied.
 	bucketsCopied map[zinniatide.ZoneID]bool
 }
@@ -79,6 +80,7 @@
 	applyChanges(&b.next.VMs, &b.vmsCopied, d.VMs)
 	applyChanges(&b.next.BackendServers, &b.serversCopied, d.BackendServers)
 	applyChanges(&b.next.Members, &b.membersCopied, d.Members)
+	applyChanges(&b.next.Rollouts, &b.rolloutsCopied, d.Rollouts)
 	if len(d.ControlVMs) > 0 {
 		b.next.ControlVMs = d.ControlVMs
 	}
@@ -156,6 +158,7 @@
 	merge(&tx.delta.VMs, d.VMs)
 	merge(&tx.delta.BackendServers, d.BackendServers)
 	merge(&tx.delta.Members, d.Members)
+	merge(&tx.delta.Rollouts, d.Rollouts)
 	if len(d.ControlVMs) > 0 {
 		tx.delta.ControlVMs = slices.Clone(d.ControlVMs)
 	}
--- a/registrar/routingdelta.go
+++ b/registrar/routingdelta.go
@@ -17,6 +17,10 @@
 	Services        []zinniatide.RelayService `cbor:"4,keyasint,omitempty"` // added or replaced
 	RemovedServices []zinniatide.ServiceID    `cbor:"5,keyasint,omitempty"`
 	Limits          zinniatide.CallerLimits   `cbor:"6,keyasint"`
+	// Workspaces are added or replaced.
+	Workspaces        []zinniatide.RelayWorkspace `cbor:"7,keyasint,omitempty"`
+	RemovedWorkspaces []zinniatide.WorkspaceID    `cbor:"8,keyasint,omitempty"`
+	KeysRequired      bool                        `cbor:"9,keyasint,omitempty"`
 }
 
 // routeKey identifies a route within a table.
@@ -31,6 +35,8 @@
 	return cmp.Or(cmp.Compare(k.Host, o.Host), cmp.Compare(k.Prefix, o.Prefix))
 }
 
+func keyOfWorkspace(w *zinniatide.RelayWorkspace) zinniatide.WorkspaceID { return w.Workspace }
+
 func keyOfService(s *zinniatide.RelayService) zinniatide.ServiceID { return s.Service }
 
 // newRoutingDelta returns the changes from current, which may be nil, to next.
@@ -38,9 +44,10 @@
 	if current == nil {
 		current = &zinniatide.Routing{}
 	}
-	d := &RoutingDelta{Number: number, Limits: next.Limits}
+	d := &RoutingDelta{Number: number, Limits: next.Limits, KeysRequired: next.KeysRequired}
 	d.Routes, d.RemovedRoutes = diffItems(current.Routes, next.Routes, keyOfRoute, (*zinniatide.Route).Equal)
 	d.Services, d.RemovedServices = diffItems(current.Services, next.Services, keyOfService, func(a, b *zinniatide.RelayService) bool { return *a == *b })
+	d.Workspaces, d.RemovedWorkspaces = diffItems(current.Workspaces, next.Workspaces, keyOfWorkspace, (*zinniatide.RelayWorkspace).Equal)
 	return d
 }
 
@@ -53,7 +60,8 @@
 	return &zinniatide.Routing{
 		Routes:   patchItems(current.Routes, d.Routes, d.RemovedRoutes, keyOfRoute, routeKey.compare),
 		Services: patchItems(current.Services, d.Services, d.RemovedServices, keyOfService, cmp.Compare[zinniatide.ServiceID]),
-		Limits:   d.Limits,
+		Limits:   d.Limits, KeysRequired: d.KeysRequired,
+		Workspaces: patchItems(current.Workspaces, d.Workspaces, d.RemovedWorkspaces, keyOfWorkspace, cmp.Compare[zinniatide.WorkspaceID]),
 	}
 }
 
--- a/routing.go
+++ b/routing.go
@@ -11,6 +11,33 @@
 	Routes   []Route        `json:"routes"`
 	Services []RelayService `json:"services"`
 	Limits   CallerLimits   `json:"limits"`
+	// KeysRequired is set if requests must carry the key of a workspace, except on
+	// public routes. It is set without any workspace if all of them were removed.
+	KeysRequired bool             `json:"keys-required,omitempty"`
+	Workspaces   []RelayWorkspace `json:"workspaces,omitempty"`
+}
+
+// KeyDigest identifies an API key: the first half of its SHA-256 digest. Keys
+// themselves are only kept in the operator's document.
+type KeyDigest [16]byte
+
+// RelayWorkspace configures a workspace whose requests are relayed.
+type RelayWorkspace struct {
+	Workspace WorkspaceID `json:"workspace"`
+	// Keys are the digests of the API keys of the workspace, in ascending order.
+	Keys []KeyDigest `json:"keys"`
+	// Priority takes precedence over the priority of the route unless it is nil.
+	Priority *int `json:"priority,omitempty"`
+	// Rate is the limit over all relay VMs in requests per second, and Burst the number of
+	// requests that may be made at once in addition. A Rate of 0 means no limit.
+	Rate  float64 `json:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
+}
+
+// Equal reports whether both workspaces are configured in the same way.
+func (w *RelayWorkspace) Equal(o *RelayWorkspace) bool {
+	samePriority := w.Priority == o.Priority || w.Priority != nil && o.Priority != nil && *w.Priority == *o.Priority
+	return w.Workspace == o.Workspace && samePriority && w.Rate == o.Rate && w.Burst == o.Burst && slices.Equal(w.Keys, o.Keys)
 }
 
 // Route maps requests for one host and path prefix to a service, to one of
@@ -41,6 +68,8 @@
 	// MinCoverage is the minimum fraction of shards in a gathered answer, from 0
 	// to 1.
 	MinCoverage float64 `json:"min-coverage,omitempty"`
+	// Public is set if requests need no key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Gathers reports whether the route merges the answers of several shards.
@@ -50,7 +79,7 @@
 func (r *Route) Equal(o *Route) bool {
 	return r.ID == o.ID && r.Host == o.Host && r.PathPrefix == o.PathPrefix && r.Idempotent == o.Idempotent && r.Timeout == o.Timeout &&
 		r.TargetLatency == o.TargetLatency && r.Priority == o.Priority && r.MaxAttempts == o.MaxAttempts && r.TopRecords == o.TopRecords &&
-		r.MinCoverage == o.MinCoverage && slices.Equal(r.Targets, o.Targets) && slices.Equal(r.Shards, o.Shards)
+		r.MinCoverage == o.MinCoverage && r.Public == o.Public && slices.Equal(r.Targets, o.Targets) && slices.Equal(r.Shards, o.Shards)
 }
 
 // WeightedService is one target of a route that splits requests by weight.
@@ -124,6 +153,8 @@
 	// ColdSequence is the sequence of the heartbeat that last changed the cold time, or 0
 	// if none has. It is unset in a heartbeat itself.
 	ColdSequence uint64 `cbor:"11,keyasint,omitempty"`
+	// Version is the version of the software that the server runs.
+	Version ServerVersion `cbor:"12,keyasint,omitempty"`
 }
 
 // Enroller stores the enrollments of backend servers.
