Count the version of a server as part of its enrollment

The test of all fields failed since the version was added: a change of it would not have reached all VMs. VMs of an older release compute another digest and pull their tables each second until they are upgraded.

--- a/enroller/table.go
+++ b/enroller/table.go
@@ -68,7 +68,7 @@
 // state encodes all that decides what may be sent to a server. Rows are compared and
 // hashed by it. Sequence only orders updates, and ColdSequence stands for the cold time.
 func (r *row) state(b []byte) []byte {
-	for _, name := range []string{string(r.Server), string(r.Service), r.Address, string(r.Zone), string(r.State)} {
+	for _, name := range []string{string(r.Server), string(r.Service), r.Address, string(r.Zone), string(r.State), string(r.Version)} {
 		b = append(b, name...)
 		b = append(b, 0)
 	}
