--- a/relayer/request.go
+++ b/relayer/request.go
@@ -24,6 +24,12 @@
 	ArrivedAt zinniatide.Millis
 	// NewConnection is set if the caller opened a new connection for the request.
 	NewConnection bool
+	// Credential is the Authorization header of the caller, or empty. It must not be
+	// logged.
+	Credential []byte
+	// Workspace is set by Serve to the workspace whose key the caller sent. It is empty if
+	// no key is required and none is known.
+	Workspace zinniatide.WorkspaceID
 }
 
 // callerHeaders are the headers that tell callers apart in fingerprints.
--- a/router/router.go
+++ b/router/router.go
@@ -25,20 +25,28 @@
 	// Number is the ticket number of the table.
 	Number       zinniatide.TicketNumber
 	Limits       zinniatide.CallerLimits
+	// KeysRequired is set if requests must carry the key of a workspace, except on public
+	// routes.
+	KeysRequired bool
 	services     map[zinniatide.ServiceID]zinniatide.RelayService
+	workspaces   map[zinniatide.WorkspaceID]*zinniatide.RelayWorkspace
 	routesByHost map[string][]*Route // longest prefix first
 }
 
 // New compiles a table that the checker has validated.
 func New(number zinniatide.TicketNumber, table *zinniatide.Routing) *Router {
 	r := &Router{
-		Number: number, Limits: table.Limits,
+		Number: number, Limits: table.Limits, KeysRequired: table.KeysRequired,
+		workspaces:   make(map[zinniatide.WorkspaceID]*zinniatide.RelayWorkspace, len(table.Workspaces)),
 		services:     make(map[zinniatide.ServiceID]zinniatide.RelayService, len(table.Services)),
 		routesByHost: map[string][]*Route{},
 	}
 	for _, s := range table.Services {
 		r.services[s.Service] = s
 	}
+	for i := range table.Workspaces {
+		r.workspaces[table.Workspaces[i].Workspace] = &table.Workspaces[i]
+	}
 	for i := range table.Routes {
 		// Requests in progress keep their route. With one allocation for all routes,
 		// each of them would keep a whole table.
@@ -78,6 +86,9 @@
 	return s, ok
 }
 
+// Workspace returns the settings of a workspace, or nil.
+func (r *Router) Workspace(id zinniatide.WorkspaceID) *zinniatide.RelayWorkspace { return r.workspaces[id] }
+
 // Services returns the settings of all services.
 func (r *Router) Services() map[zinniatide.ServiceID]zinniatide.RelayService { return r.services }
 
