--- a/router/router.go
+++ b/router/router.go
@@ -23,8 +23,8 @@
 // Router is an immutable routing table. The zero value has no routes.
 type Router struct {
 	// Number is the ticket number of the table.
-	Number       zinniatide.TicketNumber
-	Limits       zinniatide.CallerLimits
+	Number zinniatide.TicketNumber
+	Limits zinniatide.CallerLimits
 	// KeysRequired is set if requests must carry the key of a workspace, except on public
 	// routes.
 	KeysRequired bool
@@ -87,7 +87,9 @@
 }
 
 // Workspace returns the settings of a workspace, or nil.
-func (r *Router) Workspace(id zinniatide.WorkspaceID) *zinniatide.RelayWorkspace { return r.workspaces[id] }
+func (r *Router) Workspace(id zinniatide.WorkspaceID) *zinniatide.RelayWorkspace {
+	return r.workspaces[id]
+}
 
 // Services returns the settings of all services.
 func (r *Router) Services() map[zinniatide.ServiceID]zinniatide.RelayService { return r.services }
