Take no status line that HTTP does not define for an answer

Cause: fasthttp's header parser reports status 000 as 200 and accepts other numbers, so that a server in trouble was answered as 200 OK on both paths. answerreader, which reads the answers of both, checks the status line byte by byte before the parser sees it.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -27,8 +27,9 @@
 
 // Errors of Read.
 var (
-	ErrTooLong  = errors.New("answer exceeds the limit of bytes")
-	ErrNoBudget = errors.New("answers in progress exceed the memory for large answers")
+	ErrTooLong    = errors.New("answer exceeds the limit of bytes")
+	ErrNoBudget   = errors.New("answers in progress exceed the memory for large answers")
+	ErrStatusLine = errors.New("status line is not one of an HTTP/1 answer")
 )
 
 // Reader reads the answers of one connection. It must not be used concurrently.
@@ -89,15 +90,68 @@
 // ReadHeader reads the header of the final answer and skips interim answers.
 func (r *Reader) ReadHeader(h *fasthttp.ResponseHeader) error {
 	for {
+		if err := r.checkStatusLine(); err != nil {
+			return err
+		}
 		if err := h.Read(r.buffered); err != nil {
 			return err
 		}
-		if status := h.StatusCode(); status >= 200 || status < 100 {
+		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 	}
 }
 
+// checkStatusLine checks the status line of the next answer before it is parsed: the
+// parser accepts any number as a status and reports 000 as 200. Each byte is checked
+// once it has arrived, so that an invalid answer ends without waiting for more.
+func (r *Reader) checkStatusLine() error {
+	if err := r.skipLineEnds(); err != nil {
+		return err
+	}
+	for i := range len(statusLinePrefix) {
+		line, err := r.buffered.Peek(i + 1)
+		if err != nil {
+			return err
+		}
+		if !statusLinePrefix[i](line[i]) {
+			return ErrStatusLine
+		}
+		// No request asks for another protocol, so what follows a 101 is not HTTP.
+		if bytes.HasSuffix(line, []byte(" 101")) {
+			return ErrStatusLine
+		}
+	}
+	return nil
+}
+
+// skipLineEnds skips empty lines before an answer, which the parser accepts.
+func (r *Reader) skipLineEnds() error {
+	for {
+		next, err := r.buffered.Peek(1)
+		if err != nil || next[0] != '\r' && next[0] != '\n' {
+			return err
+		}
+		if _, err := r.buffered.Discard(1); err != nil {
+			return err
+		}
+	}
+}
+
+// statusLinePrefix are the checks of the bytes of a status line up to the end of the
+// status, for example "HTTP/1.1 200 ". HTTP defines statuses from 100 to 599.
+var statusLinePrefix = []func(byte) bool{
+	is('H'), is('T'), is('T'), is('P'), is('/'), is('1'), is('.'), between('0', '9'),
+	is(' '), between('1', '5'), between('0', '9'), between('0', '9'),
+	func(c byte) bool { return c == ' ' || c == '\r' || c == '\n' },
+}
+
+func is(want byte) func(byte) bool { return func(c byte) bool { return c == want } }
+
+func between(low, high byte) func(byte) bool {
+	return func(c byte) bool { return low <= c && c <= high }
+}
+
 // ReadBody reads the body that belongs to the header of answer, and the trailer
 // of a chunked one.
 func (r *Reader) ReadBody(answer *fasthttp.Response) error {
