Require the keys of workspaces on relayed requests

A routing document may contain tenants with API keys. The decoder replaces keys by digests, and the checker refuses shared keys, repeated names and limits that cannot be used. The acceptor keeps the credential and the workspace header apart from the head; the relayer refuses requests without a known key (401, or 503 if its table is unconfirmed), drops the key and names the workspace to backend servers. Deltas carry single digests. Errors of malformed headers are no longer logged, since they quote them.

Tests of acceptor, relayer, platform, checker, registrar, node and controller pass.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -24,6 +24,9 @@
 	RequestID string
 	// Deadline contains the time in milliseconds that the caller will wait.
 	Deadline string
+	// Credential contains the scheme and the key of the caller, and Workspace the name of
+	// its workspace. Both are kept apart from the other headers.
+	Credential, Workspace string
 	// NotForwarded are headers that are not forwarded, because the system sets them
 	// itself in requests to backend servers.
 	NotForwarded []string
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(HeaderNames{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", NotForwarded: []string{"X-Expect"}}, f, clock.New())
+	a := New(HeaderNames{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", Credential: "Authorization", Workspace: "X-Tenant", NotForwarded: []string{"X-Expect"}}, f, clock.New())
 	go a.Serve(l)
 	t.Cleanup(func() { a.Close(context.Background()) })
 	return a, l.Addr().String()
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -172,7 +172,8 @@
 		case errors.As(err, &netErr), c.reader.Buffered() == 0:
 			return nil, 0 // the connection failed, timed out or was closed before a request
 		}
-		klog.InfoS("invalid request", "step", "read request", "peer", c.netConn.RemoteAddr().String(), "err", err.Error())
+		// The error quotes what the caller sent, which may contain a key.
+		klog.InfoS("invalid request", "step", "read request", "peer", c.netConn.RemoteAddr().String(), "reason", "malformed request line or header")
 		return nil, fasthttp.StatusBadRequest
 	}
 	if r.Header.ContentLength() > c.limits.MaxBodyBytes {
@@ -228,7 +229,7 @@
 		req.Timeout = zinniatide.Millis(wait)
 	}
 	c.reused = true
-	req.Head = c.forwardedHeader(h, uri)
+	c.readHeaders(h, uri, req)
 	if body := r.Body(); len(body) > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
 		req.Body = append([]byte(nil), body...)
 		req.Head = headerline.Append(req.Head, "Content-Length", strconv.Itoa(len(body)))
@@ -240,9 +241,12 @@
 	return req, 0
 }
 
-// forwardedHeader returns the request line and the headers to forward: all except
-// hop-by-hop headers and the headers in HeaderNames.NotForwarded.
-func (c *conn) forwardedHeader(h *fasthttp.RequestHeader, uri string) []byte {
+// readHeaders sets the head of req to the request line and the headers to forward: all
+// except hop-by-hop headers and the headers in HeaderNames.NotForwarded. The headers of
+// keys and workspaces are kept apart, because the routing table decides about them.
+func (c *conn) readHeaders(h *fasthttp.RequestHeader, uri string, req *relayer.Request) {
+	names := &c.acceptor.names
+	credentials := 0
 	connectionOptions := strings.ToLower(string(h.Peek("Connection")))
 	out := make([]byte, 0, 256)
 	out = append(out, h.Method()...)
@@ -252,12 +256,33 @@
 	out = headerline.Append(out, "Host", h.Host())
 	for key, value := range h.All() {
 		name := string(key)
+		isCredential := isSpelling(name, names.Credential)
+		if isCredential && name == names.Credential {
+			credentials++
+			req.Credential = bytes.Clone(value)
+		}
 		if c.acceptor.droppedHeaders[name] || connectionOptions != "" && containsToken(connectionOptions, strings.ToLower(name)) {
 			continue
 		}
+		if isCredential || isSpelling(name, names.Workspace) {
+			req.KeyHeaders = headerline.Append(req.KeyHeaders, key, value)
+			continue
+		}
 		out = headerline.Append(out, key, value)
 	}
-	return out
+	if credentials > 1 {
+		req.Credential = nil // the system and a server could each use another one
+	}
+	req.Head = out
+}
+
+// isSpelling reports whether a server might take name for the header want. Some servers
+// ignore the case of letters, treat hyphens and underscores alike, or remove spaces.
+func isSpelling(name, want string) bool {
+	if want == "" || len(name) < len(want) {
+		return false
+	}
+	return strings.EqualFold(strings.ReplaceAll(strings.TrimSpace(name), "_", "-"), want)
 }
 
 // containsToken reports whether a comma-separated list contains name.
--- a/checker/difference.go
+++ b/checker/difference.go
@@ -105,12 +105,59 @@
 	out := diffItems("routes", current.Routes, wanted.Routes, func(r *zinniatide.Route) string { return r.Host + r.PathPrefix })
 	out = append(out, diffItems("services", current.Services, wanted.Services,
 		func(s *zinniatide.RelayService) string { return string(s.Service) })...)
+	out = append(out, diffWorkspaces(current.Workspaces, wanted.Workspaces)...)
+	if current.KeysRequired != wanted.KeysRequired {
+		out = append(out, diffValues(kindRouting+".keys-required", current.KeysRequired, wanted.KeysRequired)...)
+	}
 	if current.Limits != wanted.Limits {
 		out = append(out, diffValues(kindRouting+".limits", toJSONValue(current.Limits), toJSONValue(wanted.Limits))...)
 	}
 	return out
 }
 
+// diffWorkspaces compares two lists of workspaces. JSON values of workspaces hold no
+// keys, so changes of keys are listed as numbers.
+func diffWorkspaces(current, wanted []zinniatide.RelayWorkspace) []string {
+	id := func(w *zinniatide.RelayWorkspace) string { return string(w.Workspace) }
+	out := diffItems("workspaces", current, wanted, id)
+	before, after := indexByKey(current, id), indexByKey(wanted, id)
+	names := slices.Collect(maps.Keys(before))
+	for name := range after {
+		if before[name] == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		var old, next []zinniatide.KeyDigest
+		if w := before[name]; w != nil {
+			old = w.Keys
+		}
+		if w := after[name]; w != nil {
+			next = w.Keys
+		}
+		if !slices.Equal(old, next) {
+			out = append(out, fmt.Sprintf("~ %s.workspaces.%s.keys: %d added, %d removed", kindRouting, name, countMissing(next, old), countMissing(old, next)))
+		}
+	}
+	return out
+}
+
+// countMissing returns the number of digests that others lacks.
+func countMissing(digests, others []zinniatide.KeyDigest) int {
+	known := make(map[zinniatide.KeyDigest]bool, len(others))
+	for _, d := range others {
+		known[d] = true
+	}
+	n := 0
+	for _, d := range digests {
+		if !known[d] {
+			n++
+		}
+	}
+	return n
+}
+
 // diffItems compares two lists of a routing table whose items are identified by
 // key.
 func diffItems[T any](list string, current, wanted []T, key func(*T) string) []string {
--- a/checker/routing.go
+++ b/checker/routing.go
@@ -3,7 +3,10 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"math"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"zinniatide.example/zinniatide"
 )
@@ -27,6 +30,7 @@
 		}
 		services[s.Service] = true
 	}
+	problems = append(problems, workspaceProblems(r.Workspaces)...)
 	type routeKey struct{ host, prefix string }
 	seen := map[routeKey]zinniatide.RouteID{}
 	for i := range r.Routes {
@@ -43,6 +47,46 @@
 	return problems
 }
 
+// workspaceProblems returns the problems of the workspaces of a routing table. It names
+// workspaces, but no keys and no digests.
+func workspaceProblems(workspaces []zinniatide.RelayWorkspace) []string {
+	var problems []string
+	report := func(format string, args ...any) {
+		problems = append(problems, fmt.Sprintf("at routing: "+format, args...))
+	}
+	names := make(map[zinniatide.WorkspaceID]bool, len(workspaces))
+	owners := map[zinniatide.KeyDigest]zinniatide.WorkspaceID{}
+	for i := range workspaces {
+		w := &workspaces[i]
+		switch {
+		case !validWorkspaceName(string(w.Workspace)):
+			report("name of workspace %d must have 1 to %d bytes, no control characters and no space at its ends", i+1, zinniatide.MaxIDLength)
+		case names[w.Workspace]:
+			report("workspace %s appears twice", w.Workspace)
+		case !validQuantity(w.Rate) || !validQuantity(w.Burst):
+			report("workspace %s has a rate or burst that is negative or not finite", w.Workspace)
+		}
+		names[w.Workspace] = true
+		for _, digest := range w.Keys {
+			if owner, taken := owners[digest]; taken {
+				report("workspaces %s and %s share a key", owner, w.Workspace)
+			}
+			owners[digest] = w.Workspace
+		}
+	}
+	return problems
+}
+
+// validWorkspaceName reports whether a name can be sent to backend servers as the value
+// of a header.
+func validWorkspaceName(name string) bool {
+	return name != "" && len(name) <= zinniatide.MaxIDLength && utf8.ValidString(name) &&
+		strings.TrimSpace(name) == name && !strings.ContainsFunc(name, unicode.IsControl)
+}
+
+// validQuantity reports whether x is finite and not negative.
+func validQuantity(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+
 func routeProblems(route *zinniatide.Route, services map[zinniatide.ServiceID]bool) []string {
 	var problems []string
 	report := func(format string, args ...any) { problems = append(problems, fmt.Sprintf(format, args...)) }
--- a/node/relay.go
+++ b/node/relay.go
@@ -425,6 +425,7 @@
 	server := &fasthttp.Server{
 		Handler: e.Handler, MaxRequestBodySize: maxRequestBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
+		SecureErrorLogMessage: true, // a header that cannot be read may contain a key
 	}
 	r.httpServers = append(r.httpServers, server)
 	go func() {
--- a/registrar/routingdelta.go
+++ b/registrar/routingdelta.go
@@ -21,6 +21,16 @@
 	Workspaces        []zinniatide.RelayWorkspace `cbor:"7,keyasint,omitempty"`
 	RemovedWorkspaces []zinniatide.WorkspaceID    `cbor:"8,keyasint,omitempty"`
 	KeysRequired      bool                        `cbor:"9,keyasint,omitempty"`
+	// KeyChanges are the changes of workspaces of which nothing but the keys differs. A
+	// workspace may have thousands of keys.
+	KeyChanges []keyChange `cbor:"10,keyasint,omitempty"`
+}
+
+// keyChange lists what changes in the keys of a workspace.
+type keyChange struct {
+	Workspace zinniatide.WorkspaceID `cbor:"1,keyasint"`
+	Added     []zinniatide.KeyDigest `cbor:"2,keyasint,omitempty"`
+	Removed   []zinniatide.KeyDigest `cbor:"3,keyasint,omitempty"`
 }
 
 // routeKey identifies a route within a table.
@@ -37,6 +47,8 @@
 
 func keyOfWorkspace(w *zinniatide.RelayWorkspace) zinniatide.WorkspaceID { return w.Workspace }
 
+func keyOfDigest(d *zinniatide.KeyDigest) zinniatide.KeyDigest { return *d }
+
 func keyOfService(s *zinniatide.RelayService) zinniatide.ServiceID { return s.Service }
 
 // newRoutingDelta returns the changes from current, which may be nil, to next.
@@ -48,9 +60,54 @@
 	d.Routes, d.RemovedRoutes = diffItems(current.Routes, next.Routes, keyOfRoute, (*zinniatide.Route).Equal)
 	d.Services, d.RemovedServices = diffItems(current.Services, next.Services, keyOfService, func(a, b *zinniatide.RelayService) bool { return *a == *b })
 	d.Workspaces, d.RemovedWorkspaces = diffItems(current.Workspaces, next.Workspaces, keyOfWorkspace, (*zinniatide.RelayWorkspace).Equal)
+	d.shortenWorkspaces(current.Workspaces)
 	return d
 }
 
+// shortenWorkspaces replaces workspaces that differ from the current ones in their keys
+// only by the changes of the keys.
+func (d *RoutingDelta) shortenWorkspaces(current []zinniatide.RelayWorkspace) {
+	before := make(map[zinniatide.WorkspaceID]*zinniatide.RelayWorkspace, len(current))
+	for i := range current {
+		before[current[i].Workspace] = &current[i]
+	}
+	d.Workspaces = slices.DeleteFunc(d.Workspaces, func(w zinniatide.RelayWorkspace) bool {
+		old := before[w.Workspace]
+		if old == nil {
+			return false
+		}
+		sameKeys := *old
+		sameKeys.Keys = w.Keys
+		if !sameKeys.Equal(&w) {
+			return false
+		}
+		c := keyChange{Workspace: w.Workspace}
+		c.Added, c.Removed = diffItems(old.Keys, w.Keys, keyOfDigest, func(a, b *zinniatide.KeyDigest) bool { return *a == *b })
+		d.KeyChanges = append(d.KeyChanges, c)
+		return true
+	})
+}
+
+// changedWorkspaces returns the workspaces that d adds to current or replaces in it.
+func (d *RoutingDelta) changedWorkspaces(current []zinniatide.RelayWorkspace) []zinniatide.RelayWorkspace {
+	if len(d.KeyChanges) == 0 {
+		return d.Workspaces
+	}
+	out := slices.Clone(d.Workspaces)
+	changes := make(map[zinniatide.WorkspaceID]*keyChange, len(d.KeyChanges))
+	for i := range d.KeyChanges {
+		changes[d.KeyChanges[i].Workspace] = &d.KeyChanges[i]
+	}
+	for i := range current {
+		w := current[i]
+		if c := changes[w.Workspace]; c != nil {
+			w.Keys = patchItems(w.Keys, c.Added, c.Removed, keyOfDigest, zinniatide.KeyDigest.Compare)
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // apply returns the table that results from applying d to current, which may be
 // nil. Its items are sorted by key, so equal deltas give equal tables.
 func (d *RoutingDelta) apply(current *zinniatide.Routing) *zinniatide.Routing {
@@ -61,7 +118,7 @@
 		Routes:   patchItems(current.Routes, d.Routes, d.RemovedRoutes, keyOfRoute, routeKey.compare),
 		Services: patchItems(current.Services, d.Services, d.RemovedServices, keyOfService, cmp.Compare[zinniatide.ServiceID]),
 		Limits:   d.Limits, KeysRequired: d.KeysRequired,
-		Workspaces: patchItems(current.Workspaces, d.Workspaces, d.RemovedWorkspaces, keyOfWorkspace, cmp.Compare[zinniatide.WorkspaceID]),
+		Workspaces: patchItems(current.Workspaces, d.changedWorkspaces(current.Workspaces), d.RemovedWorkspaces, keyOfWorkspace, cmp.Compare[zinniatide.WorkspaceID]),
 	}
 }
 
--- a/registrar/routingentry.go
+++ b/registrar/routingentry.go
@@ -104,12 +104,14 @@
 	if current == nil {
 		current = &zinniatide.Routing{}
 	}
+	workspaces := d.changedWorkspaces(current.Workspaces)
 	before := &zinniatide.Routing{
 		Routes:   selectItems(current.Routes, d.Routes, d.RemovedRoutes, keyOfRoute),
 		Services: selectItems(current.Services, d.Services, d.RemovedServices, keyOfService),
-		Limits:   current.Limits,
+		Limits:   current.Limits, KeysRequired: current.KeysRequired,
+		Workspaces: selectItems(current.Workspaces, workspaces, d.RemovedWorkspaces, keyOfWorkspace),
 	}
-	after := &zinniatide.Routing{Routes: d.Routes, Services: d.Services, Limits: d.Limits}
+	after := &zinniatide.Routing{Routes: d.Routes, Services: d.Services, Limits: d.Limits, KeysRequired: d.KeysRequired, Workspaces: workspaces}
 	return checker.Difference(&zinniatide.Configuration{Routing: before}, &zinniatide.Ticket{Routing: after})
 }
 
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -12,10 +12,12 @@
 // activeRequest is the state of a caller's request that forwardRequest and
 // gatherRequest share.
 type activeRequest struct {
-	r         *Relayer
-	req       *Request
-	route     *router.Route
-	respond   func(Reply)
+	r       *Relayer
+	req     *Request
+	route   *router.Route
+	respond func(Reply)
+	// priority is that of the workspace or else that of the route.
+	priority  int
 	startedAt zinniatide.Millis
 	deadline  zinniatide.Millis // the caller's deadline or the timeout of the route, whichever is earlier
 	finished  bool
@@ -210,7 +212,7 @@
 		att.server.RecordCancel(att.startedAt, now)
 	}
 	ar.openAttempts = nil
-	ar.r.metrics.observeOutcome(ar.route, "caller-left", float64(now-ar.req.ArrivedAt))
+	ar.r.metrics.observeOutcome(ar.route, ar.priority, "caller-left", float64(now-ar.req.ArrivedAt))
 	klog.InfoS("caller disconnected", "step", "relay", "request", ar.req.ID, "route", ar.route.ID, "after-ms", now-ar.req.ArrivedAt, "ran", ar.mayHaveRun)
 }
 
@@ -249,7 +251,7 @@
 	now := ar.r.deps.Clock.Now()
 	klog.InfoS("request failed", append([]any{"step", "relay", "request", ar.req.ID, "route", ar.route.ID, "status", status, "reason", reason,
 		"after-ms", now - ar.req.ArrivedAt, "left-ms", ar.deadline - now, "ran", ar.mayHaveRun, "table", ar.r.tableNumber(), "retry-after-ms", retryAfter}, keysAndValues...)...)
-	ar.r.metrics.observeOutcome(ar.route, reason, float64(now-ar.req.ArrivedAt))
+	ar.r.metrics.observeOutcome(ar.route, ar.priority, reason, float64(now-ar.req.ArrivedAt))
 	ar.finish(Reply{Status: status, RetryAfter: retryAfter})
 }
 
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -124,7 +124,7 @@
 
 func (f *forwardRequest) replySuccess(att *attempt, reply Reply) {
 	now := f.r.deps.Clock.Now()
-	f.r.metrics.observeOutcome(f.route, "answered", float64(now-f.req.ArrivedAt))
+	f.r.metrics.observeOutcome(f.route, f.priority, "answered", float64(now-f.req.ArrivedAt))
 	if len(f.tried) > 1 {
 		klog.InfoS("request answered after several attempts", "step", "relay", "request", f.req.ID, "route", f.route.ID,
 			"server", att.server.Server, "sends", len(f.tried), "after-ms", now-f.req.ArrivedAt)
@@ -142,7 +142,7 @@
 		now := f.r.deps.Clock.Now()
 		klog.InfoS("passing on the error response of a backend server", "step", "relay", "request", f.req.ID, "route", f.route.ID,
 			"status", f.errorReply.Status, "sends", len(f.tried), "after-ms", now-f.req.ArrivedAt)
-		f.r.metrics.observeOutcome(f.route, "server-failed", float64(now-f.req.ArrivedAt))
+		f.r.metrics.observeOutcome(f.route, f.priority, "server-failed", float64(now-f.req.ArrivedAt))
 		f.finish(*f.errorReply)
 		return
 	}
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -383,7 +383,7 @@
 		klog.InfoS("answer exceeded the target latency", "step", "gather", "request", g.req.ID, "route", g.route.ID, "after-ms", took,
 			"cutoff-ms", g.cutoff-g.req.ArrivedAt, "helpers", len(g.delegations), "table", g.r.tableNumber())
 	}
-	g.r.metrics.observeOutcome(g.route, outcome, float64(now-g.req.ArrivedAt))
+	g.r.metrics.observeOutcome(g.route, g.priority, outcome, float64(now-g.req.ArrivedAt))
 	names := &g.r.deps.Names
 	stamps := g.stamps()
 	header := headerline.Append(make([]byte, 0, 64+len(stamps)*40), names.PartStamps, strings.Join(stamps, ", "))
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -75,12 +75,12 @@
 	return m
 }
 
-func (m *metrics) observeOutcome(route *router.Route, outcome string, ms float64) {
+func (m *metrics) observeOutcome(route *router.Route, priority int, outcome string, ms float64) {
 	kind := "forward"
 	if route.Gathers() {
 		kind = "gather"
 	}
-	m.outcomes.WithLabelValues(kind, priorityLabel(route.Priority), outcome).Observe(ms / 1000)
+	m.outcomes.WithLabelValues(kind, priorityLabel(priority), outcome).Observe(ms / 1000)
 }
 
 // priorityLabel maps a priority to one of a bounded number of label values.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -106,6 +106,7 @@
 	strippedHeaders map[string]bool
 
 	table    *router.Router
+	keys     zinniatide.KeyAuthenticator // of the table
 	services map[zinniatide.ServiceID]*selector.Service
 	servers  map[processKey]*server
 	// routeLatencies holds the latency statistics of the parts of each gathered
@@ -220,11 +221,14 @@
 		r.refuseWithoutRoute(req, respond)
 		return noop
 	}
+	if !r.admitByKey(req, route, respond) {
+		return noop
+	}
 	timeout := route.Timeout
 	if req.Timeout > 0 {
 		timeout = min(timeout, req.Timeout)
 	}
-	base := activeRequest{r: r, req: req, route: route, respond: respond, startedAt: r.deps.Clock.Now(), deadline: req.ArrivedAt + timeout}
+	base := activeRequest{r: r, req: req, route: route, priority: r.priorityOf(req.Workspace, route), respond: respond, startedAt: r.deps.Clock.Now(), deadline: req.ArrivedAt + timeout}
 	if base.deadline <= base.startedAt {
 		r.refuse(req, route, respond, fasthttp.StatusServiceUnavailable, "deadline has passed", 0)
 		return noop
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -27,17 +27,22 @@
 	// Credential is the Authorization header of the caller, or empty. It must not be
 	// logged.
 	Credential []byte
+	// KeyHeaders are the header lines of the caller that hold its credential or name a
+	// workspace, as sent and each terminated by CRLF. They are not part of Head, and are
+	// forwarded only if no keys are required. They must not be logged.
+	KeyHeaders []byte
 	// Workspace is set by Serve to the workspace whose key the caller sent. It is empty if
 	// no key is required and none is known.
 	Workspace zinniatide.WorkspaceID
 }
 
-// callerHeaders are the headers that tell callers apart in fingerprints.
+// callerHeaders are the headers that tell callers apart in fingerprints. The credential
+// is in the head only if no keys are required.
 var callerHeaders = []string{"Authorization", "Cookie"}
 
 // fingerprint identifies requests that ask for the same: same host, request line,
-// body and credentials. Other headers do not count, because tracing and retries
-// change them with each attempt.
+// body and credentials, or workspace instead of credentials if keys are required. Other
+// headers do not count, because tracing and retries change them with each attempt.
 func (r *Request) fingerprint() zinniatide.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
@@ -52,6 +57,10 @@
 			_, _ = d.Write(line)
 		}
 	}
+	if r.Workspace != "" {
+		_, _ = d.Write([]byte{0, 1})
+		_, _ = d.WriteString(string(r.Workspace))
+	}
 	_, _ = d.Write([]byte{0, 0})
 	_, _ = d.Write(r.Body)
 	return zinniatide.Fingerprint(d.Sum64())
@@ -76,6 +85,10 @@
 	PartStamps string
 	// MissingParts is the number of shards missing from a gathered answer.
 	MissingParts string
+	// Workspace contains the name of the workspace in requests to backend servers.
+	Workspace string
+	// CredentialScheme precedes the key in the credential of a caller.
+	CredentialScheme string
 	// Stripped are headers of backend servers that are not passed on to callers.
 	Stripped []string
 }
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/authenticator"
 	"zinniatide.example/zinniatide/retrybudget"
 	"zinniatide.example/zinniatide/router"
 	"zinniatide.example/zinniatide/selector"
@@ -39,8 +40,10 @@
 	defer r.deps.Lock.Unlock()
 	if c.Routing != nil && (r.table == nil || c.RoutingNumber > r.table.Number) {
 		r.table = router.New(c.RoutingNumber, c.Routing)
+		r.keys = authenticator.New(c.Routing, r.deps.Names.CredentialScheme)
 		klog.InfoS("routing table applied", "step", "routing", "number", c.RoutingNumber, "epoch", c.Epoch,
-			"routes", len(c.Routing.Routes), "services", len(c.Routing.Services))
+			"routes", len(c.Routing.Routes), "services", len(c.Routing.Services),
+			"keys-required", c.Routing.KeysRequired, "workspaces", len(c.Routing.Workspaces))
 	}
 	r.excludedZones = map[zinniatide.ZoneID]bool{}
 	for zone, settings := range c.AvailabilityZones {
--- a/routing.go
+++ b/routing.go
@@ -24,8 +24,9 @@
 // RelayWorkspace configures a workspace whose requests are relayed.
 type RelayWorkspace struct {
 	Workspace WorkspaceID `json:"workspace"`
-	// Keys are the digests of the API keys of the workspace, in ascending order.
-	Keys []KeyDigest `json:"keys"`
+	// Keys are the digests of the API keys of the workspace, in ascending order. They
+	// are left out of JSON, in which configurations are shown to operators.
+	Keys []KeyDigest `json:"-" cbor:"keys"`
 	// Priority takes precedence over the priority of the route unless it is nil.
 	Priority *int `json:"priority,omitempty"`
 	// Rate is the limit over all relay VMs in requests per second, and Burst the number of
