--- a/common/patcher/patcher.go
+++ b/common/patcher/patcher.go
@@ -51,7 +51,9 @@
 			found = found && bytes.HasPrefix(base[offset:], chunk)
 		}
 		if !found {
-			p.addData(chunk)
+			old := firstChunk(base[end:])
+			p.addChanged(chunk, old, end)
+			end += len(old)
 			continue
 		}
 		p.addRange(offset, len(chunk))
@@ -68,6 +70,39 @@
 	return document
 }
 
+// minCopied is the smallest part of a changed chunk that is copied, in bytes. A segment
+// takes about 10 bytes, so shorter ones would save little.
+const minCopied = 64
+
+// addChanged adds a chunk that base lacks. It copies what the chunk has in common, at its
+// start and at its end, with the old chunk at offset: an object may hold a long list of
+// which one element changes.
+func (p *Patch) addChanged(chunk, old []byte, offset int) {
+	prefix := 0
+	for prefix < min(len(chunk), len(old)) && chunk[prefix] == old[prefix] {
+		prefix++
+	}
+	if prefix < minCopied {
+		prefix = 0
+	}
+	suffix := 0
+	for suffix < min(len(chunk), len(old))-prefix && chunk[len(chunk)-1-suffix] == old[len(old)-1-suffix] {
+		suffix++
+	}
+	if suffix < minCopied {
+		suffix = 0
+	}
+	if prefix > 0 {
+		p.addRange(offset, prefix)
+	}
+	if middle := chunk[prefix : len(chunk)-suffix]; len(middle) > 0 {
+		p.addData(middle)
+	}
+	if suffix > 0 {
+		p.addRange(offset+len(old)-suffix, suffix)
+	}
+}
+
 func (p *Patch) addRange(offset, length int) {
 	if n := len(p.Segments); n > 0 {
 		last := &p.Segments[n-1]
--- a/common/patcher/patcher_test.go
+++ b/common/patcher/patcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -83,3 +84,48 @@
 		}
 	})
 }
+
+// Guards against a patch that holds a whole object of a document although one element of
+// a long list in it has changed, and against parts of such objects in the wrong place.
+func TestPatchOfLongLists(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 1)) //nolint:gosec // fixed seed
+	lists := make([][]string, 8)
+	for i := range lists {
+		for range 500 {
+			lists[i] = append(lists[i], strings.Repeat(string(rune('a'+random.IntN(26))), 1+random.IntN(40)))
+		}
+	}
+	document := func() []byte {
+		var out []string
+		for _, list := range lists {
+			out = append(out, `{"keys":["`+strings.Join(list, `","`)+`"]}`)
+		}
+		return []byte("[" + strings.Join(out, ",") + "]")
+	}
+	for range 200 {
+		base := document()
+		list := &lists[random.IntN(len(lists))]
+		i := random.IntN(len(*list))
+		switch random.IntN(3) {
+		case 0:
+			*list = slices.Delete(*list, i, i+1)
+		case 1:
+			*list = slices.Insert(*list, i, "new")
+		default:
+			(*list)[i] = strings.Repeat("n", random.IntN(100))
+		}
+		next := document()
+		p := New(base, next)
+		got, err := p.Apply(base)
+		if err != nil || !bytes.Equal(got, next) {
+			t.Fatalf("got %q, %v, want %q", got, err, next)
+		}
+		size := 0
+		for _, s := range p.Segments {
+			size += len(s.Data) + 10
+		}
+		if want := 2 * (100 + 2*minCopied); size > want {
+			t.Errorf("got a patch of about %d bytes for one changed element, want at most %d", size, want)
+		}
+	}
+}
