--- a/relayer/mesh_test.go
+++ b/relayer/mesh_test.go
@@ -28,6 +28,17 @@
 	disorder int
 	// sentBytes is the size of all messages between VMs so far, without frame headers.
 	sentBytes int
+	// messages are all messages between VMs so far, if keepMessages is set.
+	keepMessages bool
+	messages     [][]byte
+}
+
+// recordMessage records a message between VMs.
+func (m *mesh) recordMessage(raw []byte) {
+	m.sentBytes += len(raw)
+	if m.keepMessages {
+		m.messages = append(m.messages, raw)
+	}
 }
 
 // meshProcess is one process of a VM. It implements Links and timer.Timer for its
@@ -202,7 +213,7 @@
 	if err != nil {
 		return err
 	}
-	p.mesh.sentBytes += len(raw)
+	p.mesh.recordMessage(raw)
 	return p.deliver(peer, true, func(receiver *meshProcess) {
 		if kind == zinniatide.KindGatherCancel {
 			receiver.relayer.HandleGatherCancel(p.vm, raw, nil)
@@ -219,7 +230,7 @@
 		done(nil, err)
 		return
 	}
-	p.mesh.sentBytes += len(raw)
+	p.mesh.recordMessage(raw)
 	c := &meshCall{done: func(body []byte, err error) { p.run(func() { done(body, err) }) }}
 	l := p.links[peer]
 	if err := p.deliver(peer, false, func(receiver *meshProcess) {
@@ -232,7 +243,7 @@
 				receiver.tamper(first)
 			}
 			reply, encodeErr := encoder.Marshal(value)
-			p.mesh.sentBytes += len(reply)
+			p.mesh.recordMessage(reply)
 			if encodeErr != nil {
 				err = fmt.Errorf("encode reply: %w", encodeErr)
 			}
