Keep keys out of the log lines of HTTP servers

The test runs a control VM, a relay VM and a server over loopback, removes a key while requests with it run and wait, and searches logs, metrics and errors for it.

--- a/node/relay.go
+++ b/node/relay.go
@@ -425,7 +425,7 @@
 	server := &fasthttp.Server{
 		Handler: e.Handler, MaxRequestBodySize: maxRequestBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
-		SecureErrorLogMessage: true, // a header that cannot be read may contain a key
+		Logger: serverLogger{e.Address},
 	}
 	r.httpServers = append(r.httpServers, server)
 	go func() {
@@ -436,6 +436,16 @@
 	return nil
 }
 
+// serverLogger writes the messages of an HTTP server to klog.
+type serverLogger struct{ address string }
+
+// Printf implements fasthttp.Logger. The arguments are left out: errors of requests that
+// cannot be parsed quote lines of them, which may contain a key. SecureErrorLogMessage
+// does not prevent that.
+func (l serverLogger) Printf(string, ...any) {
+	klog.InfoS("a request could not be read or answered", "step", "serve", "address", l.address)
+}
+
 // applyUpdates updates the relayer after each change of the enrollments. It returns
 // when the context is done.
 func (r *Relay) applyUpdates() {
--- a/relayer/keys_test.go
+++ b/relayer/keys_test.go
@@ -395,8 +395,9 @@
 	for _, x := range m.exchanges {
 		shown.Write(x.Head)
 		byKind[string(x.process.vm)]++
-		if lines := keyLines(x.Head); len(lines) > 1 || len(lines) == 1 && lines[0] != "X-Tenant: acme" {
-			t.Errorf("got lines %q at a server, want the workspace or none", lines)
+		lines, public := keyLines(x.Head), bytes.HasPrefix(x.Head, []byte("GET /public/"))
+		if named := slices.Equal(lines, []string{"X-Tenant: acme"}); !named && (!public || len(lines) > 0) {
+			t.Errorf("got lines %q at a server, want the workspace, or none on a public route", lines)
 		}
 	}
 	messages := bytes.Join(m.messages, nil)
