--- a/node/keys_test.go
+++ b/node/keys_test.go
@@ -189,6 +189,10 @@
 	running := dialCaller(t, callers)
 	running.send("/closed/slow", testKey+"-1")
 	<-backend.arrived
+	half := dialCaller(t, callers)
+	if _, err := io.WriteString(half, "POST /closed/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nAuthorization: Token "+testKey+"-1\r\nContent-Length: 2\r\n\r\na"); err != nil {
+		t.Fatal(err)
+	}
 	if status, body := put(keysDocument(2, testKey+"-2", testKey+"-3")); status != 200 {
 		t.Fatalf("got status %d %s, want 200", status, body)
 	}
@@ -204,6 +208,12 @@
 			t.Errorf("%s with key %s on the kept connection: got status %d, want %d", row.path, row.key, got, row.want)
 		}
 	}
+	if _, err := io.WriteString(half, "b"); err != nil {
+		t.Fatal(err)
+	}
+	if got := half.status(); got != 401 {
+		t.Errorf("got status %d of a request of which a part arrived before its key was removed, want 401", got)
+	}
 	close(backend.release)
 	if got := running.status(); got != 200 {
 		t.Errorf("got status %d of the request that ran while its key was removed, want 200", got)
