--- a/registrar/workspaces_test.go
+++ b/registrar/workspaces_test.go
@@ -214,6 +214,13 @@
 		if !ok || !slices.ContainsFunc(reply.Changes, func(line string) bool { return strings.Contains(line, "workspaces.a.keys") }) {
 			t.Errorf("step %d: got %+v, want a change of the keys of workspace a", number, reply)
 		}
+		pushed, err := encoder.Marshal(&entry.Delta)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(pushed), key) {
+			t.Errorf("step %d: got the key in the delta that VMs get", number)
+		}
 		shown = append(shown, reply.Changes...)
 		state, err := json.Marshal(r.Configuration())
 		if err != nil {
