Pace returning servers by their answers

A server got one request in flight after a pause and one more in each 250 ms, and a cold server a penalty of 1.6 on its score, whatever they could do. selector.Service.Pick now asks the throttler of a server that is new, cold again, or back from a backoff, a pause or a run of failures. The fixed ramp and the penalty are removed. If all servers are held back, the least loaded gets the request; a hedge is not sent against the pace. The cold rate and the pauses come first, as before. Servers that a VM finds at its start are not paced unless they are cold. Counters and log lines with step pace show it.

--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -111,7 +111,7 @@
 			return
 		}
 		s.Service.Latency.Add(float64(now - att.startedAt))
-		s.RecordSuccess(att.startedAt, now)
+		s.RecordAnswer(ar.route.ID, att.startedAt, now)
 	case transporter.NotRun:
 		s.RecordShed(att.startedAt, now)
 	case transporter.WrongServer:
--- a/relayer/delegated_hedging.go
+++ b/relayer/delegated_hedging.go
@@ -15,6 +15,7 @@
 		return ""
 	}
 	o := g.r.selectionOptions(p.tried)
+	o.Hedge = true
 	s := p.service.Pick(o)
 	if s == nil || s.Zone == g.r.config.Zone || g.r.delegateIn(s.Zone, o.Now) == nil {
 		return ""
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -78,6 +78,7 @@
 // resend sends the request to another server and reports whether it did.
 func (f *forwardRequest) resend(reason string) bool {
 	o := f.r.selectionOptions(f.tried)
+	o.Hedge = f.inFlight > 0
 	s := f.service.Pick(o)
 	if s == nil || !f.service.Budget.TryTake(o.Now) {
 		return false
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -119,6 +119,7 @@
 		g.cutoff = min(g.req.ArrivedAt+max(g.route.TargetLatency-margin, g.route.TargetLatency/2), g.deadline-deadlineMargin)
 		g.delegateParts(o)
 	}
+	o.Hedge = g.hedgesForPeer
 	g.after(g.cutoff-o.Now, g.atCutoff)
 	g.after(g.deadline-deadlineMargin-o.Now, g.timeout)
 	for i := range g.parts {
@@ -231,6 +232,7 @@
 		return false
 	}
 	o := g.r.selectionOptions(p.tried)
+	o.Hedge = p.inFlight > 0
 	s := p.service.Pick(o)
 	if s == nil || !p.service.Budget.TryTake(o.Now) {
 		return false
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -25,6 +25,11 @@
 	leaves, pauses prometheus.Counter
 	// unconfirmedRequests counts requests handled by a table that may be outdated.
 	unconfirmedRequests prometheus.Counter
+	// paces counts the paces that began, by cause.
+	paces *prometheus.CounterVec
+	// heldBack counts servers that were left out of a choice because of their pace,
+	// paceExceeded the requests that were sent against it.
+	heldBack, paceExceeded prometheus.Counter
 }
 
 // newMetrics creates the metrics and registers them unless registerer is nil.
@@ -68,7 +73,17 @@
 	m.unconfirmedRequests = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_relay_unconfirmed_requests_total", Help: "Requests handled by a table that the control leader has not confirmed for 3 s.",
 	})
+	m.paces = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "zinniatide_backend_paces_total", Help: "Backend server processes whose requests were limited after a start or a recovery, by cause.",
+	}, []string{"cause"})
+	m.heldBack = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_backend_held_back_total", Help: "Servers left out of the choice for a request because of their pace.",
+	})
+	m.paceExceeded = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_backend_pace_exceeded_total", Help: "Requests sent against the pace because it held back all servers of the service.",
+	})
 	if registerer != nil {
+		registerer.MustRegister(m.paces, m.heldBack, m.paceExceeded)
 		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.foreignReplies, m.leaves, m.pauses,
 			m.unconfirmedRequests)
 	}
@@ -116,5 +131,6 @@
 		}))
 	}
 	gauge("zinniatide_relay_open_delegations", "Groups of parts that other VMs gather or hedge for requests in progress.", func() int { return len(r.delegations) })
+	gauge("zinniatide_backend_paced_servers", "Backend server processes whose requests are limited after a start or a recovery.", r.pacedServers)
 	gauge("zinniatide_relay_open_helped", "Groups of parts in progress for requests of other VMs.", func() int { return len(r.delegatedGathers) })
 }
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -70,7 +70,7 @@
 	for id, settings := range r.table.Services() {
 		s := r.services[id]
 		if s == nil {
-			s = &selector.Service{Budget: retrybudget.New(r.config.Budget, len(r.activeRelays), now), Pauses: &r.pauses}
+			s = &selector.Service{Budget: retrybudget.New(r.config.Budget, len(r.activeRelays), now), Pauses: &r.pauses, PaceObserver: &paceObserver{r.metrics}}
 			r.services[id] = s
 		}
 		s.RelayService = settings
@@ -109,6 +109,7 @@
 	}
 	for _, s := range r.servers {
 		s.Service.Servers = append(s.Service.Servers, &s.Server)
+		s.Service.Populated = true
 		if s.preopened > 0 && !s.Superseded() && !s.IsLeaving() {
 			s.pool.EnsureOpen(s.preopened)
 		}
@@ -154,9 +155,10 @@
 	share := r.connectionShareOf(service.MaxConnections, e.Zone == r.config.Zone)
 	now := r.deps.Clock.Now()
 	s := r.servers[id]
-	keepsOpen := s == nil && e.Zone == r.config.Zone || s != nil && s.lastSentAt > 0 && now-s.lastSentAt < inUseTime
+	isNew := s == nil
+	keepsOpen := isNew && e.Zone == r.config.Zone || s != nil && s.lastSentAt > 0 && now-s.lastSentAt < inUseTime
 	if s == nil {
-		s = &server{pool: r.deps.NewPool(e.Server, e.Address, share.limit)}
+		s = &server{Server: selector.Server{Enrollment: *e, Service: service}, pool: r.deps.NewPool(e.Server, e.Address, share.limit)}
 		r.servers[id] = s
 		r.restoreHint(id, s)
 	}
@@ -164,6 +166,7 @@
 	leaves := e.State == zinniatide.StateLeaving && s.State != zinniatide.StateLeaving
 	evacuated := r.excludedZones[e.Zone] && !s.evacuated
 	s.Enrollment, s.Service, s.evacuated = *e, service, r.excludedZones[e.Zone]
+	r.updatePace(s, isNew)
 	if leaves || evacuated {
 		s.pool.Recall()
 	}
@@ -237,7 +240,7 @@
 			continue
 		}
 		if s.pool.OpenConnections() > 0 {
-			s.MarkReachable()
+			s.MarkReachable(now)
 			klog.InfoS("backend server is reachable again", "step", "connect", "server", s.Enrollment.Server, "service", s.Service.Service)
 			continue
 		}
--- a/selector/server.go
+++ b/selector/server.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/throttler"
 )
 
 // Weights and limits of a server's score. A score is the expected wait in
@@ -23,8 +24,6 @@
 	// failurePenaltyMillis is added to the score of a server whose requests all
 	// fail.
 	failurePenaltyMillis = 200.0
-	// coldPenaltyFactor scales the expected wait at a cold server.
-	coldPenaltyFactor = 1.6
 	// shedPenaltyDuration is how long the score of a server is raised after it has
 	// shed a request.
 	shedPenaltyDuration zinniatide.Millis = 25
@@ -41,10 +40,9 @@
 	resultHalfLifeMillis float64           = 700
 	// coldRateShare is the share of a cold server's rate limit that is used.
 	coldRateShare = 0.9
-	// resumeDuration is how long after a pause the requests in flight at a server are
-	// limited. The limit grows by one in each resumeStep.
-	resumeDuration zinniatide.Millis = 2000
-	resumeStep     zinniatide.Millis = 250
+	// coldJitter is how long after its end a cold time may be reported that is the same
+	// one. Reports reach this VM within the round trip between zones and a tick.
+	coldJitter zinniatide.Millis = 250
 	// defaultLatencyMillis is the assumed latency of a service without responses.
 	defaultLatencyMillis = 10.0
 )
@@ -79,6 +77,13 @@
 	// successor is the next later process that is enrolled at the same address, or
 	// nil.
 	successor *Server
+	// pace limits the requests in flight after a start or a recovery. senders and phase
+	// describe the VMs that send to the server.
+	pace    throttler.Throttler
+	senders int
+	phase   float64
+	// failures is the number of failures since the last success.
+	failures int
 }
 
 // Describe returns a summary of the server without blanks, for log lines.
@@ -98,6 +103,7 @@
 // RecordStart records the start of a request.
 func (s *Server) RecordStart(now zinniatide.Millis) {
 	s.inFlight = append(s.inFlight, now)
+	s.pace.RecordSend(now)
 	if s.coldRateLimited(now) {
 		s.nextColdSend = max(s.nextColdSend, now) + zinniatide.Millis(math.Ceil(1000/(coldRateShare*s.Service.ColdRate)))
 	}
@@ -124,8 +130,11 @@
 	}
 }
 
-// RecordSuccess records a successful response.
-func (s *Server) RecordSuccess(start, now zinniatide.Millis) {
+// RecordSuccess records a successful response to a request of any route.
+func (s *Server) RecordSuccess(start, now zinniatide.Millis) { s.RecordAnswer("", start, now) }
+
+// RecordAnswer records a successful response to a request of a route.
+func (s *Server) RecordAnswer(route zinniatide.RouteID, start, now zinniatide.Millis) {
 	s.removeInFlight(start)
 	s.lastResultAt = now
 	if took := float64(now - start); s.Service.Pauses != nil && took >= max(minPauseMillis, minPauseFactor*s.Service.typicalLatency()) {
@@ -133,7 +142,8 @@
 	}
 	s.updateLatency(float64(now - start))
 	s.failureRate -= failureWeight * s.failureRate
-	s.MarkReachable()
+	s.MarkReachable(now)
+	s.recordPacedAnswer(route, start, now)
 }
 
 func (s *Server) updateLatency(took float64) {
@@ -152,6 +162,7 @@
 		s.updateLatency(took)
 	}
 	s.failureRate += failureWeight * (1 - s.failureRate)
+	s.recordPacedFailure(start, now)
 }
 
 // RecordCancel records a request that was cancelled without a result.
@@ -170,6 +181,7 @@
 	s.shedPenaltyUntil = now + shedPenaltyDuration
 	// A server that sheds repeatedly is no better than one that fails.
 	s.failureRate += shedWeight * (1 - s.failureRate)
+	s.pace.RecordTrouble(start, now)
 }
 
 // Discard removes a request that the server process has not received. It does
@@ -193,8 +205,13 @@
 // called.
 func (s *Server) Unreachable() bool { return s.backoff > 0 }
 
-// MarkReachable ends the backoff.
-func (s *Server) MarkReachable() { s.backoff, s.backoffUntil = 0, 0 }
+// MarkReachable ends the backoff, if there is one.
+func (s *Server) MarkReachable(now zinniatide.Millis) {
+	if s.Unreachable() {
+		s.BeginPace(now, throttler.CauseBackoff)
+	}
+	s.backoff, s.backoffUntil = 0, 0
+}
 
 // MarkReplaced records that a different process answers at the server's
 // address.
@@ -213,7 +230,12 @@
 
 // PauseUntil records that the process wants no requests until then. A pause is never
 // shortened.
-func (s *Server) PauseUntil(until zinniatide.Millis) { s.pausedUntil = max(s.pausedUntil, until) }
+func (s *Server) PauseUntil(until zinniatide.Millis) {
+	if until > s.pausedUntil {
+		s.pausedUntil = until
+		s.BeginPace(until, throttler.CausePause)
+	}
+}
 
 // PausedUntil returns the end of the last pause, or 0 if there was none.
 func (s *Server) PausedUntil() zinniatide.Millis { return s.pausedUntil }
@@ -221,13 +243,6 @@
 // IsPaused reports whether the process has asked for a pause that has not ended.
 func (s *Server) IsPaused(now zinniatide.Millis) bool { return now < s.pausedUntil }
 
-// resumes reports whether the server takes another request while its load grows
-// again after a pause: one at a time at first, and one more in each resumeStep.
-func (s *Server) resumes(now zinniatide.Millis) bool {
-	since := now - s.pausedUntil
-	return s.pausedUntil == 0 || since >= resumeDuration || len(s.inFlight) < 1+int(since/resumeStep)
-}
-
 // SetSuccessor sets the next later process that is enrolled at the address of this
 // one, or nil if there is none.
 func (s *Server) SetSuccessor(next *Server) { s.successor = next }
@@ -247,6 +262,9 @@
 // SetColdFor sets the time for which the server remains cold, as reported by
 // the server.
 func (s *Server) SetColdFor(left, now zinniatide.Millis) {
+	if left > 0 && (s.coldUntil == 0 || now-s.coldUntil > coldJitter) {
+		s.BeginPace(now, throttler.CauseCold)
+	}
 	s.coldUntil = 0
 	if left > 0 {
 		s.coldUntil = now + left
@@ -274,18 +292,11 @@
 		wait = typical + (wait-typical)*weight
 		failureRate *= weight
 	}
-	load := len(s.inFlight)
-	if load > 0 {
+	if len(s.inFlight) > 0 {
 		// An old request reveals a pause before any response does.
 		wait = max(wait, float64(now-s.inFlight[0]))
 	}
-	if now-s.reportedAt < loadReportLifetime {
-		load += s.reportedQueue
-	}
-	wait *= 1 + float64(load)/float64(max(s.Slots, 1))
-	if s.IsCold(now) {
-		wait *= coldPenaltyFactor
-	}
+	wait *= 1 + s.load(now)
 	if now < s.shedPenaltyUntil {
 		// The penalty is a wait of four times its duration, so the server is chosen
 		// again early only if the others are much slower.
--- a/selector/service.go
+++ b/selector/service.go
@@ -23,6 +23,13 @@
 	// Pauses are shared by the services of a VM. If it is nil, no pauses are
 	// expected.
 	Pauses *Pauses
+	// Populated is set once servers have been enrolled on this VM. Servers that are
+	// enrolled later are new.
+	Populated bool
+	// PaceObserver may be nil.
+	PaceObserver PaceObserver
+
+	references map[zinniatide.RouteID]*reference
 }
 
 // typicalLatency returns the mean latency of the service in milliseconds.
@@ -47,6 +54,9 @@
 	// MaySendToCold reports whether this VM is the one that sends requests to a
 	// cold server with a rate limit. If it is nil, this VM is.
 	MaySendToCold func(*Server) bool
+	// Hedge is set if the request also waits for another server. It is then not sent to
+	// a server that is held back by its pace.
+	Hedge bool
 }
 
 // Available reports whether any reachable server may get requests.
@@ -112,27 +122,63 @@
 }
 
 // Pick returns the server with the lowest score that has not been tried, or
-// nil.
+// nil. Servers that are held back by their pace are left out. If all are, the least
+// loaded of them is returned, because a refusal would be worse for the caller and the
+// load is no higher than without the others.
 func (s *Service) Pick(o *Options) *Server {
-	var best *Server
-	bestScore := 0.0
+	var best, held *Server
+	bestScore, heldScore, heldLoad := 0.0, 0.0, 0.0
+	heldBack := 0
 	for _, server := range s.Servers {
-		if !o.eligible(server) || server.Unreachable() || o.tried(server) || !o.maySendToCold(server) || !server.coldRateAllows(o.Now) || !server.resumes(o.Now) {
+		if !o.allowed(server) {
 			continue
 		}
-		score := server.score(o.Now)
-		if server.Zone != o.Zone {
-			score += o.RemoteCost
+		score := o.score(server)
+		if server.mayBeSent(o.Now) {
+			if best == nil || score < bestScore {
+				best, bestScore = server, score
+			}
+			continue
 		}
-		// The random factor spreads the load over servers with about the same score.
-		score *= 1 + 0.1*o.Random.Float64()
-		if best == nil || score < bestScore {
-			best, bestScore = server, score
+		heldBack++
+		if load := server.load(o.Now); held == nil || load < heldLoad || load == heldLoad && score < heldScore {
+			held, heldScore, heldLoad = server, score, load
 		}
 	}
+	s.observeHeldBack(o, best, heldBack)
+	if best == nil && !o.Hedge {
+		return held
+	}
 	return best
 }
 
+// observeHeldBack reports the servers that a choice has left out because of their pace.
+func (s *Service) observeHeldBack(o *Options, best *Server, heldBack int) {
+	if s.PaceObserver == nil || heldBack == 0 {
+		return
+	}
+	if best == nil && !o.Hedge {
+		s.PaceObserver.PaceExceeded()
+		heldBack--
+	}
+	s.PaceObserver.HeldBack(heldBack)
+}
+
+// allowed reports whether the rules allow a request to the server, apart from its pace.
+func (o *Options) allowed(s *Server) bool {
+	return o.eligible(s) && !s.Unreachable() && !o.tried(s) && o.maySendToCold(s) && s.coldRateAllows(o.Now)
+}
+
+// score returns the score of a server as seen from this VM's zone. A random factor
+// spreads the load over servers with about the same score.
+func (o *Options) score(s *Server) float64 {
+	score := s.score(o.Now)
+	if s.Zone != o.Zone {
+		score += o.RemoteCost
+	}
+	return score * (1 + 0.1*o.Random.Float64())
+}
+
 // LatencyStats tracks the moving average and a moving quantile of latencies, in
 // milliseconds.
 type LatencyStats struct {
