Use how long work takes at a server in its choice

X-Server-Load may have a fourth figure, how long work takes on the machine now. The transporter reads and checks it; malformed, negative and huge figures are ignored and counted by zinniatide_backend_invalid_loads_total. The score of a server uses its deviation from the server's mean, with a half-life of 100 ms, and in a share of the choices only, so that VMs with the same figure do not choose alike. Three figures are read as before, but a queue above 1,048,576 is ignored.

--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -97,9 +97,7 @@
 		ar.recordSurvival()
 	}
 	defer ar.reportIfUnanswered()
-	if a.QueueLength >= 0 {
-		s.SetReportedQueue(a.QueueLength, now)
-	}
+	r.recordLoad(s, a)
 	r.applyHints(s, a, ar.req.ID)
 	if a.Leaving && ar.onBehalf {
 		ar.leaving = append(ar.leaving, leavingProcess{s.Server, s.StartedAt})
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -30,6 +30,8 @@
 	// heldBack counts servers that were left out of a choice because of their pace,
 	// paceExceeded the requests that were sent against it.
 	heldBack, paceExceeded prometheus.Counter
+	// invalidLoads counts answers whose load has a figure that was ignored.
+	invalidLoads prometheus.Counter
 }
 
 // newMetrics creates the metrics and registers them unless registerer is nil.
@@ -82,8 +84,11 @@
 	m.paceExceeded = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_backend_pace_exceeded_total", Help: "Requests sent against the pace because it held back all servers of the service.",
 	})
+	m.invalidLoads = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_backend_invalid_loads_total", Help: "Answers of backend servers with a figure of their load that was ignored because it is malformed, negative or huge.",
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.paces, m.heldBack, m.paceExceeded)
+		registerer.MustRegister(m.invalidLoads, m.paces, m.heldBack, m.paceExceeded)
 		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.foreignReplies, m.leaves, m.pauses,
 			m.unconfirmedRequests)
 	}
--- a/relayer/serverhints.go
+++ b/relayer/serverhints.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// recordLoad records the load that a server reports in an answer.
+func (r *Relayer) recordLoad(s *selector.Server, a *transporter.Answer) {
+	now := r.deps.Clock.Now()
+	if a.QueueLength >= 0 {
+		s.SetReportedQueue(a.QueueLength, now)
+	}
+	if a.WorkTime > 0 {
+		s.SetReportedWorkTime(a.WorkTime, now)
+	}
+	if a.InvalidLoad {
+		r.metrics.invalidLoads.Inc()
+	}
+}
+
 // keepHint keeps the hint of a process that is no longer enrolled.
 func (r *Relayer) keepHint(id processKey, s *server) {
 	now := r.deps.Clock.Now()
--- a/relayer/simulation_test.go
+++ b/relayer/simulation_test.go
@@ -90,6 +90,8 @@
 	// leaving is said in all answers. With a pause, all requests are turned away.
 	leaving bool
 	pause   zinniatide.Millis
+	// change alters all answers, if it is set.
+	change func(*transporter.Answer)
 	// arrivedAt are the times of all arrivals.
 	arrivedAt []zinniatide.Millis
 
@@ -189,6 +191,9 @@
 func (s *simServer) finish(x *transporter.Exchange, a transporter.Answer) {
 	s.sim.lock.Lock()
 	defer s.sim.lock.Unlock()
+	if s.change != nil {
+		s.change(&a)
+	}
 	x.Finish(a)
 }
 
--- a/selector/server.go
+++ b/selector/server.go
@@ -66,6 +66,7 @@
 	lastResultAt  zinniatide.Millis
 	reportedQueue int // queue length in the last load report
 	reportedAt    zinniatide.Millis
+	workTime      workTime
 	pauses        pauseHistory
 	// replaced is set once a different process has answered at the server's
 	// address.
@@ -280,8 +281,8 @@
 }
 
 // score returns the expected wait at the server in milliseconds; lower is
-// better.
-func (s *Server) score(now zinniatide.Millis) float64 {
+// better. workFactor is how long work takes there now, relative to its latency.
+func (s *Server) score(now zinniatide.Millis, workFactor float64) float64 {
 	typical := s.Service.typicalLatency()
 	wait, failureRate := s.latency, s.failureRate
 	if wait == 0 {
@@ -296,7 +297,7 @@
 		// An old request reveals a pause before any response does.
 		wait = max(wait, float64(now-s.inFlight[0]))
 	}
-	wait *= 1 + s.load(now)
+	wait *= (1 + s.load(now)) * workFactor
 	if now < s.shedPenaltyUntil {
 		// The penalty is a wait of four times its duration, so the server is chosen
 		// again early only if the others are much slower.
--- a/selector/service.go
+++ b/selector/service.go
@@ -172,7 +172,7 @@
 // score returns the score of a server as seen from this VM's zone. A random factor
 // spreads the load over servers with about the same score.
 func (o *Options) score(s *Server) float64 {
-	score := s.score(o.Now)
+	score := s.score(o.Now, s.workTime.drawFactor(o.Now, o.Random))
 	if s.Zone != o.Zone {
 		score += o.RemoteCost
 	}
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -234,7 +234,9 @@
 		return a
 	}
 	if load := h.Peek(names.Load); len(load) > 0 {
-		a.QueueLength = parseQueueLength(string(load))
+		var valid bool
+		a.QueueLength, a.WorkTime, valid = parseLoad(string(load))
+		a.InvalidLoad = !valid
 	}
 	a.Leaving = names.Leaving != "" && string(h.Peek(names.Leaving)) == "1" && a.Status != fasthttp.StatusMisdirectedRequest
 	if a.Status == fasthttp.StatusServiceUnavailable {
@@ -249,20 +251,6 @@
 	return a
 }
 
-// parseQueueLength returns the second of the three comma-separated numbers of the
-// load header, or -1 if the header is invalid.
-func parseQueueLength(load string) int {
-	parts := strings.Split(load, ",")
-	if len(parts) != 3 {
-		return -1
-	}
-	n, err := strconv.Atoi(strings.TrimSpace(parts[1]))
-	if err != nil || n < 0 {
-		return -1
-	}
-	return n
-}
-
 // updateKeepAliveTimeout sets the keep-alive timeout from the server's Keep-Alive
 // header. It subtracts the margin, but at most half of the timeout, so that short
 // timeouts stay usable.
--- a/transporter/exchange.go
+++ b/transporter/exchange.go
@@ -54,6 +54,10 @@
 	// QueueLength is the queue length that the server reported, or -1 if it
 	// reported none.
 	QueueLength int
+	// WorkTime is how long work takes at the server now (100: as usual), or 0 if it
+	// reported no such figure. InvalidLoad is set if a figure of its load was ignored.
+	WorkTime    float64
+	InvalidLoad bool
 	// Fresh is set if the exchange was the first one on its connection.
 	Fresh bool
 	// Leaving is set if the process says that it is about to end.
--- a/transporter/names.go
+++ b/transporter/names.go
@@ -16,7 +16,8 @@
 	// NotRun is present in answers to requests that did not run and will not run.
 	NotRun string
 	// Load contains the number of running requests, of waiting requests and of
-	// slots, separated by commas.
+	// slots, and optionally how long work takes now (100: as usual), separated by
+	// commas.
 	Load string
 	// Leaving is "1" in answers of a process that is about to end. If the name is
 	// empty, no answer says so.
