--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -79,6 +79,7 @@
 func (f *forwardRequest) resend(reason string) bool {
 	o := f.r.selectionOptions(f.tried)
 	o.Hedge = f.inFlight > 0
+	o.LastAttempt = !o.Hedge && f.sheds == maxSheds-1
 	s := f.service.Pick(o)
 	if s == nil || !f.service.Budget.TryTake(o.Now) {
 		return false
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -233,6 +233,7 @@
 	}
 	o := g.r.selectionOptions(p.tried)
 	o.Hedge = p.inFlight > 0
+	o.LastAttempt = !o.Hedge && p.sheds == maxSheds-1
 	s := p.service.Pick(o)
 	if s == nil || !p.service.Budget.TryTake(o.Now) {
 		return false
--- a/relayer/pacing_test.go
+++ b/relayer/pacing_test.go
@@ -95,6 +95,35 @@
 	}
 }
 
+// Guards against a request that is refused by full servers while one that is held back
+// by its pace would take it. Its rules come first: it is not asked while it is paused.
+func TestLastAttemptIgnoresThePace(t *testing.T) {
+	for _, paused := range []bool{false, true} {
+		sim := newSimulation(t, testShards)
+		sim.runLoad("/p/x", 100, 2000, testTarget, 0)
+		sim.replace("plain-3")
+		begin := sim.clock.Now()
+		for _, id := range []zinniatide.BackendServerID{"plain-0", "plain-1", "plain-2"} {
+			sim.servers[id].slots, sim.servers[id].queue = 0, 0
+			sim.relayer.servers[processKey{id, 1}].SetReportedQueue(12, begin)
+		}
+		s := sim.relayer.servers[processKey{"plain-3", 2}]
+		s.RecordStart(begin) // one request in flight is its limit
+		if paused {
+			s.PauseUntil(begin + 10_000)
+		}
+		out := &outcomeCounts{}
+		sim.sendRequest("/p/x", testTarget, 0, out)
+		sim.run(begin + 100)
+		if got, want := out.inTarget == 1, !paused; got != want {
+			t.Errorf("paused %v: got served %v, want %v", paused, got, want)
+		}
+		if got, want := sim.servers["plain-3"].arrivedBetween(begin, begin+100) > 0, !paused; got != want {
+			t.Errorf("paused %v: got a request at the paced server %v, want %v", paused, got, want)
+		}
+	}
+}
+
 // Guards against hedges that flood a server that is paced: they go only as its pace
 // allows, since the request already waits for another server.
 func TestHedgesObserveThePace(t *testing.T) {
--- a/selector/service.go
+++ b/selector/service.go
@@ -57,6 +57,9 @@
 	// Hedge is set if the request also waits for another server. It is then not sent to
 	// a server that is held back by its pace.
 	Hedge bool
+	// LastAttempt is set if the request fails once another server refuses it. Paces do
+	// not count then: they would leave only servers that are as full as those tried.
+	LastAttempt bool
 }
 
 // Available reports whether any reachable server may get requests.
@@ -134,7 +137,7 @@
 			continue
 		}
 		score := o.score(server)
-		if server.mayBeSent(o.Now) {
+		if o.LastAttempt || server.mayBeSent(o.Now) {
 			if best == nil || score < bestScore {
 				best, bestScore = server, score
 			}
@@ -154,12 +157,14 @@
 
 // observeHeldBack reports the servers that a choice has left out because of their pace.
 func (s *Service) observeHeldBack(o *Options, best *Server, heldBack int) {
-	if s.PaceObserver == nil || heldBack == 0 {
+	if s.PaceObserver == nil {
 		return
 	}
-	if best == nil && !o.Hedge {
+	if heldBack > 0 && best == nil && !o.Hedge {
 		s.PaceObserver.PaceExceeded()
 		heldBack--
+	} else if o.LastAttempt && best != nil && !best.mayBeSent(o.Now) {
+		s.PaceObserver.PaceExceeded()
 	}
 	s.PaceObserver.HeldBack(heldBack)
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -53,6 +53,23 @@
 	return !r.begun || since >= 2000 || n < 1+int(since/250)
 }
 
+// gradient limits by the latency alone: with each answer, the share moves to its product
+// with the latency of the peers relative to that of the server, plus a headroom.
+type gradient struct{ paced }
+
+func (g *gradient) recordAnswer(a Answer) {
+	const smoothing, headroom = 0.2, 0.5
+	if !g.active || a.SentAt < g.beganAt {
+		return
+	}
+	g.ratio += ratioWeight * (min(a.Latency/a.PeerLatency, maxRatio) - g.ratio)
+	next := g.share*min(max(1/g.ratio, 0.5), 1) + headroom
+	g.share += smoothing * (next - g.share)
+	g.active = g.share < fullShare
+}
+
+func (*gradient) recordTrouble(zinniatide.Millis, zinniatide.Millis) {}
+
 // backend is a simulated server with slots, a bounded queue and a work time.
 type backend struct {
 	slots, queueLimit int
@@ -151,7 +168,7 @@
 				continue
 			}
 			sc := score(i)
-			if views[j.vm][i].gate.maySend(now, views[j.vm][i].inFlight, usualLatency) {
+			if len(j.tried) >= maxSheds-1 || views[j.vm][i].gate.maySend(now, views[j.vm][i].inFlight, usualLatency) {
 				if best < 0 || sc < bestScore {
 					best, bestScore = i, sc
 				}
@@ -276,7 +293,8 @@
 	return sum
 }
 
-// compare runs a load with the Throttler and the two baselines and logs the results.
+// compare runs a load with the Throttler, the two baselines and the gradient of latency,
+// and logs the results.
 func compare(t *testing.T, newLoad func() *load) (throttled, ramp, none result) {
 	t.Helper()
 	throttled = runSeeds(newLoad, func(f Fleet) gate {
@@ -286,7 +304,13 @@
 	})
 	ramp = runSeeds(newLoad, func(Fleet) gate { return &ramped{} })
 	none = runSeeds(newLoad, func(Fleet) gate { return unpaced{} })
+	byGradient := runSeeds(newLoad, func(f Fleet) gate {
+		g := &gradient{}
+		g.SetFleet(f)
+		return g
+	})
 	t.Logf("throttler:  %v", throttled)
+	t.Logf("gradient:   %v", byGradient)
 	t.Logf("fixed ramp: %v", ramp)
 	t.Logf("no pace:    %v", none)
 	return throttled, ramp, none
