--- a/relayer/pacing_test.go
+++ b/relayer/pacing_test.go
@@ -72,6 +72,30 @@
 	}
 }
 
+// Guards against VMs that each send what a returned server can take from all of them: of
+// ten VMs in the zone, this one, the last in order, waits for the others' first requests.
+func TestPaceIsSharedByTheVMsOfTheZone(t *testing.T) {
+	sim := newSimulation(t, testShards)
+	sim.runLoad("/p/x", 300, 2000, testTarget, 0)
+	for _, vm := range []zinniatide.VMID{"a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"} {
+		sim.config.Members[vm] = zinniatide.Member{VM: vm, Zone: "a", Relay: true, State: zinniatide.StateIn}
+	}
+	sim.replace("plain-1")
+	begin := sim.clock.Now()
+	for range 150 {
+		sim.sendRequest("/p/x", testTarget, 0, &outcomeCounts{})
+		sim.run(sim.clock.Now() + 10)
+	}
+	// 0.9 of the time between sends at the start, 10 VMs x 15 ms for one in flight.
+	s := sim.servers["plain-1"]
+	if got := s.arrivedBetween(begin, begin+100); got != 0 {
+		t.Errorf("got %d requests at the new process in 100 ms, want 0", got)
+	}
+	if got := s.arrivedBetween(begin+100, begin+1500); got < 3 {
+		t.Errorf("got %d requests at the new process in 1.5 s, want at least 3", got)
+	}
+}
+
 // Guards against refusals because all servers of a service are paced.
 func TestRequestsAreServedIfAllServersArePaced(t *testing.T) {
 	sim := newSimulation(t, testShards)
--- a/selector/service.go
+++ b/selector/service.go
@@ -125,9 +125,9 @@
 }
 
 // Pick returns the server with the lowest score that has not been tried, or
-// nil. Servers that are held back by their pace are left out. If all are, the least
-// loaded of them is returned, because a refusal would be worse for the caller and the
-// load is no higher than without the others.
+// nil. Servers that are held back by their pace are left out. If all are, or the others
+// are much worse, the least loaded of them is returned: a refusal would be worse for the
+// caller.
 func (s *Service) Pick(o *Options) *Server {
 	var best, held *Server
 	bestScore, heldScore, heldLoad := 0.0, 0.0, 0.0
@@ -148,19 +148,28 @@
 			held, heldScore, heldLoad = server, score, load
 		}
 	}
-	s.observeHeldBack(o, best, heldBack)
-	if best == nil && !o.Hedge {
+	exceeded := held != nil && !o.Hedge && (best == nil || bestScore > paceYieldFactor*heldScore)
+	s.observeHeldBack(o, best, heldBack, exceeded)
+	if exceeded {
 		return held
 	}
 	return best
 }
 
+// paceYieldFactor is the ratio of the least score of the other servers to that of a
+// server that is held back by its pace, above which that server gets the request all the
+// same. Otherwise a VM that has ended the pace of one of two returned servers would send
+// everything there while the other one is idle. With 2, a weak server is flooded under a
+// backlog, and with 4 more requests are late after all servers of a shard restarted
+// (figures in docs/design/server-pace.md).
+const paceYieldFactor = 3
+
 // observeHeldBack reports the servers that a choice has left out because of their pace.
-func (s *Service) observeHeldBack(o *Options, best *Server, heldBack int) {
+func (s *Service) observeHeldBack(o *Options, best *Server, heldBack int, exceeded bool) {
 	if s.PaceObserver == nil {
 		return
 	}
-	if heldBack > 0 && best == nil && !o.Hedge {
+	if exceeded {
 		s.PaceObserver.PaceExceeded()
 		heldBack--
 	} else if o.LastAttempt && best != nil && !best.mayBeSent(o.Now) {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -6,12 +6,12 @@
 
 const (
 	// increaseStep is the growth of the share with each good answer. From the usual
-	// start, four good answers lead to a share of 1.
+	// start, three good answers lead to a share of 1.
 	increaseStep = 0.25
 	// increaseInterval is the time without trouble that counts as much as a good
 	// answer, for VMs that see few of them. maxSteps bounds the growth with one answer.
 	increaseInterval zinniatide.Millis = 250
-	maxSteps         float64           = 2
+	maxSteps         float64           = 4
 	// minStartShare and maxStartShare bound the share at the beginning, which is one
 	// request in flight for all VMs together within these bounds.
 	minStartShare, maxStartShare = 1.0 / 4, 1.0 / 2
@@ -23,13 +23,13 @@
 	// slow answer or a long queue.
 	troubleFactor, slowFactor = 0.5, 0.7
 	// ratioWeight is the weight of an answer in the mean of the latency relative to
-	// that of the peers. Three answers that are three times slower show in it, and one
-	// of usual scatter doesn't.
+	// that of the peers. One answer of twice the usual latency doesn't count as slow, two
+	// do.
 	ratioWeight = 0.3
 	// maxRatio bounds the weight of a single very slow answer.
 	maxRatio = 8.0
-	// slowRatio is the relative latency above which answers are slow. A cold server
-	// of the users' platform has 1.6.
+	// slowRatio is the relative latency above which answers are slow. Cold servers
+	// were taken to be 1.6 times slower.
 	slowRatio = 1.3
 	// queueRatio is the length of the queue, relative to that of the peers, that is
 	// long. A queue up to the number of slots never is.
