--- a/selector/worktime_test.go
+++ b/selector/worktime_test.go
@@ -21,6 +21,7 @@
 	// as usual, or 0 for three figures. age is added to the age of the figure.
 	figure func(factor float64, random *rand.Rand) float64
 	age    zinniatide.Millis
+	seed   uint64
 }
 
 type workTimeServer struct {
@@ -38,9 +39,9 @@
 // run returns the mean and the 95th percentile of the latencies.
 func (l *workTimeLoad) run() (mean, p95 float64) {
 	const duration, slots = 10_000, 4
-	speeds := rand.New(rand.NewPCG(1, 1))   //nolint:gosec // fixed seed
-	arrivals := rand.New(rand.NewPCG(2, 2)) //nolint:gosec // fixed seed
-	choices := rand.New(rand.NewPCG(3, 3))  //nolint:gosec // fixed seed
+	speeds := rand.New(rand.NewPCG(1, l.seed))   //nolint:gosec // fixed seed
+	arrivals := rand.New(rand.NewPCG(2, l.seed)) //nolint:gosec // fixed seed
+	choices := rand.New(rand.NewPCG(3, l.seed))  //nolint:gosec // fixed seed
 	servers := make([]workTimeServer, l.servers)
 	for i := range servers {
 		factor := 1.0
@@ -119,24 +120,32 @@
 // figures that were half a second old when they were sent; it is logged only, because
 // nothing tells how old a figure is then.
 func TestWorkTimeImprovesLatency(t *testing.T) {
+	const seeds = 5
+	runSeeds := func(l workTimeLoad) (mean, p95 float64) {
+		for l.seed = range seeds {
+			m, p := l.run()
+			mean, p95 = mean+m/seeds, p95+p/seeds
+		}
+		return mean, p95
+	}
 	for _, vms := range []int{8, 32, 78} {
-		sum, noneSum := 0.0, 0.0
+		sum, noneSum, oldSum := 0.0, 0.0, 0.0
 		for _, perSecond := range []float64{500, 1000, 1500} {
 			for _, period := range []zinniatide.Millis{100, 300, 1000} {
 				l := workTimeLoad{vms: vms, servers: 8, perSecond: perSecond, slowness: 3, period: period, figure: noFigure}
-				noneMean, noneP95 := l.run()
+				noneMean, noneP95 := runSeeds(l)
 				l.figure = exactFigure
-				mean, p95 := l.run()
+				mean, p95 := runSeeds(l)
 				l.age = 500
-				oldMean, oldP95 := l.run()
+				oldMean, oldP95 := runSeeds(l)
 				t.Logf("%d VMs, %.0f/s, change each %d ms: mean %.1f ms, p95 %.0f ms; without figures %.1f and %.0f; sent half a second late %.1f and %.0f",
 					vms, perSecond, period, mean, p95, noneMean, noneP95, oldMean, oldP95)
-				sum, noneSum = sum+mean, noneSum+noneMean
+				sum, noneSum, oldSum = sum+mean/9, noneSum+noneMean/9, oldSum+oldMean/9
 			}
 		}
-		t.Logf("%d VMs: mean %.2f ms, without figures %.2f", vms, sum/9, noneSum/9)
+		t.Logf("%d VMs: mean %.2f ms, without figures %.2f, sent half a second late %.2f", vms, sum, noneSum, oldSum)
 		if sum >= noneSum {
-			t.Errorf("%d VMs: got a mean latency of %.2f ms, want less than %.2f ms, that without figures", vms, sum/9, noneSum/9)
+			t.Errorf("%d VMs: got a mean latency of %.2f ms, want less than %.2f ms, that without figures", vms, sum, noneSum)
 		}
 	}
 }
