Pace cold servers with a rate limit by the one VM that sends

The sending VM now counts as the only one, and the pace of the others begins at the end of the cold time (selector.TestPaceWithColdRate).

--- a/selector/pace.go
+++ b/selector/pace.go
@@ -86,16 +86,21 @@
 // VM among them, from 0 to 1.
 func (s *Server) SetSenders(vms int, phase float64) {
 	s.senders, s.phase = vms, phase
-	s.updateFleet()
 }
 
-func (s *Server) updateFleet() {
-	s.pace.SetFleet(throttler.Fleet{VMs: s.senders, Phase: s.phase, Slots: s.Slots})
+// updateFleet tells the pace who sends now: a single VM while the server is cold and has
+// a rate limit.
+func (s *Server) updateFleet(now zinniatide.Millis) {
+	f := throttler.Fleet{VMs: s.senders, Phase: s.phase, Slots: s.Slots}
+	if s.Service != nil && s.coldRateLimited(now) {
+		f.VMs, f.Phase = 1, 0
+	}
+	s.pace.SetFleet(f)
 }
 
 // BeginPace paces the server from at on.
 func (s *Server) BeginPace(at zinniatide.Millis, cause throttler.Cause) {
-	s.updateFleet()
+	s.updateFleet(at)
 	if s.pace.Begin(at, cause) && s.Service != nil && s.Service.PaceObserver != nil {
 		s.Service.PaceObserver.PaceBegan(s, cause)
 	}
@@ -106,6 +111,10 @@
 
 // mayBeSent reports whether the pace of the server allows a request now.
 func (s *Server) mayBeSent(now zinniatide.Millis) bool {
+	if !s.pace.Active() {
+		return true
+	}
+	s.updateFleet(now)
 	return s.pace.MaySend(now, len(s.inFlight), s.Service.typicalLatency())
 }
 
--- a/selector/pace_test.go
+++ b/selector/pace_test.go
@@ -63,6 +63,60 @@
 	}
 }
 
+// Guards against a cold rate that is not used, because the one VM that sends takes only
+// the share of one of many VMs, and against all the others sending at once when the
+// server is warm.
+func TestPaceWithColdRate(t *testing.T) {
+	const vms, coldFor, rate, latency = 26, 3000, 8.0, 50
+	atOnce, later := 0, 0
+	for vm := range vms {
+		service := &Service{RelayService: zinniatide.RelayService{Service: "s", ColdRate: rate}}
+		var servers [2]*Server
+		for i, id := range []zinniatide.BackendServerID{"cold", "warm"} {
+			servers[i] = &Server{Service: service, Enrollment: zinniatide.Enrollment{Server: id, Zone: "a", Slots: 2, State: zinniatide.StateIn}}
+			servers[i].SetSenders(vms, float64(vm)/vms)
+			service.Servers = append(service.Servers, servers[i])
+		}
+		service.Latency.Add(latency)
+		servers[0].SetColdFor(coldFor, 1)
+		whileCold := 0
+		var ends []zinniatide.Millis
+		for now := zinniatide.Millis(1); now < 1+coldFor+2000; now++ {
+			if len(ends) > 0 && ends[0] == now {
+				servers[0].RecordSuccess(now-latency, now)
+				ends = ends[1:]
+			}
+			o := &Options{Zone: "a", Now: now, ZoneExcluded: func(zinniatide.ZoneID) bool { return false },
+				Random:        rand.New(rand.NewPCG(1, uint64(now))), //nolint:gosec // fixed seed
+				MaySendToCold: func(*Server) bool { return vm == 2 }}
+			if service.Pick(o) != servers[0] {
+				continue
+			}
+			servers[0].RecordStart(now)
+			ends = append(ends, now+latency)
+			switch {
+			case now < 1+coldFor:
+				whileCold++
+			case vm == 2:
+			case now < 1+coldFor+latency:
+				atOnce++
+			default:
+				later++
+			}
+		}
+		if least := 0.85 * rate * coldFor / 1000; vm == 2 && float64(whileCold) < least {
+			t.Errorf("got %d requests of the sending VM while the server is cold, want at least %.0f", whileCold, least)
+		}
+		if vm != 2 && whileCold > 0 {
+			t.Errorf("got %d requests of VM %d while the server is cold, want 0", whileCold, vm)
+		}
+	}
+	// One request in flight for all VMs together, and one for rounding.
+	if atOnce > 2 || later == 0 {
+		t.Errorf("got %d requests of the other VMs in the first %d ms after the cold time and %d later, want at most 2 and some", atOnce, latency, later)
+	}
+}
+
 // Guards against a server that is taken to be slow because its requests are of another
 // kind than those of its peers.
 func TestPaceComparesLikeWork(t *testing.T) {
--- a/selector/service.go
+++ b/selector/service.go
@@ -112,7 +112,11 @@
 // maySendToCold reports whether this VM may send to the server. Only one VM may
 // send to a cold server with a rate limit.
 func (o *Options) maySendToCold(s *Server) bool {
-	return !s.coldRateLimited(o.Now) || o.MaySendToCold == nil || o.MaySendToCold(s)
+	if !s.coldRateLimited(o.Now) || o.MaySendToCold == nil || o.MaySendToCold(s) {
+		return true
+	}
+	s.pace.Postpone(s.coldUntil) // the other VMs begin one after the other once it is warm
+	return false
 }
 
 func (o *Options) tried(s *Server) bool {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -112,6 +112,14 @@
 	return began
 }
 
+// Postpone moves the beginning of a pace in which nothing has been sent yet to until,
+// because the server gets no requests of this VM before.
+func (t *Throttler) Postpone(until zinniatide.Millis) {
+	if t.active && !t.sent && until > t.beganAt {
+		t.beganAt, t.lastIncrease, t.lastDecrease, t.lastTrouble = until, until, until, until
+	}
+}
+
 // Active reports whether the server is paced.
 func (t *Throttler) Active() bool { return t.active }
 
