--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -99,9 +99,7 @@
 		ar.recordSurvival()
 	}
 	defer ar.reportIfUnanswered()
-	if a.QueueLength >= 0 {
-		s.SetReportedQueue(a.QueueLength, now)
-	}
+	r.recordLoad(s, a)
 	r.applyHints(s, a, ar.req.ID)
 	if a.Leaving && ar.onBehalf {
 		ar.leaving = append(ar.leaving, leavingProcess{s.Server, s.StartedAt})
@@ -113,7 +111,7 @@
 			return
 		}
 		s.Service.Latency.Add(float64(now - att.startedAt))
-		s.RecordSuccess(att.startedAt, now)
+		s.RecordAnswer(ar.route.ID, att.startedAt, now)
 	case transporter.NotRun:
 		s.RecordShed(att.startedAt, now)
 	case transporter.WrongServer:
--- a/selector/service.go
+++ b/selector/service.go
@@ -23,6 +23,13 @@
 	// Pauses are shared by the services of a VM. If it is nil, no pauses are
 	// expected.
 	Pauses *Pauses
+	// Populated is set once servers have been enrolled on this VM. Servers that are
+	// enrolled later are new.
+	Populated bool
+	// PaceObserver may be nil.
+	PaceObserver PaceObserver
+
+	references map[zinniatide.RouteID]*reference
 }
 
 // typicalLatency returns the mean latency of the service in milliseconds.
@@ -47,6 +54,12 @@
 	// MaySendToCold reports whether this VM is the one that sends requests to a
 	// cold server with a rate limit. If it is nil, this VM is.
 	MaySendToCold func(*Server) bool
+	// Hedge is set if the request also waits for another server. It is then not sent to
+	// a server that is held back by its pace.
+	Hedge bool
+	// LastAttempt is set if the request fails once another server refuses it. Paces do
+	// not count then: they would leave only servers that are as full as those tried.
+	LastAttempt bool
 }
 
 // Available reports whether any reachable server may get requests.
@@ -99,7 +112,11 @@
 // maySendToCold reports whether this VM may send to the server. Only one VM may
 // send to a cold server with a rate limit.
 func (o *Options) maySendToCold(s *Server) bool {
-	return !s.coldRateLimited(o.Now) || o.MaySendToCold == nil || o.MaySendToCold(s)
+	if !s.coldRateLimited(o.Now) || o.MaySendToCold == nil || o.MaySendToCold(s) {
+		return true
+	}
+	s.pace.Postpone(s.coldUntil) // the other VMs begin one after the other once it is warm
+	return false
 }
 
 func (o *Options) tried(s *Server) bool {
@@ -112,27 +129,74 @@
 }
 
 // Pick returns the server with the lowest score that has not been tried, or
-// nil.
+// nil. Servers that are held back by their pace are left out. If all are, or the others
+// are much worse, the least loaded of them is returned: a refusal would be worse for the
+// caller.
 func (s *Service) Pick(o *Options) *Server {
-	var best *Server
-	bestScore := 0.0
+	var best, held *Server
+	bestScore, heldScore, heldLoad := 0.0, 0.0, 0.0
+	heldBack := 0
 	for _, server := range s.Servers {
-		if !o.eligible(server) || server.Unreachable() || o.tried(server) || !o.maySendToCold(server) || !server.coldRateAllows(o.Now) || !server.resumes(o.Now) {
+		if !o.allowed(server) {
 			continue
 		}
-		score := server.score(o.Now)
-		if server.Zone != o.Zone {
-			score += o.RemoteCost
+		score := o.score(server)
+		if o.LastAttempt || server.mayBeSent(o.Now) {
+			if best == nil || score < bestScore {
+				best, bestScore = server, score
+			}
+			continue
 		}
-		// The random factor spreads the load over servers with about the same score.
-		score *= 1 + 0.1*o.Random.Float64()
-		if best == nil || score < bestScore {
-			best, bestScore = server, score
+		heldBack++
+		if load := server.load(o.Now); held == nil || load < heldLoad || load == heldLoad && score < heldScore {
+			held, heldScore, heldLoad = server, score, load
 		}
 	}
+	exceeded := held != nil && !o.Hedge && (best == nil || bestScore > paceYieldFactor*heldScore)
+	s.observeHeldBack(o, best, heldBack, exceeded)
+	if exceeded {
+		return held
+	}
 	return best
 }
 
+// paceYieldFactor is the ratio of the least score of the other servers to that of a
+// server that is held back by its pace, above which that server gets the request all the
+// same. Otherwise a VM that has ended the pace of one of two returned servers would send
+// everything there while the other one is idle. With 2, a weak server is flooded under a
+// backlog, and with 4 more requests are late after all servers of a shard restarted
+// (figures in docs/design/server-pace.md).
+const paceYieldFactor = 3
+
+// observeHeldBack reports the servers that a choice has left out because of their pace.
+func (s *Service) observeHeldBack(o *Options, best *Server, heldBack int, exceeded bool) {
+	if s.PaceObserver == nil {
+		return
+	}
+	if exceeded {
+		s.PaceObserver.PaceExceeded()
+		heldBack--
+	} else if o.LastAttempt && best != nil && !best.mayBeSent(o.Now) {
+		s.PaceObserver.PaceExceeded()
+	}
+	s.PaceObserver.HeldBack(heldBack)
+}
+
+// allowed reports whether the rules allow a request to the server, apart from its pace.
+func (o *Options) allowed(s *Server) bool {
+	return o.eligible(s) && !s.Unreachable() && !o.tried(s) && o.maySendToCold(s) && s.coldRateAllows(o.Now)
+}
+
+// score returns the score of a server as seen from this VM's zone. A random factor
+// spreads the load over servers with about the same score.
+func (o *Options) score(s *Server) float64 {
+	score := s.score(o.Now, s.workTime.drawFactor(o.Now, o.Random))
+	if s.Zone != o.Zone {
+		score += o.RemoteCost
+	}
+	return score * (1 + 0.1*o.Random.Float64())
+}
+
 // LatencyStats tracks the moving average and a moving quantile of latencies, in
 // milliseconds.
 type LatencyStats struct {
