--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -12,6 +12,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/encoder"
+	"zinniatide.example/zinniatide/estimator"
 	"zinniatide.example/zinniatide/selector"
 )
 
@@ -31,9 +32,12 @@
 	minDelegatedParts = 2
 	// remoteRoundTrip and zoneRoundTrip approximate the round trip to a delegate
 	// in another zone and in the same zone. The cutoff sent to the delegate is
-	// earlier by this time.
+	// earlier by this time, or by up to maxReplyDelay more where replies are late.
 	remoteRoundTrip zinniatide.Millis = 6
 	zoneRoundTrip   zinniatide.Millis = 2
+	// maxReplyDelay covers the time that a VM with a fifth of a core takes to write, read
+	// and merge a reply while it serves other queries.
+	maxReplyDelay zinniatide.Millis = 8
 	// maxOwnParts is the number of parts that a VM sends itself before it
 	// delegates some to other relay VMs of its zone.
 	maxOwnParts = 32
@@ -251,7 +255,7 @@
 			continue
 		}
 		if delegate := g.r.delegateIn(zone, o.Now); delegate != nil {
-			g.sendDelegation(delegate, indexes, remoteRoundTrip, o.Now)
+			g.sendDelegation(delegate, indexes, g.r.remoteReplyTime, o.Now)
 		}
 	}
 	if len(local) > maxOwnParts {
@@ -269,7 +273,7 @@
 	for _, delegate := range g.r.delegates[g.r.config.Zone] {
 		indexes := byVM[delegate.vm]
 		if len(indexes) >= minDelegatedParts && now >= delegate.backoffUntil && g.r.deps.Links.Connected(delegate.vm) {
-			g.sendDelegation(delegate, indexes, zoneRoundTrip, now)
+			g.sendDelegation(delegate, indexes, g.r.zoneReplyTime, now)
 		}
 	}
 }
@@ -294,29 +298,31 @@
 	return best, byZone[best]
 }
 
-// sendDelegation has a delegate gather parts.
-func (g *gatherRequest) sendDelegation(delegate *delegate, indexes []int, roundTrip, now zinniatide.Millis) {
+// sendDelegation has a delegate gather parts. replyTime is the time that its reply
+// needs.
+func (g *gatherRequest) sendDelegation(delegate *delegate, indexes []int, replyTime *estimator.Estimator, now zinniatide.Millis) {
 	d := newDelegation(g, delegate, len(indexes))
+	d.replyTime = replyTime
 	for _, i := range indexes {
 		g.parts[i].delegation = d
 		g.parts[i].lend()
 		d.add(g, i)
 	}
-	g.callDelegate(d, roundTrip, now)
+	g.callDelegate(d, replyTime.Estimate(), now)
 	// A working delegate replies before the cutoff with the parts that it has, so
 	// one that has not replied by then is treated as failed.
 	g.after(g.cutoff-now, func() { g.handleLateDelegate(d) })
 }
 
 // callDelegate sends a delegation to its delegate and records it until it has ended.
-func (g *gatherRequest) callDelegate(d *delegation, roundTrip, now zinniatide.Millis) {
+func (g *gatherRequest) callDelegate(d *delegation, replyTime, now zinniatide.Millis) {
 	r := g.r
 	r.lastCallID++
 	d.callID, d.open = r.lastCallID, true
 	msg := &delegationRequest{
 		Call: d.callID, Process: r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, Shards: d.shards,
 		TopRecords: g.route.TopRecords, MaxAttempts: 1, TargetLatency: g.route.TargetLatency,
-		TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: d.hedge,
+		TimeToCutoff: max(g.cutoff-now-replyTime, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: d.hedge,
 	}
 	if d.hedge {
 		msg.RecordThreshold = g.topRecords.Threshold()
--- a/relayer/delegation_replies.go
+++ b/relayer/delegation_replies.go
@@ -7,6 +7,7 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/encoder"
+	"zinniatide.example/zinniatide/estimator"
 	"zinniatide.example/zinniatide/transporter"
 )
 
@@ -22,7 +23,9 @@
 	digest   uint32                 // of the delegationRequest
 	// hedge is set if the parts have been sent to other servers before.
 	hedge bool
-	open  bool
+	// replyTime estimates the time that the first reply needs. It is nil if hedge is set.
+	replyTime *estimator.Estimator
+	open      bool
 	// firstReplyReceived and finalReplyReceived may be set in any order, because
 	// the replies may be processed out of order.
 	firstReplyReceived, finalReplyReceived bool
@@ -78,6 +81,10 @@
 		g.finishIfDecided("")
 		return
 	}
+	// A reply with all parts may have been sent long before the delegate's cutoff.
+	if d.replyTime != nil && reply.MorePending && g.r.deps.Clock.Now() <= g.cutoff {
+		d.replyTime.Record(false)
+	}
 	g.mergeReply(d, reply)
 	if !g.finished && d.open {
 		g.after(delegateGrace, func() { g.watchLink(d) })
@@ -237,9 +244,10 @@
 	if !d.open || d.firstReplyReceived {
 		return
 	}
+	d.replyTime.Record(true)
 	d.delegate.backoffUntil = g.r.deps.Clock.Now() + delegateBackoff
 	klog.InfoS("delegate has not replied by the cutoff", "step", "gather", "request", g.req.ID, "peer", d.delegate.vm, "parts", len(d.parts),
-		"after-ms", g.r.deps.Clock.Now()-g.req.ArrivedAt)
+		"after-ms", g.r.deps.Clock.Now()-g.req.ArrivedAt, "reply-time-ms", d.replyTime.Estimate())
 	g.after(delegateGrace, func() {
 		if !d.firstReplyReceived {
 			g.abandonDelegation(d)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
+	"zinniatide.example/zinniatide/estimator"
 	"zinniatide.example/zinniatide/limiter"
 	"zinniatide.example/zinniatide/retrybudget"
 	"zinniatide.example/zinniatide/router"
@@ -125,6 +126,9 @@
 	// share the parts of large queries. delegates are the other relay VMs by zone.
 	zonePeers []zinniatide.VMID
 	delegates map[zinniatide.ZoneID][]*delegate
+	// zoneReplyTime and remoteReplyTime estimate the time that the first reply of a
+	// delegate of this or another zone needs.
+	zoneReplyTime, remoteReplyTime *estimator.Estimator
 	// delegatedGathers are the gather requests that run here on behalf of other
 	// VMs.
 	delegatedGathers map[delegationKey]*gatherRequest
@@ -170,6 +174,7 @@
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, limiters: map[zinniatide.RouteID]*limiter.Limiter{},
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegatingVMs: map[zinniatide.VMID]*delegatingVM{}, delegations: map[uint64]*delegation{},
+		zoneReplyTime: estimator.New(zoneRoundTrip, zoneRoundTrip+maxReplyDelay), remoteReplyTime: estimator.New(remoteRoundTrip, remoteRoundTrip+maxReplyDelay),
 		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
 	r.registerTables(d.Registerer)
