Add rollouts to the replicated log

Commands of operators and the share of a rollout must survive the loss of control VMs and a change of leader. A routing table without the service ends its running rollout as rolled back in the same entry.

go test ./registrar/: passes.

--- a/registrar/command.go
+++ b/registrar/command.go
@@ -26,6 +26,8 @@
 	ControlVMs   *ControlVMsChange           `cbor:"10,keyasint,omitempty"`
 	ActiveRelays *ActiveRelays               `cbor:"11,keyasint,omitempty"`
 	Routing      *RoutingEntry               `cbor:"12,keyasint,omitempty"`
+	RolloutStart *RolloutStart               `cbor:"13,keyasint,omitempty"`
+	RolloutStep  *RolloutStep                `cbor:"14,keyasint,omitempty"`
 }
 
 // TicketEntry is a ticket that has been validated by the checker package. The
@@ -97,7 +99,8 @@
 	}
 	set := 0
 	for _, present := range []bool{c.Ticket != nil, c.Join != nil, c.Remove != nil, c.Release != nil,
-		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.ZoneState != nil, c.ControlVMs != nil, c.ActiveRelays != nil, c.Routing != nil} {
+		c.Claim != nil, c.Result != nil, c.Bootstrap != nil, c.ZoneState != nil, c.ControlVMs != nil, c.ActiveRelays != nil, c.Routing != nil,
+		c.RolloutStart != nil, c.RolloutStep != nil} {
 		if present {
 			set++
 		}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -59,7 +59,7 @@
 
 // Apply implements zinniatide.StateMachine. The result is a
 // zinniatide.TicketReply for a ticket, a zinniatide.ClaimReply for a claim, a
-// *zinniatide.Refusal if the command is refused, and otherwise the
+// zinniatide.Rollout for the start of a rollout, a *zinniatide.Refusal if the command is refused, and otherwise the
 // zinniatide.Epoch after the entry. A malformed entry has no effect.
 func (r *Registrar) Apply(index uint64, data []byte) any {
 	if len(data) == 0 {
@@ -94,6 +94,10 @@
 		return r.applyZoneState(c.ZoneState)
 	case c.Routing != nil:
 		return r.applyRouting(c.Routing)
+	case c.RolloutStart != nil:
+		return r.applyRolloutStart(c.RolloutStart)
+	case c.RolloutStep != nil:
+		return r.applyRolloutStep(c.RolloutStep)
 	case c.ActiveRelays != nil:
 		tx := newTransaction(r.configuration)
 		tx.add(Delta{ActiveRelays: c.ActiveRelays.Zones})
--- a/registrar/routingentry.go
+++ b/registrar/routingentry.go
@@ -93,6 +93,7 @@
 	reply.Accepted, reply.Changes = true, e.Delta.differences(current.Table)
 	tx := newTransaction(r.configuration)
 	tx.add(Delta{Routing: &e.Delta})
+	endRolloutsOfRemovedServices(tx)
 	r.routingDocument = document
 	reply.Epoch = r.commit(tx)
 	r.tickets.add(ticketRecord{Number: reply.Number, Epoch: reply.Epoch, Digest: e.Digest}, routingEntities)
--- a/registrar/tickets.go
+++ b/registrar/tickets.go
@@ -121,6 +121,7 @@
 		r.assignBuckets(tx)
 	}
 	if e.Ticket.Routing != nil {
+		endRolloutsOfRemovedServices(tx)
 		r.routingDocument = e.Document
 	}
 	reply.Epoch = r.commit(tx)
