--- a/rollout.go
+++ b/rollout.go
@@ -1,5 +1,7 @@
 package zinniatide
 
+import "math"
+
 // ServerVersion is the version of the software that a backend server runs.
 type ServerVersion string
 
@@ -45,3 +47,63 @@
 	// was none.
 	Rollout(service ServiceID, timeout Millis) (Rollout, error)
 }
+
+// RolloutReport are the results of one rollout on a relay VM since the rollout began or
+// the process started. All counts are cumulative.
+type RolloutReport struct {
+	Service ServiceID `cbor:"1,keyasint"`
+	Number  Epoch     `cbor:"2,keyasint"`
+	// Requests counts the requests to the service, without hedges and retries.
+	Requests uint64 `cbor:"3,keyasint"`
+	// Diverted counts the requests that were to be sent to the target version but went to
+	// the old one, because no server of the target version could take them.
+	Diverted uint64 `cbor:"4,keyasint,omitempty"`
+	// TargetAvailable is set if a server of the target version may get requests.
+	TargetAvailable bool `cbor:"5,keyasint,omitempty"`
+	// OldInFlight is the number of requests that are now in flight at servers of other
+	// versions than the target.
+	OldInFlight int             `cbor:"6,keyasint,omitempty"`
+	Routes      []RolloutCounts `cbor:"7,keyasint,omitempty"`
+}
+
+// RolloutReports is the body of KindRolloutReport.
+type RolloutReports struct {
+	Process ProcessID `cbor:"1,keyasint"`
+	// Epoch is the configuration that is installed on the VM.
+	Epoch Epoch `cbor:"2,keyasint"`
+	// Sequence orders the reports of a process.
+	Sequence uint64          `cbor:"3,keyasint"`
+	Reports  []RolloutReport `cbor:"4,keyasint"`
+}
+
+// RolloutCounts are the results of the requests of one route.
+type RolloutCounts struct {
+	Route  RouteID           `cbor:"1,keyasint"`
+	Old    RolloutSideCounts `cbor:"2,keyasint"`
+	Target RolloutSideCounts `cbor:"3,keyasint"`
+}
+
+// RolloutSideCounts are the results of requests to the servers of one side.
+type RolloutSideCounts struct {
+	// Sent counts all sends: first sends, hedges and retries.
+	Sent     uint64 `cbor:"1,keyasint,omitempty"`
+	Failures uint64 `cbor:"2,keyasint,omitempty"`
+	// Latencies counts the successful responses of warm servers by LatencyBucket. Trailing
+	// zeros may be left out.
+	Latencies []uint64 `cbor:"3,keyasint,omitempty"`
+	// ColdSuccesses counts the successful responses of cold servers.
+	ColdSuccesses uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// RolloutLatencyBuckets is the number of buckets of a latency histogram. They reach to
+// 46 s, longer than the timeout of a route.
+const RolloutLatencyBuckets = 32
+
+// LatencyBucket returns the bucket of a latency. The buckets grow by a factor of the
+// square root of 2: bucket i holds latencies up to 2^(i/2) ms.
+func LatencyBucket(latency Millis) int {
+	if latency <= 1 {
+		return 0
+	}
+	return min(int(math.Ceil(2*math.Log2(float64(latency)))), RolloutLatencyBuckets-1)
+}
