Serve rollouts on control VMs

Completion waits until no relay VM that was lately in contact has a request in flight at an old server.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -57,6 +57,8 @@
 	// from, or empty. It is used while the log knows no leader, as on a VM outside
 	// the set of control VMs. It may be nil.
 	KnownLeader func() zinniatide.VMID
+	// Rollouts is nil where rollouts are not in use.
+	Rollouts *Rollouts
 }
 
 // Controller implements zinniatide.Operator. Its state is accessed on the
@@ -80,6 +82,7 @@
 	relayCounts         relayCountPlanner
 	routing             routingQueue
 	installWaits        []installWait
+	rollouts            rolloutTable
 	// routingTable is the newest table applied on this VM. It is read on any
 	// goroutine.
 	routingTable atomic.Pointer[registrar.RoutingTable]
@@ -111,6 +114,8 @@
 	c.handle(zinniatide.KindClaim, c.claimHandler)
 	c.handle(zinniatide.KindClaimResult, c.claimResultHandler)
 	c.handle(zinniatide.KindControlForward, c.forwardHandler)
+	c.rollouts.reset(clock.Now())
+	c.handle(zinniatide.KindRolloutReport, c.rolloutReportHandler)
 	return c
 }
 
@@ -146,6 +151,7 @@
 func (c *Controller) onLeadership(leading bool) {
 	c.leading = leading
 	c.sessions.reset()
+	c.rollouts.reset(c.clock.Now())
 	if !leading {
 		c.failInstallWaits()
 		return
@@ -225,11 +231,13 @@
 	if paused {
 		// This process was suspended, so heartbeats may still be unread.
 		c.sessions.restartLeases(now)
+		c.rollouts.ledSince = now
 		return
 	}
 	c.removeExpired(now)
 	c.reconcileControlSet(now)
 	c.adjustRelayCounts(now)
+	c.decideRollouts(now)
 	c.pushToOutdated()
 }
 
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -124,7 +124,7 @@
 			if err != nil {
 				sim.t.Fatal(err)
 			}
-			v.controller = New(Config{VM: m.VM, ControlVMs: sim.controlVMs}, v.log, v, sim.clock, v.stateMachine, ticketChecker, prometheus.NewRegistry())
+			v.controller = New(Config{VM: m.VM, ControlVMs: sim.controlVMs, Rollouts: testRollouts}, v.log, v, sim.clock, v.stateMachine, ticketChecker, prometheus.NewRegistry())
 		}
 	}
 	v.subscriber = subscriber.New(subscriber.Config{Member: m, ControlVMs: sim.controlVMs}, v, sim.clock, sim.random, prometheus.NewRegistry())
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -15,6 +15,9 @@
 	claimBytes    prometheus.Gauge
 	expiredLeases prometheus.Counter
 	pushFailures  prometheus.Counter
+
+	runningRollouts prometheus.Gauge
+	rolloutSteps    *prometheus.CounterVec
 }
 
 func newMetrics(registerer Registerer) *metrics {
@@ -32,5 +35,9 @@
 			Name: "zinniatide_control_expired_leases_total", Help: "Members removed because their lease expired."}),
 		pushFailures: factory.NewCounter(prometheus.CounterOpts{
 			Name: "zinniatide_control_push_failures_total", Help: "Configuration pushes without acknowledgement of a newer epoch."}),
+		runningRollouts: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "zinniatide_control_rollouts", Help: "Running rollouts that this leader decides about."}),
+		rolloutSteps: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "zinniatide_control_rollout_steps_total", Help: "Changes of the share or state of rollouts proposed by this leader."}, []string{"state"}),
 	}
 }
--- a/controller/operator.go
+++ b/controller/operator.go
@@ -206,6 +206,8 @@
 		return c.newestRoutingDocument(f.Number)
 	case controlproto.ForwardZoneOrders:
 		return c.stateMachine.ZoneOrders(), nil
+	case controlproto.ForwardRollout:
+		return c.readRollout(f.Service)
 	case controlproto.ForwardHistory:
 		return c.stateMachine.History(min(max(f.Limit, 1), maxHistoryLimit)), nil
 	}
--- a/controller/routing.go
+++ b/controller/routing.go
@@ -98,7 +98,7 @@
 	switch f.Operation {
 	case controlproto.ForwardFileTicket:
 		return !f.DryRun
-	case controlproto.ForwardFileRouting, controlproto.ForwardSetZone:
+	case controlproto.ForwardFileRouting, controlproto.ForwardSetZone, controlproto.ForwardStartRollout:
 		return true
 	}
 	return false
@@ -111,6 +111,8 @@
 		c.fileRouting(f.Routing, done)
 	case controlproto.ForwardSetZone:
 		c.propose(&registrar.Command{ZoneState: &registrar.ZoneStateChange{Zone: f.Zone, State: f.State, After: f.After}}, done)
+	case controlproto.ForwardStartRollout:
+		c.proposeRollout(f, done)
 	default:
 		c.proposeTicket(f.Ticket, done)
 	}
--- a/controlproto/controlproto.go
+++ b/controlproto/controlproto.go
@@ -136,8 +136,8 @@
 	Refusal *Refusal `cbor:"3,keyasint,omitempty"`
 }
 
-// ForwardOperation is an operation of zinniatide.Operator or
-// zinniatide.RoutingOperator.
+// ForwardOperation is an operation of zinniatide.Operator, zinniatide.RoutingOperator or
+// zinniatide.RolloutOperator.
 type ForwardOperation uint8
 
 // Operations that a control VM forwards to the leader.
@@ -150,11 +150,14 @@
 	ForwardRoutingDocument
 	ForwardSetZone
 	ForwardZoneOrders
+	ForwardStartRollout
+	ForwardRollout
 )
 
 // Forward carries an operator request to the leader. FileTicket uses Ticket and
 // DryRun; TicketStatus Number; History Limit; FileRouting Routing; RoutingDocument
-// Number; SetZone Zone, State and After. The other operations use none.
+// Number; SetZone Zone, State and After; StartRollout Service, Version and Ramp; Rollout
+// Service. The other operations use none.
 type Forward struct {
 	Operation ForwardOperation        `cbor:"1,keyasint"`
 	Ticket    []byte                  `cbor:"2,keyasint,omitempty"`
@@ -166,7 +169,10 @@
 	Zone    zinniatide.ZoneID       `cbor:"8,keyasint,omitempty"`
 	State   zinniatide.ServingState `cbor:"9,keyasint,omitempty"`
 	// After is the result of ZoneOrders that SetZone must still find.
-	After *uint64 `cbor:"10,keyasint,omitempty"`
+	After   *uint64                  `cbor:"10,keyasint,omitempty"`
+	Service zinniatide.ServiceID     `cbor:"12,keyasint,omitempty"`
+	Version zinniatide.ServerVersion `cbor:"13,keyasint,omitempty"`
+	Ramp    zinniatide.Millis        `cbor:"14,keyasint,omitempty"`
 }
 
 // RoutingDocument is the result of ForwardRoutingDocument. Document is empty if the
--- a/rollouter/rollouter.go
+++ b/rollouter/rollouter.go
@@ -56,9 +56,11 @@
 type Fleet struct {
 	// Reported is set if all relay VMs in contact have reported recently.
 	Reported bool
-	// Installed is set if all relay VMs in contact have installed the present share, and
-	// OldIdle if none of them has a request in flight at an old server since then.
-	Installed, OldIdle bool
+	// Installed is set if all relay VMs in contact have installed the present share.
+	Installed bool
+	// OldIdle is set if all relay VMs that are or were lately in contact have installed the
+	// present share, and none of them has a request in flight at an old server since then.
+	OldIdle bool
 }
 
 // Decision is the state and share that a rollout should have.
