Choose the version of each send on relay VMs

A request that a running rollout gives to the target version goes to one of its servers by counting; hedges, retries and delegates' hedges go to the version that serves. Versions that no command has named get nothing while servers of that version are available. Relay VMs report cumulative results while a rollout runs. Nothing changes where the settings do not list the contract rollout.

go test ./relayer ./selector: passes, with no change to existing tests.

--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -22,6 +22,7 @@
 	"zinniatide.example/zinniatide/exposer"
 	"zinniatide.example/zinniatide/node"
 	"zinniatide.example/zinniatide/platform"
+	"zinniatide.example/zinniatide/rollouter"
 )
 
 // platformCommand serves on the deployment platform that package platform adapts
@@ -76,7 +77,7 @@
 	relay, err := node.NewRelay(node.RelayConfig{
 		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, ControlAddress: s.ControlAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
 		Seeds: s.Seeds, LoadSeeds: loadSeeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
-		CallerNames: platform.CallerHeaders(), RelayNames: platform.ResponseHeaders(), BackendNames: platform.BackendHeaders(),
+		Rollouts: rolloutLimits(s), CallerNames: platform.CallerHeaders(), RelayNames: platform.ResponseHeaders(), BackendNames: platform.BackendHeaders(),
 	}, systemClock, registry)
 	if err != nil {
 		klog.ErrorS(err, "failed to create the relay", "step", "start")
@@ -107,8 +108,12 @@
 // the one for callers.
 func endpoints(relay *node.Relay, s *platform.Settings) []node.Endpoint {
 	var out []node.Endpoint
+	var options []platform.ControlOption
+	if rollouts := relay.RolloutOperator(); rollouts != nil {
+		options = append(options, platform.WithRollouts(rollouts))
+	}
 	if s.ControlAddress != "" {
-		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControlHandler(relay.Operator(), relay.Enroller(), relay.HeartbeatAddress)})
+		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControlHandler(relay.Operator(), relay.Enroller(), relay.HeartbeatAddress, options...)})
 	}
 	if s.DirectoryAddress != "" {
 		lifetime := min(node.RelayAddressLifetime, s.LongestLifetime)
@@ -120,6 +125,14 @@
 	return out
 }
 
+// rolloutLimits returns the limits of rollouts, or nil where they are not in use.
+func rolloutLimits(s *platform.Settings) *rollouter.Config {
+	if s.Rollouts == nil {
+		return nil
+	}
+	return &rollouter.Config{CanaryShare: s.Rollouts.CanaryShare, CanarySlack: s.Rollouts.CanarySlack}
+}
+
 // loadSeeds reads the seeds from the settings file, the only setting that can change
 // while the process runs.
 func loadSeeds() ([]zinniatide.ControlVM, error) {
--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -21,9 +21,9 @@
 }
 
 const (
-	// maxReportAge is how old the last report of a relay VM may be for a decision that
-	// needs the reports of all: five intervals of 200 ms.
-	maxReportAge zinniatide.Millis = 1000
+	// maxReportIntervals is how old the last report of a relay VM may be for a decision
+	// that needs the reports of all, in intervals of reports.
+	maxReportIntervals = 5
 	// contactTime is how long a relay VM may be silent before it counts as not in contact.
 	// It is longer than the 3,000 ms after which the VM sends nothing to a target version,
 	// by the interval of heartbeats.
@@ -209,7 +209,13 @@
 // may come back with a configuration by which it sends to old servers.
 func (c *Controller) fleetOf(running *runningRollout, now zinniatide.Millis) rollouter.Fleet {
 	fleet := rollouter.Fleet{Reported: true, Installed: true, OldIdle: true}
-	members := c.stateMachine.Configuration().Members
+	members, relays := c.stateMachine.Configuration().Members, 0
+	for vm := range members {
+		if members[vm].Relay {
+			relays++
+		}
+	}
+	maxReportAge := maxReportIntervals * zinniatide.RolloutReportInterval(relays)
 	for i := range c.sessions.entries {
 		s := &c.sessions.entries[i]
 		if !members[s.vm].Relay {
--- a/node/relay.go
+++ b/node/relay.go
@@ -29,6 +29,7 @@
 	"zinniatide.example/zinniatide/relayer"
 	"zinniatide.example/zinniatide/resolver"
 	"zinniatide.example/zinniatide/retrybudget"
+	"zinniatide.example/zinniatide/rollouter"
 	"zinniatide.example/zinniatide/subscriber"
 	"zinniatide.example/zinniatide/transporter"
 )
@@ -64,6 +65,9 @@
 	RelayCapacity float64
 	// Budget limits the retries to one service over all VMs.
 	Budget retrybudget.Config
+	// Rollouts limits the requests that a bad version of backend servers gets. It is nil
+	// where rollouts are not in use.
+	Rollouts *rollouter.Config
 	// StopLimit is the time limit of a graceful shutdown.
 	StopLimit zinniatide.Millis
 	// CallerNames, RelayNames and BackendNames are the names of the HTTP headers
@@ -317,6 +321,7 @@
 	}
 	r.controller = controller.New(controller.Config{
 		VM: cfg.VM, ControlVMs: cfg.Seeds, TargetControlVMs: cfg.Voters, AdjustRelayCounts: true, KnownLeader: r.subscriber.KnownLeader,
+		Rollouts: r.rolloutsOfLeader(),
 	}, r.replicatedLog, r.linker, r.clock, r.stateMachine, ticketChecker, registerer)
 	return nil
 }
@@ -356,10 +361,10 @@
 	})
 	r.relayer = relayer.New(relayer.Config{
 		VM: r.cfg.VM, Process: r.process, Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: crossZoneCostMillis, ReplyMargin: replyMargin,
-		ConnectMargin: connectMargin,
+		ConnectMargin: connectMargin, Rollouts: r.cfg.Rollouts != nil,
 	}, relayer.Dependencies{
 		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Registerer: registerer,
-		ConfirmedAt: r.subscriber.ConfirmedAt,
+		ConfirmedAt: r.subscriber.ConfirmedAt, ReportRollouts: r.reportRollouts,
 		NewPool: func(server zinniatide.BackendServerID, address string, limit int) relayer.Pool {
 			return r.transporter.Pool(server, address, limit)
 		},
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -42,6 +42,9 @@
 	server    *selector.Server
 	exchange  *transporter.Exchange
 	startedAt zinniatide.Millis
+	// counts are those of a running rollout, or nil. cold is set if the server was cold.
+	counts *sideCounts
+	cold   bool
 }
 
 // after calls f with the lock held after delay, unless the request has finished
@@ -73,6 +76,7 @@
 		}
 	}
 	ar.r.sentRequests++
+	att.counts, att.cold = ar.r.countSend(s, ar.route.ID), s.IsCold(now)
 	s.RecordStart(now)
 	ar.openAttempts = append(ar.openAttempts, att)
 	ar.r.sendTo(s, att.exchange)
@@ -89,6 +93,7 @@
 	r, s := ar.r, att.server
 	now := r.deps.Clock.Now()
 	r.metrics.countExchange(a.Result)
+	att.counts.record(a, now-att.startedAt, ar.route.Gathers(), att.cold)
 	ar.mayHaveRun = ar.mayHaveRun || a.Result.MayHaveRun()
 	if a.Dropped {
 		ar.recordDrops(1)
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -37,13 +37,14 @@
 		f.finished = true
 		return
 	}
-	s := f.service.Pick(o)
+	s := f.r.pickFirst(f.service, o)
 	if s == nil {
 		f.r.refuse(f.req, f.route, f.respond, statusUnavailable, "servers that are cold or were paused have their rate", shortRetryAfter)
 		f.finished = true
 		return
 	}
 	f.service.Budget.RecordRequest(o.Now)
+	f.r.countRequest(f.service)
 	f.after(f.deadline-deadlineMargin-o.Now, f.timeout)
 	f.sendTo(s, "")
 	f.scheduleHedge()
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -126,13 +126,14 @@
 		if p.failed || p.delegation != nil || g.finished {
 			continue
 		}
-		s := p.service.Pick(o)
+		s := g.pickFirst(p, o)
 		if s == nil {
 			g.failPart(p, "servers that are cold or were paused have their rate")
 			continue
 		}
 		if !g.hedgesForPeer {
 			p.service.Budget.RecordRequest(o.Now)
+			g.r.countRequest(p.service)
 		}
 		g.sendPart(i, s)
 	}
@@ -142,6 +143,15 @@
 	}
 }
 
+// pickFirst returns the server that a part is sent to first. A hedge for another VM is not
+// the first send of its part.
+func (g *gatherRequest) pickFirst(p *part, o *selector.Options) *selector.Server {
+	if g.hedgesForPeer {
+		return p.service.Pick(o)
+	}
+	return g.r.pickFirst(p.service, o)
+}
+
 // replyTime returns the time reserved for merging and sending the answer of a query
 // of many shards.
 func replyTime(shards int) zinniatide.Millis {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -55,6 +55,8 @@
 	// request. ConnectMargin is subtracted as well if the caller had to open a
 	// connection.
 	ReplyMargin, ConnectMargin zinniatide.Millis
+	// Rollouts is set where the versions of servers decide which of them get requests.
+	Rollouts bool
 }
 
 // Dependencies are the dependencies of a Relayer.
@@ -74,7 +76,10 @@
 	// ConfirmedAt returns when the configuration was last known to be the newest. If it
 	// is nil, it always is.
 	ConfirmedAt func() zinniatide.Millis
-	Registerer  prometheus.Registerer
+	// ReportRollouts sends a report to the control leader. It must not block, and may be
+	// nil.
+	ReportRollouts func(*zinniatide.RolloutReports)
+	Registerer     prometheus.Registerer
 }
 
 // Quarantine knows the requests that crash the servers that run them.
@@ -139,6 +144,7 @@
 	// openRequests holds, for each request of a caller in progress, a function that
 	// ends it early.
 	openRequests map[*activeRequest]func(reason string, retryAfter zinniatide.Millis)
+	rollouts     rollouts
 }
 
 // processKey identifies one process of a backend server.
@@ -324,11 +330,13 @@
 
 // selectionOptions returns the options for choosing a server now.
 func (r *Relayer) selectionOptions(tried []*selector.Server) *selector.Options {
-	return &selector.Options{
+	o := &selector.Options{
 		Zone: r.config.Zone, RemoteCost: r.config.RemoteCost, Now: r.deps.Clock.Now(), Tried: tried, Random: r.deps.Random,
 		ZoneExcluded:  func(zone zinniatide.ZoneID) bool { return r.excludedZones[zone] },
 		MaySendToCold: r.pacesColdServer,
 	}
+	r.excludeVersions(o)
+	return o
 }
 
 // pacesColdServer reports whether this VM is the one that sends requests to a
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -62,6 +62,7 @@
 	if r.table != nil {
 		r.updateServices()
 		r.updateServers(enrollments)
+		r.updateRollouts(c)
 	}
 }
 
--- a/rollout.go
+++ b/rollout.go
@@ -107,3 +107,19 @@
 	}
 	return min(int(math.Ceil(2*math.Log2(float64(latency)))), RolloutLatencyBuckets-1)
 }
+
+const (
+	// minRolloutReportInterval is short against the rollback_ms of 5,000 and the share of
+	// a second in which a raised share may turn out to be bad.
+	minRolloutReportInterval Millis = 200
+	maxRolloutReportInterval Millis = 1500
+	// rolloutReportsPerMillisecond bounds the reports that the leader gets: at some 30 us
+	// each, 1,000 per second take 3% of a core.
+	rolloutReportsPerMillisecond = 1
+)
+
+// RolloutReportInterval returns the time between two reports of a relay VM if there are
+// so many of them.
+func RolloutReportInterval(relays int) Millis {
+	return min(max(Millis(relays/rolloutReportsPerMillisecond), minRolloutReportInterval), maxRolloutReportInterval)
+}
--- a/selector/service.go
+++ b/selector/service.go
@@ -47,6 +47,9 @@
 	// MaySendToCold reports whether this VM is the one that sends requests to a
 	// cold server with a rate limit. If it is nil, this VM is.
 	MaySendToCold func(*Server) bool
+	// Excluded reports whether a server may not get the request because of its version. If
+	// it is nil, no server is excluded.
+	Excluded func(*Server) bool
 }
 
 // Available reports whether any reachable server may get requests.
@@ -81,7 +84,20 @@
 }
 
 func (o *Options) eligible(s *Server) bool {
-	return s.usable() && !s.IsPaused(o.Now) && !o.ZoneExcluded(s.Zone)
+	return s.usable() && !s.IsPaused(o.Now) && !o.ZoneExcluded(s.Zone) && !o.excluded(s)
+}
+
+func (o *Options) excluded(s *Server) bool { return o.Excluded != nil && o.Excluded(s) }
+
+// HasServer reports whether a server that matches is in service and reachable. Excluded
+// is not asked, and a server that has asked for a short pause counts.
+func (s *Service) HasServer(o *Options, matches func(*Server) bool) bool {
+	for _, server := range s.Servers {
+		if matches(server) && server.usable() && !o.ZoneExcluded(server.Zone) && !server.Unreachable() {
+			return true
+		}
+	}
+	return false
 }
 
 // ReturnsIn returns the time until the first paused server may get requests again. It
@@ -89,7 +105,7 @@
 func (s *Service) ReturnsIn(o *Options) (zinniatide.Millis, bool) {
 	var first zinniatide.Millis
 	for _, server := range s.Servers {
-		if server.usable() && server.IsPaused(o.Now) && !o.ZoneExcluded(server.Zone) && (first == 0 || server.pausedUntil < first) {
+		if server.usable() && server.IsPaused(o.Now) && !o.ZoneExcluded(server.Zone) && !o.excluded(server) && (first == 0 || server.pausedUntil < first) {
 			first = server.pausedUntil
 		}
 	}
