Let no stepped clock and no earlier leader raise a share

A new leader took the age of a rollout from wall clocks, and raised the share at once if its own was ahead. It now takes the longest time for which a relay VM has known the rollout. A step names the share that it changes, so that one of an earlier leader has no effect. A VM that may send to old servers, as its configuration is unconfirmed, reports that it does.

go test ./rollouter ./controller ./registrar ./relayer: passes.

--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -157,12 +157,11 @@
 		}
 		running := t.running[service]
 		if running == nil {
-			elapsed := c.clock.Unix() - rollout.StartedAt
 			running = &runningRollout{rollout: rollout, shareEpoch: configuration.Epoch,
-				decider: rollouter.New(c.config.Rollouts.Limits, rollout, elapsed, now)}
+				decider: rollouter.New(c.config.Rollouts.Limits, rollout, now)}
 			t.running[service] = running
 			klog.InfoS("deciding about a rollout", "step", "rollout", "service", service, "target", rollout.Target, "previous", rollout.Previous,
-				"share", rollout.Share, "elapsed-ms", elapsed, "ramp-ms", rollout.Ramp)
+				"share", rollout.Share, "ramp-ms", rollout.Ramp)
 		} else if running.rollout.Share != rollout.Share {
 			running.rollout, running.shareEpoch = rollout, configuration.Epoch
 			running.decider.SetShare(rollout.Share)
@@ -194,7 +193,7 @@
 
 func (c *Controller) proposeRolloutStep(service zinniatide.ServiceID, running *runningRollout, decision rollouter.Decision) {
 	running.proposing = true
-	step := &registrar.RolloutStep{Service: service, Number: running.rollout.Number, State: decision.State, Share: decision.Share}
+	step := &registrar.RolloutStep{Service: service, Number: running.rollout.Number, State: decision.State, Before: running.rollout.Share, Share: decision.Share}
 	c.propose(&registrar.Command{RolloutStep: step}, func(_ any, err error) {
 		running.proposing = false
 		c.metrics.rolloutSteps.WithLabelValues(string(decision.State)).Inc()
--- a/controller/rollouts_test.go
+++ b/controller/rollouts_test.go
@@ -31,6 +31,7 @@
 	// oldInFlight is how many requests stay in flight at old servers.
 	oldInFlight int
 	frozen      bool
+	since       zinniatide.Millis // when it saw the rollout first
 	random      *rand.Rand
 }
 
@@ -61,6 +62,7 @@
 	}
 	if p.report.Number != rollout.Number {
 		p.report = zinniatide.RolloutReport{Service: "s", Number: rollout.Number, TargetAvailable: true, Routes: []zinniatide.RolloutCounts{{Route: "r"}}}
+		p.since = p.sim.clock.Now()
 		p.report.Routes[0].Old.Latencies, p.report.Routes[0].Target.Latencies = make([]uint64, 8), make([]uint64, 8)
 	}
 	c := &p.report.Routes[0]
@@ -87,7 +89,7 @@
 		return
 	}
 	p.sequence++
-	p.report.OldInFlight = p.oldInFlight
+	p.report.OldInFlight, p.report.Age = p.oldInFlight, p.sim.clock.Now()-p.since
 	body, err := encoder.Marshal(&zinniatide.RolloutReports{Process: p.vm.member.Process, Epoch: p.vm.subscriber.Configuration().Epoch, Sequence: p.sequence,
 		Reports: []zinniatide.RolloutReport{p.report}})
 	if err != nil {
@@ -186,6 +188,14 @@
 				if got != row.want || at > 12_000+5000+2000 {
 					t.Errorf("got %s after %d ms, want %s within 19000 ms", got, at, row.want)
 				}
+				var requests, sent uint64
+				for _, p := range reporters {
+					requests += p.report.Requests
+					sent += p.report.Routes[0].Target.Sent
+				}
+				if most := 0.1*float64(requests) + 50; row.failing > 0 && float64(sent) > most {
+					t.Errorf("got %d of %d requests on the bad version, want at most %.0f", sent, requests, most)
+				}
 			})
 		}
 	}
@@ -322,3 +332,35 @@
 		t.Errorf("got report %+v of a VM that is no member kept, want none", got)
 	}
 }
+
+// Guards against two commands for one service that arrive at once through different control
+// VMs and are both accepted.
+func TestSimultaneousRolloutCommands(t *testing.T) {
+	for _, second := range []zinniatide.ServerVersion{"v2", "v3"} {
+		sim, _ := newRelaySimulation(t)
+		results := map[string]error{}
+		for through, target := range map[string]zinniatide.ServerVersion{"c2": "v2", "c3": second} {
+			f := &controlproto.Forward{Operation: controlproto.ForwardStartRollout, Service: "s", Version: target, Ramp: 12_000}
+			sim.vms[zinniatide.VMID(through)].controller.dispatch(f, 1000, func(response controlproto.ForwardReply) {
+				results[through] = response.Refusal.Err()
+			})
+		}
+		sim.run(500)
+		refused := 0
+		for through, err := range results {
+			if err == nil {
+				continue
+			}
+			if refused++; refusalCode(err) != zinniatide.CodeInProgress {
+				t.Errorf("through %s: got %v, want %s", through, err, zinniatide.CodeInProgress)
+			}
+		}
+		want := 0
+		if second != "v2" {
+			want = 1
+		}
+		if len(results) != 2 || refused != want {
+			t.Errorf("commands for v2 and %s: got %d answers with %d refused, want 2 with %d", second, len(results), refused, want)
+		}
+	}
+}
--- a/registrar/rollouts.go
+++ b/registrar/rollouts.go
@@ -38,6 +38,9 @@
 	Number  zinniatide.Epoch        `cbor:"2,keyasint"`
 	State   zinniatide.RolloutState `cbor:"3,keyasint"`
 	Share   float64                 `cbor:"4,keyasint"`
+	// Before is the share that the step changes. If the share differs, a step other than a
+	// roll-back has no effect: it was decided by an earlier leader.
+	Before float64 `cbor:"5,keyasint"`
 }
 
 // Check returns a *zinniatide.Refusal if the command is malformed.
@@ -95,6 +98,9 @@
 	if !known || next.Number != s.Number || next.State != zinniatide.RolloutRunning {
 		return r.configuration.Epoch
 	}
+	if s.State != zinniatide.RolloutRolledBack && s.Before != next.Share {
+		return r.configuration.Epoch
+	}
 	switch s.State {
 	case zinniatide.RolloutRunning:
 		if s.Share < 0 || s.Share > 1 {
--- a/registrar/rollouts_test.go
+++ b/registrar/rollouts_test.go
@@ -33,7 +33,8 @@
 }
 
 func step(r *Registrar, state zinniatide.RolloutState, share float64) Command {
-	return Command{RolloutStep: &RolloutStep{Service: "s", Number: r.Configuration().Rollouts["s"].Number, State: state, Share: share}}
+	last := r.Configuration().Rollouts["s"]
+	return Command{RolloutStep: &RolloutStep{Service: "s", Number: last.Number, State: state, Share: share, Before: last.Share}}
 }
 
 // Guards against a command that has no effect, is refused when repeated, starts a second
@@ -58,6 +59,12 @@
 	if got := r.Configuration().Rollouts["s"].Share; got != 0.1 {
 		t.Errorf("got share %v, want 0.1", got)
 	}
+	outdated := step(r, zinniatide.RolloutRunning, 0.5)
+	apply(t, r, 6100, step(r, zinniatide.RolloutRunning, 0.05))
+	apply(t, r, 6200, outdated)
+	if got := r.Configuration().Rollouts["s"].Share; got != 0.05 {
+		t.Errorf("got share %v after a step of an earlier leader, want 0.05", got)
+	}
 	late := step(r, zinniatide.RolloutRolledBack, 0)
 	apply(t, r, 7000, step(r, zinniatide.RolloutComplete, 1))
 	apply(t, r, 7100, late)
--- a/relayer/rollouts.go
+++ b/relayer/rollouts.go
@@ -33,6 +33,7 @@
 	// to the target version, so that the share is exact and never exceeded.
 	credit             float64
 	requests, diverted uint64
+	knownSince         zinniatide.Millis // when this process installed the rollout
 	counts             map[zinniatide.RouteID]*routeCounts
 }
 
@@ -94,7 +95,7 @@
 		}
 		rollout := c.Rollouts[id]
 		if rollout.Number != s.rollout.Number {
-			*s = serviceRollout{counts: map[zinniatide.RouteID]*routeCounts{}}
+			*s = serviceRollout{counts: map[zinniatide.RouteID]*routeCounts{}, knownSince: r.deps.Clock.Now()}
 		}
 		if rollout != s.rollout {
 			klog.InfoS("rollout applied", "step", "rollout", "service", id, "target", rollout.Target, "previous", rollout.Previous, "state", rollout.State,
@@ -283,7 +284,7 @@
 		if s.rollout.State != zinniatide.RolloutRunning {
 			continue
 		}
-		report := zinniatide.RolloutReport{Service: id, Number: s.rollout.Number, Requests: s.requests, Diverted: s.diverted}
+		report := zinniatide.RolloutReport{Service: id, Number: s.rollout.Number, Requests: s.requests, Diverted: s.diverted, Age: o.Now - s.knownSince}
 		target := *o
 		target.Excluded = func(server *selector.Server) bool { return server.Version != s.rollout.Target }
 		report.TargetAvailable = r.services[id].Available(&target)
@@ -295,6 +296,9 @@
 				report.OldInFlight += server.InFlight()
 			}
 		}
+		if r.share(s) < s.rollout.Share {
+			report.OldInFlight++ // as long as this VM sends to old servers
+		}
 		out.Reports = append(out.Reports, report)
 	}
 	if len(out.Reports) == 0 {
--- a/relayer/rollouts_test.go
+++ b/relayer/rollouts_test.go
@@ -441,6 +441,11 @@
 	if last.Reports[0].OldInFlight != 6 {
 		t.Errorf("got %d requests in flight at old servers, want 6 of 8", last.Reports[0].OldInFlight)
 	}
+	sim.relayer.deps.ConfirmedAt = func() zinniatide.Millis { return 0 }
+	sim.run(sim.clock.Now() + 6000)
+	if last.Reports[0].OldInFlight == 0 {
+		t.Error("got no request in flight at old servers on an unconfirmed VM, want it to count as one that sends to them")
+	}
 	sim.setRollout("plain", zinniatide.RolloutComplete, 1)
 	before := reports
 	sim.run(sim.clock.Now() + 3000)
--- a/rollout.go
+++ b/rollout.go
@@ -64,6 +64,9 @@
 	// versions than the target.
 	OldInFlight int             `cbor:"6,keyasint,omitempty"`
 	Routes      []RolloutCounts `cbor:"7,keyasint,omitempty"`
+	// Age is how long the process has known the rollout, by its monotonic clock. It tells a
+	// new leader when the rollout began, also if wall clocks were stepped.
+	Age Millis `cbor:"8,keyasint,omitempty"`
 }
 
 // RolloutReports is the body of KindRolloutReport.
--- a/rollouter/rollouter.go
+++ b/rollouter/rollouter.go
@@ -94,9 +94,9 @@
 	suspectedAt zinniatide.Millis
 }
 
-// New returns the decider of a rollout that was accepted before elapsed.
-func New(config Config, rollout zinniatide.Rollout, elapsed, now zinniatide.Millis) *Rollouter {
-	r := &Rollouter{config: config, rollout: rollout, startedAt: now - min(max(elapsed, 0), rollout.Ramp)}
+// New returns the decider of a rollout. When the rollout began is known from the reports.
+func New(config Config, rollout zinniatide.Rollout, now zinniatide.Millis) *Rollouter {
+	r := &Rollouter{config: config, rollout: rollout, startedAt: now}
 	r.canary = canaryFraction * config.CanaryShare
 	r.evidence.init(now)
 	return r
@@ -105,6 +105,7 @@
 // Record adds a report of one process of a relay VM. Reports that are older than one
 // recorded before have no effect.
 func (r *Rollouter) Record(process zinniatide.ProcessID, sequence uint64, report *zinniatide.RolloutReport, now zinniatide.Millis) {
+	r.startedAt = min(r.startedAt, now-min(report.Age, r.rollout.Ramp))
 	r.evidence.record(process, sequence, report, now)
 }
 
--- a/rollouter/rollouter_test.go
+++ b/rollouter/rollouter_test.go
@@ -81,7 +81,7 @@
 			c.Old.Latencies, c.Target.Latencies = make([]uint64, zinniatide.RolloutLatencyBuckets), make([]uint64, zinniatide.RolloutLatencyBuckets)
 		}
 	}
-	decider := New(testConfig, rollout, 0, 0)
+	decider := New(testConfig, rollout, 0)
 	var out outcome
 	share, nextShare, installAt, changedAt := 0.0, 0.0, zinniatide.Millis(0), zinniatide.Millis(0)
 	pending := map[zinniatide.Millis][]response{}
@@ -146,6 +146,7 @@
 			if (now+zinniatide.Millis(i)*31)%testReportInterval == 0 {
 				vms[i].sequence++
 				copied := vms[i].report
+				copied.Age = now
 				copied.Routes = make([]zinniatide.RolloutCounts, routes)
 				for r := range routes {
 					c := vms[i].report.Routes[r]
@@ -159,7 +160,7 @@
 		if s.leaderLostAt > 0 && now >= s.leaderLostAt && !lostLeader {
 			lostLeader = true
 			rollout.Share = nextShare
-			decider = New(testConfig, rollout, now, now)
+			decider = New(testConfig, rollout, now)
 		}
 		if now%zinniatide.TickInterval != 0 || now < changedAt+testInstallDelay {
 			continue
