Complete a rollout to the only version, and keep the current version

A rollout to the only version that there is would have refused all requests until its share rose; it is complete at once. Relay VMs keep the version that they took for the current one while it has servers, as its servers may be replaced by later ones.

--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -15,9 +15,10 @@
 // Rollouts configures the rollouts of a deployment.
 type Rollouts struct {
 	Limits rollouter.Config
-	// CurrentVersion returns the version of the server of a service that started first, or
-	// an empty one if no server is known. It is called on the control goroutine.
-	CurrentVersion func(zinniatide.ServiceID) zinniatide.ServerVersion
+	// Versions returns the version of the server of a service that started first among
+	// those of other versions than target, or an empty one if there is none, and whether
+	// there are servers of the target version. It is called on the control goroutine.
+	Versions func(service zinniatide.ServiceID, target zinniatide.ServerVersion) (current zinniatide.ServerVersion, hasTarget bool)
 }
 
 const (
@@ -91,9 +92,15 @@
 		done(nil, zinniatide.Refuse(zinniatide.CodeMethodNotSupported, "rollouts are not enabled"))
 		return
 	}
-	start := &registrar.RolloutStart{Service: f.Service, Target: f.Version, Ramp: f.Ramp, Current: c.config.Rollouts.CurrentVersion(f.Service)}
+	current, hasTarget := c.config.Rollouts.Versions(f.Service, f.Version)
+	start := &registrar.RolloutStart{Service: f.Service, Target: f.Version, Ramp: f.Ramp, Current: current, OnlyTarget: hasTarget && current == ""}
+	if start.OnlyTarget && c.clock.Now()-c.rollouts.ledSince < contactTime {
+		// This VM may have started lately and not know all servers.
+		done(nil, zinniatide.Refuse(zinniatide.CodeNoQuorum, "the versions of the servers are not known yet; try again"))
+		return
+	}
 	c.propose(&registrar.Command{RolloutStart: start}, func(result any, err error) {
-		klog.InfoS("command for a rollout", "step", "rollout", "service", f.Service, "target", f.Version, "ramp-ms", f.Ramp, "current", start.Current,
+		klog.InfoS("command for a rollout", "step", "rollout", "service", f.Service, "target", f.Version, "ramp-ms", f.Ramp, "current", start.Current, "only-target", start.OnlyTarget,
 			"err", errorText(err))
 		done(result, err)
 	})
--- a/controller/rollouts_test.go
+++ b/controller/rollouts_test.go
@@ -14,8 +14,13 @@
 )
 
 var testRollouts = &Rollouts{
-	Limits:         rollouter.Config{CanaryShare: 0.1, CanarySlack: 50, RollbackTime: 5000},
-	CurrentVersion: func(zinniatide.ServiceID) zinniatide.ServerVersion { return "v1" },
+	Limits: rollouter.Config{CanaryShare: 0.1, CanarySlack: 50, RollbackTime: 5000},
+	Versions: func(_ zinniatide.ServiceID, target zinniatide.ServerVersion) (zinniatide.ServerVersion, bool) {
+		if target == "only" {
+			return "", true
+		}
+		return "v1", true
+	},
 }
 
 // reporter counts requests on a relay VM by the share that its configuration has, and
@@ -364,3 +369,20 @@
 		}
 	}
 }
+
+// Guards against a new leader that takes the target version for the only one because it
+// does not know all servers yet, and completes its rollout at once.
+func TestNewLeaderDoesNotKnowVersions(t *testing.T) {
+	sim, _ := newRelaySimulation(t)
+	sim.setLeader("c2")
+	if err := sim.startRollout("c2", "only"); refusalCode(err) != zinniatide.CodeNoQuorum {
+		t.Errorf("on a new leader: got %v, want %s", err, zinniatide.CodeNoQuorum)
+	}
+	sim.run(contactTime)
+	if err := sim.startRollout("c2", "only"); err != nil {
+		t.Errorf("later: got %v, want the command accepted", err)
+	}
+	if got, err := sim.rollout("c2"); err != nil || got.State != zinniatide.RolloutComplete {
+		t.Errorf("got %+v, %v, want a complete rollout", got, err)
+	}
+}
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -21,27 +21,32 @@
 	if r.cfg.Rollouts == nil {
 		return nil
 	}
-	return &controller.Rollouts{Limits: *r.cfg.Rollouts, CurrentVersion: func(service zinniatide.ServiceID) zinniatide.ServerVersion {
-		return firstVersion(r.enroller.Table(), service)
+	return &controller.Rollouts{Limits: *r.cfg.Rollouts, Versions: func(service zinniatide.ServiceID, target zinniatide.ServerVersion) (zinniatide.ServerVersion, bool) {
+		return versions(r.enroller.Table(), service, target)
 	}}
 }
 
-// firstVersion returns the version of the server of a service that started first.
-func firstVersion(enrollments []zinniatide.Enrollment, service zinniatide.ServiceID) zinniatide.ServerVersion {
+// versions returns the version of the server of a service that started first among those
+// of other versions than target, and whether there are servers of the target version.
+func versions(enrollments []zinniatide.Enrollment, service zinniatide.ServiceID, target zinniatide.ServerVersion) (current zinniatide.ServerVersion, hasTarget bool) {
 	var first *zinniatide.Enrollment
 	for i := range enrollments {
 		e := &enrollments[i]
 		if e.Service != service || e.Ended {
 			continue
 		}
+		if e.Version == target {
+			hasTarget = true
+			continue
+		}
 		if first == nil || cmp.Or(cmp.Compare(e.StartedAt, first.StartedAt), cmp.Compare(e.Version, first.Version)) < 0 {
 			first = e
 		}
 	}
 	if first == nil {
-		return ""
+		return "", hasTarget
 	}
-	return first.Version
+	return first.Version, hasTarget
 }
 
 // reportRollouts sends a report to the control leader. If none is known, a later report
--- a/registrar/rollouts.go
+++ b/registrar/rollouts.go
@@ -29,6 +29,9 @@
 	// Current is the version that serves, as known from the servers. It is used if no
 	// earlier rollout tells.
 	Current zinniatide.ServerVersion `cbor:"4,keyasint,omitempty"`
+	// OnlyTarget is set if all servers run the target version. The rollout is then complete
+	// at once: nothing else could serve the requests.
+	OnlyTarget bool `cbor:"5,keyasint,omitempty"`
 }
 
 // RolloutStep changes the share or the state of a running rollout. It has no effect on
@@ -82,7 +85,7 @@
 	case known && last.Previous != "":
 		next.Previous = last.Previous
 	}
-	if next.Previous == next.Target {
+	if next.Previous == next.Target || s.OnlyTarget {
 		// The target already gets all requests.
 		next.State, next.Share = zinniatide.RolloutComplete, 1
 	}
--- a/registrar/rollouts_test.go
+++ b/registrar/rollouts_test.go
@@ -139,3 +139,13 @@
 		t.Errorf("got %+v, want a refusal with %s", result, code)
 	}
 }
+
+// Guards against a rollout to the only version that there is, in which nothing could serve
+// the requests until the share rises.
+func TestRolloutToOnlyVersion(t *testing.T) {
+	r := rolloutState(t)
+	only := Command{RolloutStart: &RolloutStart{Service: "s", Target: "v2", Ramp: 12_000, OnlyTarget: true}}
+	if got, ok := apply(t, r, 5000, only).(zinniatide.Rollout); !ok || got.State != zinniatide.RolloutComplete || got.Share != 1 {
+		t.Errorf("got %+v, want it complete", got)
+	}
+}
--- a/relayer/rollouts.go
+++ b/relayer/rollouts.go
@@ -103,7 +103,7 @@
 				"share", rollout.Share, "epoch", c.Epoch)
 		}
 		s.rollout = rollout
-		s.current = currentVersion(&s.rollout, service)
+		s.current = currentVersion(&s.rollout, s.current, service)
 		if rollout.State == zinniatide.RolloutRunning {
 			t.running++
 		}
@@ -119,8 +119,10 @@
 }
 
 // currentVersion returns the version that gets the requests that do not go to the target
-// of a running rollout: as the rollout says, or that of the server that started first.
-func currentVersion(rollout *zinniatide.Rollout, service *selector.Service) zinniatide.ServerVersion {
+// of a running rollout: as the rollout says, or that of the server that started first. As
+// long as there are servers of a version found before, it stays: they may have been
+// replaced by others that started after servers of a version that no command has named.
+func currentVersion(rollout *zinniatide.Rollout, before zinniatide.ServerVersion, service *selector.Service) zinniatide.ServerVersion {
 	if rollout.State == zinniatide.RolloutComplete {
 		return rollout.Target
 	}
@@ -132,6 +134,9 @@
 		if rollout.Number != 0 && s.Version == rollout.Target {
 			continue
 		}
+		if s.Version == before {
+			return before
+		}
 		if first == nil || cmp.Or(cmp.Compare(s.StartedAt, first.StartedAt), cmp.Compare(s.Version, first.Version)) < 0 {
 			first = s
 		}
--- a/relayer/rollouts_test.go
+++ b/relayer/rollouts_test.go
@@ -469,3 +469,20 @@
 		t.Errorf("got %d requests on the target version and %+v, want none and all answered", got, *out)
 	}
 }
+
+// Guards against a version that no command has named and that gets all requests because
+// the servers of the current version were replaced by later ones.
+func TestReplacedServersKeepCurrentVersion(t *testing.T) {
+	sim := newRolloutSimulation(t, 0)
+	for i := range 4 {
+		sim.change(func(e *zinniatide.Enrollment) {
+			if e.Version == "v1" && e.StartedAt < 100 && int(e.Server[len(e.Server)-1])%4 == i {
+				e.StartedAt = 9000
+			}
+		})
+	}
+	out := sim.runLoad("/p/x", 50, 2000, 5000, 0)
+	if got := sim.sends("plain", "v2"); got != 0 || out.inTarget != out.sent {
+		t.Errorf("got %d requests on the other version and %+v, want none and all answered", got, *out)
+	}
+}
