Respect limits of 0 and large canary shares

A canary_share above 0.4 took the share back from its first raised value. With both limits 0 the target version gets its first requests after the ramp.

--- a/rollouter/rollouter.go
+++ b/rollouter/rollouter.go
@@ -181,7 +181,7 @@
 // mayRaise reports whether the share may be raised above the present one.
 func (r *Rollouter) mayRaise(fleet Fleet, now zinniatide.Millis) bool {
 	switch {
-	case r.rollout.Share == 0 || !fleet.Installed || now-r.shareSince < stepTime || now < r.lowUntil:
+	case r.rollout.Share == 0 && r.canary > 0 || !fleet.Installed || now-r.shareSince < stepTime || now < r.lowUntil:
 		return false
 	case float64(now-r.startedAt) < minCanaryTime*float64(r.rollout.Ramp):
 		return false
@@ -203,7 +203,7 @@
 
 func (r *Rollouter) nextShare() float64 {
 	for _, share := range raisedShares {
-		if share > r.rollout.Share {
+		if share > max(r.rollout.Share, maxCanaryFraction*r.config.CanaryShare) {
 			return share
 		}
 	}
--- a/rollouter/rollouter_test.go
+++ b/rollouter/rollouter_test.go
@@ -26,6 +26,7 @@
 	leaderLostAt zinniatide.Millis
 	// idleFrom is when the load ends, unless it is 0.
 	idleFrom zinniatide.Millis
+	config   *Config // testConfig if it is nil
 }
 
 // outcome is how a rollout went.
@@ -38,6 +39,7 @@
 	// request was sent to the target.
 	fiftieth, lastSent zinniatide.Millis
 	reasons            []string
+	shares             []float64
 }
 
 const (
@@ -81,7 +83,11 @@
 			c.Old.Latencies, c.Target.Latencies = make([]uint64, zinniatide.RolloutLatencyBuckets), make([]uint64, zinniatide.RolloutLatencyBuckets)
 		}
 	}
-	decider := New(testConfig, rollout, 0)
+	config := testConfig
+	if s.config != nil {
+		config = *s.config
+	}
+	decider := New(config, rollout, 0)
 	var out outcome
 	share, nextShare, installAt, changedAt := 0.0, 0.0, zinniatide.Millis(0), zinniatide.Millis(0)
 	pending := map[zinniatide.Millis][]response{}
@@ -160,7 +166,7 @@
 		if s.leaderLostAt > 0 && now >= s.leaderLostAt && !lostLeader {
 			lostLeader = true
 			rollout.Share = nextShare
-			decider = New(testConfig, rollout, now)
+			decider = New(config, rollout, now)
 		}
 		if now%zinniatide.TickInterval != 0 || now < changedAt+testInstallDelay {
 			continue
@@ -184,6 +190,7 @@
 			}
 		}
 		if d.Share != nextShare {
+			out.shares = append(out.shares, d.Share)
 			nextShare, installAt, changedAt = d.Share, now+testInstallDelay, now
 			decider.SetShare(d.Share)
 		}
@@ -348,3 +355,21 @@
 		}
 	}
 }
+
+// Guards against a share that falls back, or never reaches 1, with limits that are unusual.
+func TestUnusualLimits(t *testing.T) {
+	for _, config := range []Config{{0, 0, 5000}, {0, 50, 5000}, {0.001, 0, 5000}, {0.3, 0, 0}, {0.42, 10, 5000}, {0.6, 50, 5000}, {1, 0, 5000}, {1, 1e6, 5000}} {
+		s := scenario{rate: 500, ramp: 6000, old: good, target: good, config: &config}
+		last := 0.0
+		out := s.run(1)
+		for _, share := range out.shares {
+			if share < last && share > maxCanaryFraction*config.CanaryShare {
+				t.Errorf("%+v: got share %v after %v, want none lower: %q", config, share, last, out.reasons)
+			}
+			last = share
+		}
+		if out.state != zinniatide.RolloutComplete || out.at > s.ramp+maxOverrun {
+			t.Errorf("%+v: got state %q at %d ms, want complete by %d ms: %q", config, out.state, out.at, s.ramp+maxOverrun, out.reasons)
+		}
+	}
+}
