Follow the rollouts of the log only when the configuration changes

Each report and decision compared all rollouts of the configuration, and each decision counted the relay VMs once for each rollout.

--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -43,6 +43,8 @@
 	reports map[zinniatide.VMID]*memberReport
 	// ledSince is when this VM became the leader, nextDecision when it decides next.
 	ledSince, nextDecision zinniatide.Millis
+	// synced is the configuration that running follows.
+	synced *zinniatide.Configuration
 }
 
 // runningRollout is the leader's state of one rollout.
@@ -156,6 +158,10 @@
 func (c *Controller) syncRollouts() {
 	configuration, now := c.stateMachine.Configuration(), c.clock.Now()
 	t := &c.rollouts
+	if t.synced == configuration {
+		return
+	}
+	t.synced = configuration
 	for service, running := range t.running {
 		if current := configuration.Rollouts[service]; current.Number != running.rollout.Number || current.State != zinniatide.RolloutRunning {
 			delete(t.running, service)
@@ -189,12 +195,20 @@
 	c.metrics.runningRollouts.Set(float64(len(c.rollouts.running)))
 	if len(c.rollouts.running) == 0 {
 		clear(c.rollouts.reports)
+		return
+	}
+	relays := 0
+	for _, m := range c.stateMachine.Configuration().Members {
+		if m.Relay {
+			relays++
+		}
 	}
+	maxReportAge := maxReportIntervals * zinniatide.RolloutReportInterval(relays, len(c.rollouts.running))
 	for service, running := range c.rollouts.running {
 		if running.proposing {
 			continue
 		}
-		decision := running.decider.Decide(c.fleetOf(running, now), now)
+		decision := running.decider.Decide(c.fleetOf(running, maxReportAge, now), now)
 		if decision.State == zinniatide.RolloutRunning && decision.Share == running.rollout.Share {
 			continue
 		}
@@ -217,15 +231,9 @@
 // VM without a link never raises its share by itself, so that the share can be raised
 // without it. But it counts as in contact for contactTime before the rollout completes: it
 // may come back with a configuration by which it sends to old servers.
-func (c *Controller) fleetOf(running *runningRollout, now zinniatide.Millis) rollouter.Fleet {
+func (c *Controller) fleetOf(running *runningRollout, maxReportAge, now zinniatide.Millis) rollouter.Fleet {
 	fleet := rollouter.Fleet{Reported: true, Installed: true, OldIdle: true}
-	members, relays := c.stateMachine.Configuration().Members, 0
-	for vm := range members {
-		if members[vm].Relay {
-			relays++
-		}
-	}
-	maxReportAge := maxReportIntervals * zinniatide.RolloutReportInterval(relays, len(c.rollouts.running))
+	members := c.stateMachine.Configuration().Members
 	for i := range c.sessions.entries {
 		s := &c.sessions.entries[i]
 		if !members[s.vm].Relay {
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -168,7 +168,7 @@
 			}
 		}()
 	}
-	time.Sleep(500 * time.Millisecond)
+	awaitTrue(t, "requests are served", limit, func() bool { return served("v1") > 100 })
 	if v1, v2, v3 := served("v1"), served("v2"), served("v3"); v1 == 0 || v2+v3 != 0 {
 		t.Errorf("before any command: got %d, %d and %d requests by version, want them on v1 only", v1, v2, v3)
 	}
