Serve by the target version once no other servers are left

While the servers of the old version were replaced one by one by servers of the target version, requests beyond the share were refused. The target version now gets them once no other server is in service; unreachable or evacuated old servers still count.

--- a/relayer/rollouts.go
+++ b/relayer/rollouts.go
@@ -197,7 +197,7 @@
 				return !isTarget
 			}
 			if isTarget {
-				return true
+				return s.hasOldServers(known)
 			}
 		case zinniatide.RolloutRolledBack:
 			if isTarget {
@@ -220,6 +220,12 @@
 	}
 }
 
+// hasOldServers reports whether a server of another version than the target is in service.
+// If all have been replaced by servers of the target version, only these can serve.
+func (s *serviceRollout) hasOldServers(service *selector.Service) bool {
+	return service.InService(func(server *selector.Server) bool { return server.Version != s.rollout.Target })
+}
+
 // pickFirst returns the server for the first send of a request: one of the target version
 // if it is the turn of that version. If none can take the request, another server does,
 // unless the target version gets all requests.
--- a/selector/service.go
+++ b/selector/service.go
@@ -89,6 +89,17 @@
 
 func (o *Options) excluded(s *Server) bool { return o.Excluded != nil && o.Excluded(s) }
 
+// InService reports whether a server that matches takes requests by its enrollment and its
+// answers, also if it is unreachable or its zone is out of service.
+func (s *Service) InService(matches func(*Server) bool) bool {
+	for _, server := range s.Servers {
+		if matches(server) && server.usable() {
+			return true
+		}
+	}
+	return false
+}
+
 // HasServer reports whether a server that matches is in service and reachable. Excluded
 // is not asked, and a server that has asked for a short pause counts.
 func (s *Service) HasServer(o *Options, matches func(*Server) bool) bool {
