--- a/rollouter/rollouter_test.go
+++ b/rollouter/rollouter_test.go
@@ -22,8 +22,9 @@
 	ramp        zinniatide.Millis
 	vms, routes int
 	old, target behavior
-	// leaderLostAt is when another leader takes over, unless it is 0.
-	leaderLostAt zinniatide.Millis
+	// leaderLostAt is when the leader is lost, unless it is 0. Another one takes over after
+	// leaderless.
+	leaderLostAt, leaderless zinniatide.Millis
 	// idleFrom is when the load ends, unless it is 0.
 	idleFrom zinniatide.Millis
 	config   *Config // testConfig if it is nil
@@ -164,6 +165,9 @@
 				decider.Record(zinniatide.ProcessID(i+1), vms[i].sequence, &copied, now)
 			}
 		}
+		if s.leaderLostAt > 0 && now >= s.leaderLostAt && now < s.leaderLostAt+s.leaderless {
+			continue
+		}
 		if s.leaderLostAt > 0 && now >= s.leaderLostAt && !lostLeader {
 			lostLeader = true
 			rollout.Share = nextShare
@@ -172,7 +176,7 @@
 		if now%zinniatide.TickInterval != 0 || now < changedAt+testInstallDelay {
 			continue
 		}
-		fleet := Fleet{Reported: now > 300 && (!lostLeader || now > s.leaderLostAt+300), Installed: true, OldIdle: now > oldBusyUntil+testReportInterval}
+		fleet := Fleet{Reported: now > 300 && (!lostLeader || now > s.leaderLostAt+s.leaderless+300), Installed: true, OldIdle: now > oldBusyUntil+testReportInterval}
 		d := decider.Decide(fleet, now)
 		if d.Reason != "" {
 			out.reasons = append(out.reasons, fmt.Sprintf("%d: %s %.3f %s", now, d.State, d.Share, d.Reason))
@@ -295,6 +299,35 @@
 	}
 }
 
+// Guards against a bad version that gets more than its budget, or requests for too long,
+// because the leader is lost with all that it knew.
+func TestBadVersionsWithLostLeader(t *testing.T) {
+	const rollbackTime, leaderless zinniatide.Millis = 5000, 1500
+	for name, target := range map[string]behavior{
+		"fails at once": failing(1), "fails from 6 s": from(6000, failing(0.5)), "fails from 11.5 s": from(11_500, failing(1)),
+		"slow from 9 s": from(9000, slow(1, 5)), "fails under load": underLoad(0.2, failing(0.6)),
+	} {
+		for _, rate := range rates[2:] {
+			t.Run(fmt.Sprintf("%s/%v per s", name, rate), func(t *testing.T) {
+				t.Parallel()
+				for _, lostAt := range []zinniatide.Millis{500, 6100, 9100, 11_200, 11_600, 11_900, 12_400} {
+					s := scenario{rate: rate, ramp: 12_000, routes: 4, old: good, target: target, leaderLostAt: lostAt, leaderless: leaderless}
+					out := s.run(1)
+					if out.state != zinniatide.RolloutRolledBack {
+						t.Errorf("lost at %d: got state %q at %d ms, want rolled back: %q", lostAt, out.state, out.at, out.reasons)
+					}
+					if most := testConfig.CanaryShare*out.requests + testConfig.CanarySlack; out.sent > most {
+						t.Errorf("lost at %d: got %.0f of %.0f requests on the bad version, want at most %.0f: %q", lostAt, out.sent, out.requests, most, out.reasons)
+					}
+					if out.fiftieth > 0 && out.lastSent > out.fiftieth+rollbackTime {
+						t.Errorf("lost at %d: got a request %d ms after the 50th bad response, want none after %d ms: %q", lostAt, out.lastSent-out.fiftieth, rollbackTime, out.reasons)
+					}
+				}
+			})
+		}
+	}
+}
+
 // pausing returns a version with servers of which one pauses now and then, one after the
 // other. Requests that meet a pause wait for its end.
 func pausing(servers int, length, period zinniatide.Millis) behavior {
