--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -44,6 +44,9 @@
 	server    *selector.Server
 	exchange  *transporter.Exchange
 	startedAt zinniatide.Millis
+	// counts are those of a running rollout, or nil. cold is set if the server was cold.
+	counts *sideCounts
+	cold   bool
 }
 
 // after calls f with the lock held after delay, unless the request has finished
@@ -75,6 +78,7 @@
 		}
 	}
 	ar.r.sentRequests++
+	att.counts, att.cold = ar.r.countSend(s, ar.route.ID), s.IsCold(now)
 	s.RecordStart(now)
 	ar.openAttempts = append(ar.openAttempts, att)
 	ar.r.sendTo(s, att.exchange)
@@ -91,6 +95,7 @@
 	r, s := ar.r, att.server
 	now := r.deps.Clock.Now()
 	r.metrics.countExchange(a.Result)
+	att.counts.record(a, now-att.startedAt, ar.route.Gathers(), att.cold)
 	ar.mayHaveRun = ar.mayHaveRun || a.Result.MayHaveRun()
 	if a.Dropped {
 		ar.recordDrops(1)
