--- /dev/null
+++ b/granter/granter.go
@@ -0,0 +1,476 @@
+// Package granter decides which VM counts the requests of a workspace, and how many
+// tokens that VM grants to the VMs that ask. It uses no network; all times are boot
+// times of this VM.
+package granter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/picker"
+)
+
+const (
+	// Lease is how long a token may be used after it was requested. It is half of the
+	// second that the specification proposes, because a new counting VM waits for it.
+	Lease zinniatide.Millis = 500
+	// MaxConfirmationAge is how old the confirmation of the configuration may be on a VM
+	// that grants tokens. Heartbeats every 800 ms and an election of about 1 s fit in it.
+	MaxConfirmationAge zinniatide.Millis = 3000
+	// clockMargin covers the drift between the clocks of two VMs and rounding.
+	clockMargin zinniatide.Millis = 100
+	// takeoverWait is how long a new counting VM waits: its predecessor may have been
+	// confirmed just before this VM installed the configuration.
+	takeoverWait = MaxConfirmationAge + Lease + clockMargin
+	// CountersPerZone is the number of relay VMs of each zone that count. All relay VMs
+	// keep links to them, and each link costs two pings per second.
+	CountersPerZone = 3
+	// EmergencyRanks is the number of VMs after the counting one that grant tokens while
+	// it does not.
+	EmergencyRanks = 2
+	// emergencyBurst and emergencyPerWindow are the tokens that one of them grants at
+	// once and in each window, as fractions of the slack. Together both VMs grant at most
+	// 2 x (0.25 + 0.1 x 1.1) = 72% of the slack in a window.
+	emergencyBurst     = 0.25
+	emergencyPerWindow = 0.1
+	// overshootShare is the part of the overshoot that enlarges the bucket. The rest
+	// covers tokens that were granted in one window and used in the next.
+	overshootShare = 0.8
+	// maxRetryAfter bounds the time for which refused callers are spread.
+	maxRetryAfter zinniatide.Millis = 30_000
+	// maxTokensPerTake bounds the tokens in one message. A VM that sends 205 requests/s
+	// needs far fewer.
+	maxTokensPerTake = 10_000
+	// maxBuckets bounds the handovers that are kept. There are some thousand workspaces.
+	maxBuckets = 20_000
+	// maxLimit bounds rates and bursts in messages, so that sums of them stay exact.
+	maxLimit = 1e9
+)
+
+// Config configures a Granter.
+type Config struct {
+	VM zinniatide.VMID
+	// Window is the time over which the limit is checked, Overshoot the fraction and Slack
+	// the number of requests by which it may be exceeded.
+	Window    zinniatide.Millis
+	Overshoot float64
+	Slack     float64
+}
+
+// Status says whether a VM could decide.
+type Status uint8
+
+// Values of Status. A VM that has decided and granted fewer tokens than were needed has
+// none left.
+const (
+	Decided Status = iota
+	// Elsewhere: another VM counts the workspace.
+	Elsewhere
+	// Waiting: tokens of the previous counting VM may still be valid.
+	Waiting
+	// Unconfirmed: the configuration of this VM may be outdated.
+	Unconfirmed
+	// NoEmergency: the emergency budget is used up.
+	NoEmergency
+)
+
+func (s Status) String() string {
+	return [...]string{"decided", "counted elsewhere", "new counting VM waits", "configuration unconfirmed", "emergency budget used up"}[min(s, NoEmergency)]
+}
+
+// Limit is the limit of a workspace by the routing table with the given number.
+type Limit struct {
+	Number zinniatide.TicketNumber `cbor:"1,keyasint"`
+	Rate   float64                 `cbor:"2,keyasint"`
+	Burst  float64                 `cbor:"3,keyasint"`
+}
+
+// Request asks for tokens.
+type Request struct {
+	Workspace zinniatide.WorkspaceID `cbor:"1,keyasint"`
+	Limit     Limit                  `cbor:"2,keyasint"`
+	// Needed are tokens for requests that wait, Extra tokens to be held for later ones.
+	Needed int `cbor:"3,keyasint,omitempty"`
+	Extra  int `cbor:"4,keyasint,omitempty"`
+	// Unused are the held tokens of the reply with the given GrantedAt. They are
+	// granted again.
+	Unused    int               `cbor:"5,keyasint,omitempty"`
+	GrantedAt zinniatide.Millis `cbor:"6,keyasint,omitempty"`
+	// Returned are tokens of requests that have not run, granted at ReturnedAt or later.
+	Returned   int               `cbor:"7,keyasint,omitempty"`
+	ReturnedAt zinniatide.Millis `cbor:"8,keyasint,omitempty"`
+	// Rank is 0 for the counting VM and higher for the VMs that grant in its place.
+	Rank int `cbor:"9,keyasint,omitempty"`
+}
+
+// Reply answers a Request.
+type Reply struct {
+	Status Status `cbor:"1,keyasint,omitempty"`
+	// Granted of the needed tokens were granted. Held are the tokens that the asking VM
+	// holds, instead of those it held when it asked.
+	Granted   int               `cbor:"2,keyasint,omitempty"`
+	Held      int               `cbor:"3,keyasint,omitempty"`
+	GrantedAt zinniatide.Millis `cbor:"4,keyasint,omitempty"`
+	// RetryAfter is when the first refused request may find a token, Spacing the time in
+	// milliseconds between one request and the next, and VMs how many VMs had requests
+	// refused recently.
+	RetryAfter zinniatide.Millis `cbor:"5,keyasint,omitempty"`
+	Spacing    float64           `cbor:"6,keyasint,omitempty"`
+	VMs        int               `cbor:"7,keyasint,omitempty"`
+	// Epoch is the configuration of the replying VM.
+	Epoch zinniatide.Epoch `cbor:"8,keyasint,omitempty"`
+	// Wait is how long a VM with status Waiting still waits.
+	Wait zinniatide.Millis `cbor:"9,keyasint,omitempty"`
+}
+
+// Handover passes the bucket of a workspace to its next counting VM.
+type Handover struct {
+	To        zinniatide.VMID        `cbor:"-"`
+	Workspace zinniatide.WorkspaceID `cbor:"1,keyasint"`
+	// Epoch is the configuration by which the sender has stopped counting.
+	Epoch zinniatide.Epoch `cbor:"2,keyasint"`
+	// Tokens are in the bucket, and Held are those that VMs hold. Tokens is negative if no
+	// request was counted yet: the bucket is full, or EmptySince is how long ago it was
+	// empty.
+	Tokens     float64           `cbor:"4,keyasint"`
+	Held       int               `cbor:"5,keyasint,omitempty"`
+	EmptySince zinniatide.Millis `cbor:"6,keyasint,omitempty"`
+}
+
+// Configuration is what a Granter needs of a zinniatide.Configuration.
+type Configuration struct {
+	Epoch  zinniatide.Epoch
+	Number zinniatide.TicketNumber
+	// Counters are the VMs that count, sorted.
+	Counters []zinniatide.VMID
+	// Limits holds all workspaces. Those without a limit have rate 0.
+	Limits map[zinniatide.WorkspaceID]Limit
+}
+
+// NewConfiguration returns the parts of c that the counting depends on. Counters is empty
+// if no workspace has a limit.
+func NewConfiguration(c *zinniatide.Configuration) *Configuration {
+	n := &Configuration{Epoch: c.Epoch, Number: c.RoutingNumber, Limits: map[zinniatide.WorkspaceID]Limit{}}
+	if c.Routing != nil {
+		for i := range c.Routing.Workspaces {
+			w := &c.Routing.Workspaces[i]
+			n.Limits[w.Workspace] = Limit{c.RoutingNumber, w.Rate, w.Burst}
+		}
+	}
+	if HasLimits(c) {
+		n.Counters = Counters(c)
+	}
+	return n
+}
+
+// HasLimits reports whether any workspace has a limit.
+func HasLimits(c *zinniatide.Configuration) bool {
+	return c.Routing != nil && slices.ContainsFunc(c.Routing.Workspaces, func(w zinniatide.RelayWorkspace) bool { return w.Rate > 0 })
+}
+
+// Counters returns the VMs that count: the first CountersPerZone active relay VMs of each
+// zone.
+func Counters(c *zinniatide.Configuration) []zinniatide.VMID {
+	var counters []zinniatide.VMID
+	for _, zone := range c.RelayZones() {
+		relays := c.Relays(zone)
+		counters = append(counters, relays[:min(len(relays), CountersPerZone)]...)
+	}
+	slices.Sort(counters)
+	return counters
+}
+
+// Ranking returns the counting VM of a workspace and the VMs that grant in its place.
+func Ranking(w zinniatide.WorkspaceID, counters []zinniatide.VMID) []zinniatide.VMID {
+	rest := slices.Clone(counters)
+	var ranking []zinniatide.VMID
+	for len(rest) > 0 && len(ranking) <= EmergencyRanks {
+		vm := picker.Pick(string(w), rest)
+		ranking = append(ranking, vm)
+		rest = slices.DeleteFunc(rest, func(other zinniatide.VMID) bool { return other == vm })
+	}
+	return ranking
+}
+
+// Granter counts the requests of workspaces. It is not safe for concurrent use.
+type Granter struct {
+	config Config
+	// wait is takeoverWait, except in a test that plants a fault.
+	wait    zinniatide.Millis
+	current *Configuration
+	// continuousSince is when this VM installed its first configuration, or the first one
+	// after it may have missed some.
+	continuousSince zinniatide.Millis
+	tenures         map[tenureKey]*tenure
+	// limitedUntil is when workspaces lost their limit.
+	limitedUntil map[zinniatide.WorkspaceID]zinniatide.Millis
+	handovers    map[zinniatide.WorkspaceID]receivedHandover
+}
+
+type tenureKey struct {
+	workspace zinniatide.WorkspaceID
+	rank      int
+}
+
+// tenure is the time during which this VM has had a rank for a workspace without
+// interruption.
+type tenure struct {
+	since zinniatide.Millis
+	epoch zinniatide.Epoch // the configuration with which it began
+	// startsAt is when no other VM can have tokens outstanding. None are granted before.
+	startsAt zinniatide.Millis
+	// full is set if nobody has granted a token within the last window.
+	full   bool
+	bucket *bucket // nil before the first request
+}
+
+type receivedHandover struct {
+	Handover
+	at zinniatide.Millis
+}
+
+// New returns a Granter without a configuration.
+func New(config Config) *Granter {
+	return &Granter{config: config, wait: takeoverWait, tenures: map[tenureKey]*tenure{}, limitedUntil: map[zinniatide.WorkspaceID]zinniatide.Millis{},
+		handovers: map[zinniatide.WorkspaceID]receivedHandover{}}
+}
+
+// Install applies a configuration. It returns the buckets to be handed over.
+// confirmedAt is when the previous configuration was last confirmed.
+func (g *Granter) Install(c *Configuration, now, confirmedAt zinniatide.Millis) []Handover {
+	previous := g.current
+	if previous == nil || now-confirmedAt > MaxConfirmationAge {
+		// Other VMs may have counted under configurations that this VM has missed.
+		previous, g.continuousSince = nil, now
+		clear(g.tenures)
+		clear(g.limitedUntil)
+	}
+	g.current = c
+	if previous != nil && previous.Number == c.Number && slices.Equal(previous.Counters, c.Counters) {
+		return nil
+	}
+	if previous != nil {
+		g.recordRemovedLimits(previous, c, now)
+	}
+	tenures := make(map[tenureKey]*tenure, len(g.tenures))
+	var handovers []Handover
+	for w, limit := range c.Limits {
+		if limit.Rate <= 0 {
+			continue
+		}
+		ranking := Ranking(w, c.Counters)
+		rank := slices.Index(ranking, g.config.VM)
+		if old := g.tenures[tenureKey{w, 0}]; rank != 0 && old != nil && now >= old.startsAt && len(ranking) > 0 {
+			handovers = append(handovers, g.handOver(w, old, ranking[0], now))
+		}
+		if rank < 0 {
+			continue
+		}
+		key := tenureKey{w, rank}
+		if tenures[key] = g.tenures[key]; tenures[key] == nil {
+			tenures[key] = g.newTenure(key, previous, now)
+		}
+	}
+	g.tenures = tenures
+	for w, h := range g.handovers {
+		if now-h.at > g.wait {
+			delete(g.handovers, w)
+		}
+	}
+	slices.SortFunc(handovers, func(a, b Handover) int {
+		return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return handovers
+}
+
+// recordRemovedLimits records the workspaces that have no limit any more. They are
+// forgotten once nobody can have granted tokens for longer than a window.
+func (g *Granter) recordRemovedLimits(previous, c *Configuration, now zinniatide.Millis) {
+	for w, at := range g.limitedUntil {
+		if now-at > 2*(g.wait+g.config.Window) {
+			delete(g.limitedUntil, w)
+		}
+	}
+	for w, limit := range previous.Limits {
+		if limit.Rate > 0 && c.Limits[w].Rate <= 0 {
+			g.limitedUntil[w] = now
+		}
+	}
+}
+
+// newTenure decides when this VM may begin to grant tokens. previous is nil if this VM
+// may have missed configurations.
+func (g *Granter) newTenure(key tenureKey, previous *Configuration, now zinniatide.Millis) *tenure {
+	t := &tenure{since: now, epoch: g.current.Epoch}
+	wait := g.wait
+	if key.rank > 0 {
+		// The previous VM with this rank had a budget of its own in the same window.
+		wait += g.config.Window
+	}
+	t.startsAt = now + wait
+	if previous == nil || g.current.Epoch != previous.Epoch+1 || previous.Limits[key.workspace].Rate > 0 {
+		return t
+	}
+	// The configuration before this one had no limit, so no VM granted tokens by it.
+	if previous.Number == 0 {
+		t.startsAt, t.full = now, true // there was no routing table before
+		return t
+	}
+	free, dropped := g.limitedUntil[key.workspace]
+	if !dropped {
+		free = g.continuousSince
+	}
+	t.startsAt = max(now, free+wait)
+	t.full = now >= free+wait+g.config.Window
+	return t
+}
+
+func (g *Granter) handOver(w zinniatide.WorkspaceID, t *tenure, to zinniatide.VMID, now zinniatide.Millis) Handover {
+	h := Handover{To: to, Workspace: w, Epoch: g.current.Epoch, Tokens: -1}
+	if b := t.bucket; b != nil {
+		b.refill(now)
+		h.Tokens, h.Held = b.tokens, b.heldCount()
+	} else if !t.full {
+		h.EmptySince = now - t.startsAt
+	}
+	return h
+}
+
+// Receive accepts the bucket of a VM that has stopped counting.
+func (g *Granter) Receive(h Handover, now zinniatide.Millis) {
+	if len(g.handovers) < maxBuckets && !math.IsNaN(h.Tokens) {
+		g.handovers[h.Workspace] = receivedHandover{h, now}
+	}
+}
+
+// soon is the Wait of a VM that expects a configuration or a handover.
+const (
+	soon zinniatide.Millis = 50
+	// handoverTime is how long a handover may take: the configuration reaches the old and
+	// the new counting VM at different times.
+	handoverTime zinniatide.Millis = 400
+)
+
+// Take answers a request of a VM. confirmedAt is when the configuration was last
+// confirmed.
+func (g *Granter) Take(from zinniatide.VMID, r Request, now, confirmedAt zinniatide.Millis) Reply {
+	c := g.current
+	if c == nil {
+		return Reply{Status: Unconfirmed}
+	}
+	reply := Reply{Epoch: c.Epoch}
+	r.sanitize()
+	own, known := c.Limits[r.Workspace]
+	t := g.tenures[tenureKey{r.Workspace, r.Rank}]
+	switch {
+	case now-confirmedAt > MaxConfirmationAge:
+		reply.Status = Unconfirmed
+	case known && own.Rate <= 0 && c.Number >= r.Limit.Number:
+		reply.Granted, reply.GrantedAt = r.Needed, now // the limit was removed
+	case t == nil && c.Number < r.Limit.Number:
+		reply.Status, reply.Wait = Waiting, soon
+	case t == nil:
+		reply.Status = Elsewhere
+	default:
+		g.takeFrom(t, from, &r, &reply, now)
+	}
+	return reply
+}
+
+func (g *Granter) takeFrom(t *tenure, from zinniatide.VMID, r *Request, reply *Reply, now zinniatide.Millis) {
+	if h, ok := g.handovers[r.Workspace]; ok && r.Rank == 0 {
+		delete(g.handovers, r.Workspace)
+		// A handover of an earlier tenure says nothing about what happened in between.
+		if h.Epoch >= t.epoch && now < t.startsAt {
+			g.applyHandover(t, &h)
+		}
+	}
+	if now < t.startsAt {
+		reply.Status, reply.Wait = Waiting, t.startsAt-now
+		if r.Rank == 0 && now-t.since < handoverTime {
+			reply.Wait = min(reply.Wait, soon)
+		}
+		return
+	}
+	b := g.bucketOf(t, r)
+	if r.Rank == 0 {
+		b.answer(from, r, reply, now)
+		return
+	}
+	b.refill(now)
+	reply.Granted, reply.GrantedAt = b.takeNeeded(r.Needed), now
+	if reply.Granted < r.Needed {
+		reply.Status = NoEmergency
+	}
+}
+
+func (g *Granter) applyHandover(t *tenure, h *receivedHandover) {
+	t.startsAt = h.at
+	switch {
+	case h.Tokens >= 0:
+		t.bucket = &bucket{filledAt: h.at, tokens: min(h.Tokens, maxLimit), held: map[zinniatide.VMID]heldTokens{}}
+		if h.Held > 0 {
+			t.bucket.held[""] = heldTokens{min(h.Held, maxTokensPerTake), h.at}
+		}
+	case h.EmptySince > 0:
+		t.startsAt = h.at - h.EmptySince
+	default:
+		t.full = true
+	}
+}
+
+// bucketOf returns the bucket of a tenure with the newest known limit.
+func (g *Granter) bucketOf(t *tenure, r *Request) *bucket {
+	b := t.bucket
+	if b == nil {
+		b = &bucket{filledAt: t.startsAt, held: map[zinniatide.VMID]heldTokens{}}
+		if t.full {
+			b.tokens = math.MaxInt32 // refill reduces it to the size
+		}
+		t.bucket = b
+	}
+	if r.Rank > 0 {
+		b.limit.Rate, b.size = emergencyPerWindow*g.config.Slack*1000/float64(g.config.Window), emergencyBurst*g.config.Slack
+		return b
+	}
+	limit := r.Limit
+	if own := g.current.Limits[r.Workspace]; own.Number >= limit.Number {
+		limit = own
+	}
+	limit.sanitize()
+	if b.limit.Number <= limit.Number {
+		b.limit = limit
+		b.size = max(1, limit.Burst*(1+g.config.Overshoot)+limit.Rate*overshootShare*g.config.Overshoot*float64(g.config.Window)/1000)
+	}
+	return b
+}
+
+// sanitize bounds the values of a message.
+func (r *Request) sanitize() {
+	for _, n := range []*int{&r.Needed, &r.Extra, &r.Unused, &r.Returned} {
+		*n = min(max(*n, 0), maxTokensPerTake)
+	}
+	r.Limit.sanitize()
+}
+
+func (l *Limit) sanitize() {
+	for _, f := range []*float64{&l.Rate, &l.Burst} {
+		*f = min(max(*f, 0), maxLimit)
+		if math.IsNaN(*f) {
+			*f = 0
+		}
+	}
+}
+
+// Counted returns the number of workspaces that this VM counts.
+func (g *Granter) Counted() int {
+	n := 0
+	for key := range g.tenures {
+		if key.rank == 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/quota.go
+++ b/quota.go
@@ -9,6 +9,8 @@
 	// RetryAfter is when a token is expected to be available, if the request was not
 	// admitted.
 	RetryAfter Millis
+	// ReturnWithin is how long the token of an admitted request can be given back.
+	ReturnWithin Millis
 	// Reason says for log lines how the decision came about.
 	Reason string
 }
@@ -20,6 +22,7 @@
 	// possibly before Take returns, unless cancel is called first. A token that is granted
 	// after cancel is kept for another request.
 	Take(w WorkspaceID, rate, burst float64, done func(QuotaDecision)) (cancel func())
-	// Return gives back the token of an admitted request that has not run.
+	// Return gives back the token of an admitted request that has not run. It must not be
+	// called later than QuotaDecision.ReturnWithin after the decision.
 	Return(w WorkspaceID)
 }
