Limit requests of workspaces before they are sent

Serve asks the quota limiter for a workspace with a rate limit, answers 429 or 503 before anything is sent, and gives the token back if the request ends as not run. Relay VMs link to the VMs that count while a workspace has a limit. Settings quota_window_s, quota_overshoot and quota_slack.

--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -75,7 +75,7 @@
 	}
 	relay, err := node.NewRelay(node.RelayConfig{
 		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, ControlAddress: s.ControlAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
-		Seeds: s.Seeds, LoadSeeds: loadSeeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
+		Seeds: s.Seeds, LoadSeeds: loadSeeds, Voters: s.Voters, Budget: s.Budget, Quota: s.Quota, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
 		CallerNames: platform.CallerHeaders(), RelayNames: platform.ResponseHeaders(), BackendNames: platform.BackendHeaders(),
 	}, systemClock, registry)
 	if err != nil {
--- a/granter/bucket.go
+++ b/granter/bucket.go
@@ -81,7 +81,9 @@
 	}
 	reply.GrantedAt = now
 	reply.Granted = b.takeNeeded(r.Needed)
-	if spare := int(math.Floor(b.tokens - b.size/2)); spare > 0 && r.Extra > held {
+	// Only tokens beyond the burst of the limit are granted to be held: those that are not
+	// used are lost, and must not be missed by a workspace within its limit.
+	if spare := int(math.Floor(b.tokens - max(1, b.limit.Burst))); spare > 0 && r.Extra > held {
 		extra := min(r.Extra-held, spare)
 		b.tokens -= float64(extra)
 		held += extra
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -52,6 +52,11 @@
 // Config configures a Granter.
 type Config struct {
 	VM zinniatide.VMID
+	Bounds
+}
+
+// Bounds are the bounds of the requests of a workspace in any window over all VMs.
+type Bounds struct {
 	// Window is the time over which the limit is checked, Overshoot the fraction and Slack
 	// the number of requests by which it may be exceeded.
 	Window    zinniatide.Millis
@@ -233,6 +238,7 @@
 
 // New returns a Granter without a configuration.
 func New(config Config) *Granter {
+	config.Window = max(config.Window, 1)
 	return &Granter{config: config, wait: takeoverWait, tenures: map[tenureKey]*tenure{}, limitedUntil: map[zinniatide.WorkspaceID]zinniatide.Millis{},
 		handovers: map[zinniatide.WorkspaceID]receivedHandover{}}
 }
--- /dev/null
+++ b/granter/service_test.go
@@ -0,0 +1,53 @@
+package granter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/granter"
+)
+
+func ranking(c *zinniatide.Configuration) []zinniatide.VMID {
+	return granter.Ranking(testWorkspace, granter.Counters(c))
+}
+
+// Guards against refusals of a workspace within its quota in undisturbed operation: at a
+// low rate through many VMs, in bursts, and moving from VM to VM.
+func TestWorkspaceWithinItsQuotaIsServed(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		rate, burst float64
+		// each sends one group of requests every interval to VMs of pick.
+		group    int
+		interval zinniatide.Millis
+		pick     func(f *fleet, n int) *vm
+	}{
+		{"0.5 requests/s through 78 VMs", 0.5, 1, 1, 2000, func(f *fleet, _ int) *vm { return f.vms[f.random.IntN(len(f.vms))] }},
+		{"0.5 requests/s of 2 through 78 VMs", 2, 5, 1, 2000, func(f *fleet, _ int) *vm { return f.vms[f.random.IntN(len(f.vms))] }},
+		{"bursts of 20 on many VMs", 10, 20, 20, 2000, func(f *fleet, _ int) *vm { return f.vms[f.random.IntN(len(f.vms))] }},
+		{"bursts of 20 on one VM", 10, 20, 20, 2000, func(f *fleet, _ int) *vm { return f.vms[3] }},
+		{"moving from VM to VM", 50, 10, 1, 20, func(f *fleet, n int) *vm { return f.vms[n/100%len(f.vms)] }},
+		{"steady at nine tenths of the limit", 100, 20, 9, 100, func(f *fleet, _ int) *vm { return f.vms[f.random.IntN(len(f.vms))] }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(78, 3, rand.New(rand.NewPCG(1, 2)), plant{}) //nolint:gosec // fixed seed
+			f.setLimits(zinniatide.RelayWorkspace{Workspace: testWorkspace, Rate: row.rate, Burst: row.burst})
+			f.runUntil(f.now + 1000)
+			sent := 0
+			for i := range int(60_000 / row.interval) {
+				f.after(zinniatide.Millis(i)*row.interval, func() {
+					for range row.group {
+						f.request(row.pick(f, sent), testWorkspace)
+						sent++
+					}
+				})
+			}
+			f.runUntil(f.now + 62_000)
+			if refused := f.outcome["exhausted"] + f.outcome["unknown"]; refused*100 >= sent {
+				t.Errorf("got %d of %d requests refused, want fewer than 1 in 100; outcomes %v", refused, sent, f.outcome)
+			}
+			t.Logf("%d requests, %d messages, %d bytes", sent, f.messages, f.bytes)
+		})
+	}
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -17,14 +17,17 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/acceptor"
 	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/common/boottime"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/controller"
 	"zinniatide.example/zinniatide/enroller"
+	"zinniatide.example/zinniatide/granter"
 	"zinniatide.example/zinniatide/journal"
 	"zinniatide.example/zinniatide/linker"
 	"zinniatide.example/zinniatide/logkeeper"
 	"zinniatide.example/zinniatide/quarantiner"
+	"zinniatide.example/zinniatide/quotalimiter"
 	"zinniatide.example/zinniatide/registrar"
 	"zinniatide.example/zinniatide/relayer"
 	"zinniatide.example/zinniatide/resolver"
@@ -64,6 +67,8 @@
 	RelayCapacity float64
 	// Budget limits the retries to one service over all VMs.
 	Budget retrybudget.Config
+	// Quota holds the bounds of the rate limits of workspaces.
+	Quota granter.Bounds
 	// StopLimit is the time limit of a graceful shutdown.
 	StopLimit zinniatide.Millis
 	// CallerNames, RelayNames and BackendNames are the names of the HTTP headers
@@ -94,6 +99,7 @@
 	subscriber    *subscriber.Subscriber
 	enroller      *enroller.Enroller
 	quarantiner   *quarantiner.Quarantiner
+	quotaLimiter  *quotalimiter.Limiter // nil on a VM that does not relay
 	resolver      *resolver.Resolver
 	relayer       *relayer.Relayer
 	transporter   *transporter.Transporter
@@ -180,6 +186,9 @@
 	r.subscriber.OnConfiguration(func(c *zinniatide.Configuration) {
 		// Before the subscriber confirms the configuration to the control leader, which
 		// then acknowledges it to the operator.
+		if r.quotaLimiter != nil {
+			r.quotaLimiter.Install(c)
+		}
 		r.updateRelayer()
 		requestQuarantines.Do(r.quarantiner.RequestQuarantines)
 		r.enroller.TriggerTick()
@@ -224,6 +233,7 @@
 // links to all members. An active relay links to the control VMs, to the relays
 // of its zone that share the parts of queries with it, and to a few active
 // relays of each other zone. An inactive relay links to the control VMs only.
+// While a workspace has a limit, all relays link to the VMs that count as well.
 func (r *Relay) linkedPeers(c *zinniatide.Configuration) []zinniatide.VMID {
 	var peers []zinniatide.VMID
 	for vm, m := range c.Members {
@@ -231,6 +241,9 @@
 			peers = append(peers, vm)
 		}
 	}
+	if r.cfg.DataFolder == "" && r.cfg.CallerAddress != "" && granter.HasLimits(c) {
+		peers = append(peers, granter.Counters(c)...)
+	}
 	if r.cfg.DataFolder != "" || !slices.Contains(c.Relays(r.cfg.Zone), r.cfg.VM) {
 		return peers
 	}
@@ -354,11 +367,14 @@
 	r.transporter = transporter.New(transporter.Dependencies{
 		Lock: mu, Clock: r.clock, Timer: timers, Names: r.cfg.BackendNames, OnOpen: connections.Inc,
 	})
+	r.quotaLimiter = quotalimiter.New(granter.New(granter.Config{VM: r.cfg.VM, Bounds: r.cfg.Quota}), quotalimiter.Dependencies{
+		Clock: r.clock, BootTime: boottime.Read, Timer: timers, Linker: r.linker, ConfirmedAt: r.subscriber.ConfirmedAt, Registerer: registerer,
+	})
 	r.relayer = relayer.New(relayer.Config{
 		VM: r.cfg.VM, Process: r.process, Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: crossZoneCostMillis, ReplyMargin: replyMargin,
 		ConnectMargin: connectMargin,
 	}, relayer.Dependencies{
-		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Registerer: registerer,
+		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Quota: r.quotaLimiter, Registerer: registerer,
 		ConfirmedAt: r.subscriber.ConfirmedAt,
 		NewPool: func(server zinniatide.BackendServerID, address string, limit int) relayer.Pool {
 			return r.transporter.Pool(server, address, limit)
--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -106,11 +106,11 @@
 	reasons   string
 }
 
-// New returns a Limiter. It registers its handlers, so the linker must not have been
-// started.
-func New(config granter.Config, d Dependencies) *Limiter {
+// New returns a Limiter, which uses g alone. It registers its handlers, so the linker
+// must not have been started.
+func New(g *granter.Granter, d Dependencies) *Limiter {
 	l := &Limiter{
-		deps: d, boot: boottime.NewConverter(d.Clock, d.BootTime), granter: granter.New(config), holder: leaseholder.New(),
+		deps: d, boot: boottime.NewConverter(d.Clock, d.BootTime), granter: g, holder: leaseholder.New(),
 		config: &granter.Configuration{}, calls: map[zinniatide.WorkspaceID]*openCalls{}, silentUntil: map[zinniatide.VMID]zinniatide.Millis{},
 	}
 	l.metrics = newMetrics(d.Registerer, func() float64 {
@@ -183,7 +183,9 @@
 	case decision == leaseholder.Refuse:
 		l.metrics.exhausted.Inc()
 		l.decide(wt, zinniatide.QuotaDecision{Exhausted: true, RetryAfter: retryAfter, Reason: "refused shortly before: " + calls.reason})
-	case now < calls.unknownUntil || len(calls.waiting) >= maxWaiting:
+	case len(calls.waiting) >= maxWaiting:
+		l.decideUnknown(calls, wt, unknownTime, "too many requests wait for a decision")
+	case now < calls.unknownUntil:
 		l.decideUnknown(calls, wt, calls.unknownUntil-now, calls.reason)
 	default:
 		calls.waiting = append(calls.waiting, wt)
@@ -275,6 +277,9 @@
 		})
 		return
 	}
+	if len(ranking) == 0 {
+		q.reasons = "no VM counts"
+	}
 	l.finishUnknown(q, now)
 }
 
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -25,6 +25,8 @@
 	mayHaveRun bool
 	// onBehalf is set if the request runs on behalf of another VM.
 	onBehalf bool
+	// tokenUntil is until when the token of the request can be given back, or 0.
+	tokenUntil zinniatide.Millis
 	// droppedBy counts the servers that dropped their connection while they ran the
 	// request. survived is set once an answer shows that it does not crash servers.
 	droppedBy      int
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -71,6 +71,8 @@
 	Links Links
 	// Quarantine is nil if no request is refused because it crashes servers.
 	Quarantine Quarantine
+	// Quota limits the rates of workspaces. If it is nil, they have no limits.
+	Quota zinniatide.QuotaLimiter
 	// ConfirmedAt returns when the configuration was last known to be the newest. If it
 	// is nil, it always is.
 	ConfirmedAt func() zinniatide.Millis
@@ -233,22 +235,34 @@
 		r.refuse(req, route, respond, statusUnavailable, "this VM is stopping", stoppingRetryAfter, "stop-in-ms", r.stopping.endsAt-base.startedAt)
 		return noop
 	}
+	if w := r.limitOf(req); w != nil {
+		return r.awaitQuota(base, w)
+	}
+	return r.run(base)
+}
+
+// run serves a request that has passed the quota.
+func (r *Relayer) run(base activeRequest) (cancel func()) {
+	noop := func() {}
 	if q := r.deps.Quarantine; q != nil && !q.Empty() {
-		if left := q.QuarantineLeft(req.fingerprint()); left > 0 {
-			r.refuse(req, route, respond, statusUnavailable, "request crashed backend servers", left)
+		if left := q.QuarantineLeft(base.req.fingerprint()); left > 0 {
+			refused := base // a copy, so that base is not allocated for each request
+			r.refuse(base.req, base.route, refused.returningRespond(), statusUnavailable, "request crashed backend servers", left)
 			return noop
 		}
 	}
 	if r.confirmationAge() > maxConfirmationAge {
 		r.metrics.unconfirmedRequests.Inc()
 	}
-	if route.Gathers() {
+	if base.route.Gathers() {
 		g := &gatherRequest{activeRequest: base}
+		g.respond = g.returningRespond()
 		g.start()
 		r.trackRequest(&g.activeRequest, g.end)
 		return g.cancel
 	}
 	f := &forwardRequest{activeRequest: base}
+	f.respond = f.returningRespond()
 	f.start()
 	r.trackRequest(&f.activeRequest, f.end)
 	return f.cancel
