Wait long enough for a predecessor that skipped a configuration

A VM that skips the configuration in which it did not count continues to grant, while another VM that is cut off with that configuration may begin to. The wait of a new counting VM covers it, with a confirmation age of 2 s.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -18,12 +18,15 @@
 	Lease zinniatide.Millis = 500
 	// MaxConfirmationAge is how old the confirmation of the configuration may be on a VM
 	// that grants tokens. Heartbeats every 800 ms and an election of about 1 s fit in it.
-	MaxConfirmationAge zinniatide.Millis = 3000
+	MaxConfirmationAge zinniatide.Millis = 2000
 	// clockMargin covers the drift between the clocks of two VMs and rounding.
 	clockMargin zinniatide.Millis = 100
-	// takeoverWait is how long a new counting VM waits: its predecessor may have been
-	// confirmed just before this VM installed the configuration.
-	takeoverWait = MaxConfirmationAge + Lease + clockMargin
+	// takeoverWait is how long a new counting VM waits. Its predecessor may have been
+	// confirmed just before this VM installed the configuration, and grants for
+	// MaxConfirmationAge. The second MaxConfirmationAge covers a predecessor that continues
+	// because it skips the configuration in which it did not count: that configuration
+	// must have ended, also on VMs that are cut off, before this VM begins to grant by it.
+	takeoverWait = 2*MaxConfirmationAge + Lease + clockMargin
 	// CountersPerZone is the number of relay VMs of each zone that count. All relay VMs
 	// keep links to them, and each link costs two pings per second.
 	CountersPerZone = 3
@@ -206,7 +209,7 @@
 	wait    zinniatide.Millis
 	current *Configuration
 	// continuousSince is when this VM installed its first configuration, or the first one
-	// after it may have missed some.
+	// after it had missed some.
 	continuousSince zinniatide.Millis
 	tenures         map[tenureKey]*tenure
 	// limitedUntil is when workspaces lost their limit.
@@ -254,6 +257,10 @@
 		clear(g.limitedUntil)
 	}
 	g.current = c
+	consecutive := previous != nil && c.Epoch == previous.Epoch+1
+	if !consecutive {
+		g.continuousSince = now
+	}
 	if previous != nil && previous.Number == c.Number && slices.Equal(previous.Counters, c.Counters) {
 		return nil
 	}
@@ -276,7 +283,10 @@
 		}
 		key := tenureKey{w, rank}
 		if tenures[key] = g.tenures[key]; tenures[key] == nil {
-			tenures[key] = g.newTenure(key, previous, now)
+			tenures[key] = g.newTenure(key, now)
+			if consecutive {
+				g.startEarlier(tenures[key], key, previous, now)
+			}
 		}
 	}
 	g.tenures = tenures
@@ -306,31 +316,31 @@
 	}
 }
 
-// newTenure decides when this VM may begin to grant tokens. previous is nil if this VM
-// may have missed configurations.
-func (g *Granter) newTenure(key tenureKey, previous *Configuration, now zinniatide.Millis) *tenure {
-	t := &tenure{since: now, epoch: g.current.Epoch}
-	wait := g.wait
-	if key.rank > 0 {
+// waitOf returns how long a VM waits before it grants tokens with a rank.
+func (g *Granter) waitOf(rank int) zinniatide.Millis {
+	if rank > 0 {
 		// The previous VM with this rank had a budget of its own in the same window.
-		wait += g.config.Window
-	}
-	t.startsAt = now + wait
-	if previous == nil || g.current.Epoch != previous.Epoch+1 || previous.Limits[key.workspace].Rate > 0 {
-		return t
+		return g.wait + g.config.Window
 	}
-	// The configuration before this one had no limit, so no VM granted tokens by it.
-	if previous.Number == 0 {
+	return g.wait
+}
+
+func (g *Granter) newTenure(key tenureKey, now zinniatide.Millis) *tenure {
+	return &tenure{since: now, epoch: g.current.Epoch, startsAt: now + g.waitOf(key.rank)}
+}
+
+// startEarlier shortens the wait of a new tenure if no VM granted tokens by the
+// configuration before it, because that had no limit.
+func (g *Granter) startEarlier(t *tenure, key tenureKey, previous *Configuration, now zinniatide.Millis) {
+	switch {
+	case previous.Limits[key.workspace].Rate > 0:
+	case previous.Number == 0:
 		t.startsAt, t.full = now, true // there was no routing table before
-		return t
-	}
-	free, dropped := g.limitedUntil[key.workspace]
-	if !dropped {
-		free = g.continuousSince
+	default:
+		free := max(g.continuousSince, g.limitedUntil[key.workspace]) + g.waitOf(key.rank)
+		t.startsAt = max(now, free)
+		t.full = now >= free+g.config.Window
 	}
-	t.startsAt = max(now, free+wait)
-	t.full = now >= free+wait+g.config.Window
-	return t
 }
 
 func (g *Granter) handOver(w zinniatide.WorkspaceID, t *tenure, to zinniatide.VMID, now zinniatide.Millis) Handover {
--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -141,6 +141,8 @@
 	defer l.unlock()
 	next := &granter.Configuration{Epoch: c.Epoch, Number: c.RoutingNumber, Limits: l.config.Limits}
 	switch {
+	case len(l.config.Counters) == 0 && !granter.HasLimits(c):
+		next.Limits = nil // nothing to count, before and now
 	case c.Routing != l.routing:
 		next = granter.NewConfiguration(c)
 	case len(l.config.Counters) > 0:
