--- a/granter/granter.go
+++ b/granter/granter.go
@@ -48,6 +48,9 @@
 	maxTokensPerTake = 10_000
 	// maxBuckets bounds the handovers that are kept. There are some thousand workspaces.
 	maxBuckets = 20_000
+	// maxEmptySince bounds the age of a bucket that is handed over, so that times do not
+	// overflow. Limits of less than one request in a day are of no use.
+	maxEmptySince zinniatide.Millis = 86_400_000
 	// maxLimit bounds rates and bursts in messages, so that sums of them stay exact.
 	maxLimit = 1e9
 )
@@ -356,6 +359,7 @@
 
 // Receive accepts the bucket of a VM that has stopped counting.
 func (g *Granter) Receive(h Handover, now zinniatide.Millis) {
+	h.EmptySince = min(h.EmptySince, maxEmptySince)
 	if len(g.handovers) < maxBuckets && !math.IsNaN(h.Tokens) {
 		g.handovers[h.Workspace] = receivedHandover{h, now}
 	}
@@ -468,6 +472,7 @@
 	for _, n := range []*int{&r.Needed, &r.Extra, &r.Unused, &r.Returned} {
 		*n = min(max(*n, 0), maxTokensPerTake)
 	}
+	r.GrantedAt, r.ReturnedAt = max(r.GrantedAt, 0), max(r.ReturnedAt, 0)
 	r.Limit.sanitize()
 }
 
--- /dev/null
+++ b/granter/granter_test.go
@@ -0,0 +1,201 @@
+package granter_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/granter"
+)
+
+const (
+	self  zinniatide.VMID = "self"
+	other zinniatide.VMID = "other"
+)
+
+// configuration returns one in which vm counts the test workspace.
+func configuration(epoch zinniatide.Epoch, number zinniatide.TicketNumber, vm zinniatide.VMID, limit granter.Limit) *granter.Configuration {
+	limit.Number = number
+	return &granter.Configuration{Epoch: epoch, Number: number, Counters: []zinniatide.VMID{vm},
+		Limits: map[zinniatide.WorkspaceID]granter.Limit{testWorkspace: limit}}
+}
+
+// newCounting returns a Granter that may grant tokens from 1000 on.
+func newCounting(limit granter.Limit) *granter.Granter {
+	g := granter.New(granter.Config{VM: self, Bounds: granter.Bounds{Window: testWindow, Overshoot: testOvershoot, Slack: testSlack}})
+	g.Install(&granter.Configuration{Epoch: 1}, 900, 900)
+	g.Install(configuration(2, 1, self, limit), 1000, 1000)
+	return g
+}
+
+func take(needed int) granter.Request {
+	return granter.Request{Workspace: testWorkspace, Needed: needed, Limit: granter.Limit{Number: 1}}
+}
+
+// Guards against a bucket that grants more than its size and rate, and against a first
+// limit after which nothing is granted for seconds.
+func TestBucket(t *testing.T) {
+	g := newCounting(granter.Limit{Rate: 10, Burst: 20})
+	for _, row := range []struct {
+		at              zinniatide.Millis
+		needed, granted int
+	}{
+		{1000, 100, 26}, // 20 x 1.1 + 10 x 0.8 x 0.1 x 5
+		{1000, 1, 0},
+		{1100, 5, 1},
+		{2100, 50, 10},
+		{60_000, 50, 26},
+	} {
+		if got := g.Take(other, take(row.needed), row.at, row.at).Granted; got != row.granted {
+			t.Errorf("at %d: got %d tokens, want %d", row.at, got, row.granted)
+		}
+	}
+}
+
+// Guards against a VM that grants with an outdated configuration, or in place of another
+// that may still grant.
+func TestWhoMayGrant(t *testing.T) {
+	limit := granter.Limit{Rate: 10, Burst: 20}
+	for _, row := range []struct {
+		name    string
+		prepare func(g *granter.Granter)
+		at      zinniatide.Millis
+		age     zinniatide.Millis
+		status  granter.Status
+		granted int
+	}{
+		{"counting", func(*granter.Granter) {}, 2000, 0, granter.Decided, 5},
+		{"confirmed long ago", func(*granter.Granter) {}, 9000, granter.MaxConfirmationAge + 1, granter.Unconfirmed, 0},
+		{"another VM counts", func(g *granter.Granter) { g.Install(configuration(3, 1, other, limit), 1500, 1500) }, 2000, 0, granter.Elsewhere, 0},
+		{"counts again", func(g *granter.Granter) {
+			g.Install(configuration(3, 1, other, limit), 1500, 1500)
+			g.Install(configuration(4, 1, self, limit), 1600, 1600)
+		}, 2000, 0, granter.Waiting, 0},
+		{"counts again, after the wait", func(g *granter.Granter) {
+			g.Install(configuration(3, 1, other, limit), 1500, 1500)
+			g.Install(configuration(4, 1, self, limit), 1600, 1600)
+		}, 7000, 0, granter.Decided, 5},
+		{"counts again, handed over", func(g *granter.Granter) {
+			g.Install(configuration(3, 1, other, limit), 1500, 1500)
+			g.Install(configuration(4, 1, self, limit), 1600, 1600)
+			g.Receive(granter.Handover{Workspace: testWorkspace, Epoch: 4, Tokens: 3}, 1700)
+		}, 1700, 0, granter.Decided, 3},
+		{"counts again, handed over for an earlier time", func(g *granter.Granter) {
+			g.Install(configuration(3, 1, other, limit), 1500, 1500)
+			g.Receive(granter.Handover{Workspace: testWorkspace, Epoch: 2, Tokens: 3}, 1500)
+			g.Install(configuration(4, 1, self, limit), 1600, 1600)
+		}, 1700, 0, granter.Waiting, 0},
+		{"missed configurations", func(g *granter.Granter) {
+			g.Install(configuration(9, 1, self, limit), 8000, 1000)
+		}, 8001, 0, granter.Waiting, 0},
+		{"limit removed and set again", func(g *granter.Granter) {
+			g.Install(configuration(3, 2, self, granter.Limit{}), 1500, 1500)
+			g.Install(configuration(4, 3, self, limit), 1600, 1600)
+		}, 1700, 0, granter.Waiting, 0},
+		{"asking VM has a newer table", func(g *granter.Granter) {
+			g.Install(&granter.Configuration{Epoch: 3, Number: 0}, 1500, 1500)
+		}, 1700, 0, granter.Waiting, 0},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			g := newCounting(limit)
+			row.prepare(g)
+			got := g.Take(other, take(5), row.at, row.at-row.age)
+			if got.Status != row.status || got.Granted != row.granted {
+				t.Errorf("got status %s with %d tokens, want %s with %d", got.Status, got.Granted, row.status, row.granted)
+			}
+		})
+	}
+}
+
+// Guards against tokens that are held by one VM and granted to another as well, against
+// held tokens that are lost when they are renewed, and against tokens beyond the burst
+// that a workspace within its quota would miss.
+func TestHeldTokens(t *testing.T) {
+	g := newCounting(granter.Limit{Rate: 10, Burst: 20})
+	r := take(1)
+	r.Extra = 100
+	first := g.Take(other, r, 1000, 1000)
+	if first.Granted != 1 || first.Held != 5 {
+		t.Fatalf("got %d tokens and %d held, want 1 and 5: 26 tokens, 20 of them for the burst", first.Granted, first.Held)
+	}
+	if got, want := g.Take("third", take(100), 1400, 1400).Granted, 21; got != want {
+		t.Errorf("got %d tokens while 5 are held, want %d", got, want)
+	}
+	r = granter.Request{Workspace: testWorkspace, Limit: r.Limit, Extra: 5, Unused: 4, GrantedAt: first.GrantedAt}
+	if got, want := g.Take(other, r, 1450, 1450).Held, 4; got != want {
+		t.Errorf("got %d tokens held after renewal, want %d", got, want)
+	}
+	r.Unused = 100
+	if got, want := g.Take(other, r, 1460, 1460).Held, 0; got != want {
+		t.Errorf("got %d tokens held for a stale reply, want %d", got, want)
+	}
+}
+
+// Guards against a token that is given back after another VM may have got it.
+func TestReturnedTokens(t *testing.T) {
+	for _, row := range []struct {
+		returnedAt zinniatide.Millis
+		granted    int
+	}{{1000, 2}, {1000 - granter.Lease, 0}, {math.MaxInt64, 0}, {math.MinInt64, 0}} {
+		g := newCounting(granter.Limit{Rate: 0.001, Burst: 20})
+		g.Take(other, take(100), 1000, 1000)
+		r := take(5)
+		r.Returned, r.ReturnedAt = 2, row.returnedAt
+		if got := g.Take(other, r, 1100, 1100).Granted; got != row.granted {
+			t.Errorf("returned at %d: got %d tokens, want %d", row.returnedAt, got, row.granted)
+		}
+	}
+}
+
+// Guards against values in messages that break the arithmetic or grant tokens.
+func TestOddValues(t *testing.T) {
+	for _, limit := range []granter.Limit{
+		{Rate: math.NaN(), Burst: math.NaN()}, {Rate: math.Inf(1), Burst: math.Inf(-1)}, {Rate: -5, Burst: -5}, {Rate: 1e300, Burst: 1e300}, {Rate: 1e-300}, {},
+	} {
+		for _, n := range []int{math.MinInt64, -1, 0, 1, math.MaxInt64} {
+			for _, at := range []zinniatide.Millis{math.MinInt64, -1, 0, math.MaxInt64} {
+				t.Run(fmt.Sprint(limit, n, at), func(t *testing.T) {
+					g := newCounting(limit)
+					limit.Number = 7
+					r := granter.Request{Workspace: testWorkspace, Limit: limit, Needed: n, Extra: n, Unused: n, GrantedAt: at, Returned: n, ReturnedAt: at, Rank: n}
+					for now := zinniatide.Millis(1000); now < 1003; now++ {
+						got := g.Take(other, r, now, now)
+						if got.Granted < 0 || got.Granted > max(0, n) || got.Held < 0 || got.RetryAfter < 0 || math.IsNaN(got.Spacing) {
+							t.Errorf("got %+v, want tokens from 0 to the number that is needed", got)
+						}
+					}
+					g.Install(configuration(3, 1, other, limit), 1010, 1010)
+					g.Install(configuration(4, 1, self, limit), 1011, 1011)
+					g.Receive(granter.Handover{Workspace: testWorkspace, Epoch: 99, Tokens: limit.Rate, Held: n, EmptySince: at}, 1012)
+					if got := g.Take(other, r, 1013, 1013); got.Granted < 0 || got.Granted > max(0, n) {
+						t.Errorf("got %+v after a handover, want tokens from 0 to the number that is needed", got)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against emergency tokens beyond the slack in a window, over all VMs that may
+// grant them.
+func TestEmergencyBudgetsStayBelowTheSlack(t *testing.T) {
+	counters := []zinniatide.VMID{"a", "b", "c", "d", "e"}
+	ranking := granter.Ranking(testWorkspace, counters)
+	granted := 0
+	for rank, vm := range ranking[1:] {
+		g := granter.New(granter.Config{VM: vm, Bounds: granter.Bounds{Window: testWindow, Overshoot: testOvershoot, Slack: testSlack}})
+		g.Install(&granter.Configuration{Epoch: 1}, 900, 900)
+		c := configuration(2, 1, "", granter.Limit{Rate: 100})
+		c.Counters = counters
+		g.Install(c, 1000, 1000)
+		for at := zinniatide.Millis(1000); at <= 1000+testWindow+granter.Lease; at += 50 {
+			r := take(100)
+			r.Rank = rank + 1
+			granted += g.Take(other, r, at, at).Granted
+		}
+	}
+	if granted == 0 || granted >= testSlack {
+		t.Errorf("got %d emergency tokens in a window, want more than 0 and fewer than %d", granted, testSlack)
+	}
+}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -30,6 +30,8 @@
 	forgetAfter zinniatide.Millis = 10_000
 	// maxRetryAfter bounds the Retry-After of requests that are refused locally.
 	maxRetryAfter zinniatide.Millis = 30_000
+	// maxHeld bounds the tokens that a reply lets this VM hold.
+	maxHeld = 10_000
 	// maxTaken bounds the tokens that can be given back, per workspace.
 	maxTaken = 4096
 )
@@ -181,7 +183,7 @@
 	if now >= expiresAt {
 		return 0
 	}
-	s.held = max(0, r.Held-s.usedSinceAsk)
+	s.held = max(0, min(r.Held, maxHeld)-s.usedSinceAsk)
 	s.expiresAt, s.grantedAt = expiresAt, r.GrantedAt
 	s.plenty = r.Held > 0
 	return expiresAt - now
@@ -204,6 +206,9 @@
 	s := h.get(w, now)
 	s.plenty = false
 	spacing := min(max(r.Spacing, 0), float64(maxRetryAfter))
+	if math.IsNaN(spacing) {
+		spacing = 0
+	}
 	s.spacing = spacing * float64(min(max(r.VMs, 1), 1<<20))
 	s.exhaustedUntil = now + min(max(r.RetryAfter, minExhausted), maxExhausted)
 	times := make([]zinniatide.Millis, refused)
