Bound the time in which quota tokens can be given back

A token that is given back late can be used in a later window although the bucket has filled up again. Tokens can be given back within 200 ms; what that costs is taken from the size of the bucket.

--- a/granter/bucket.go
+++ b/granter/bucket.go
@@ -70,7 +70,7 @@
 // answer grants tokens to a VM.
 func (b *bucket) answer(from zinniatide.VMID, r *Request, reply *Reply, now zinniatide.Millis) {
 	b.refill(now)
-	if r.Returned > 0 && now-r.ReturnedAt <= Lease && now >= r.ReturnedAt {
+	if r.Returned > 0 && now-r.ReturnedAt <= ReturnTime && now >= r.ReturnedAt {
 		b.tokens += float64(r.Returned)
 		b.refill(now)
 	}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -13,9 +13,16 @@
 )
 
 const (
-	// Lease is how long a token may be used after it was requested. It is half of the
-	// second that the specification proposes, because a new counting VM waits for it.
-	Lease zinniatide.Millis = 500
+	// Lease is how long a token may be used after it was requested. A shorter one costs
+	// more messages, a longer one more tokens with a lost VM.
+	Lease zinniatide.Millis = 1000
+	// ReturnTime is how long after its grant or its use a token can be given back. In that
+	// time the bucket may have filled up again, so that more can be used in a window by
+	// what arrives in ReturnTime. Most refusals are immediate.
+	ReturnTime zinniatide.Millis = 200
+	// transitTime covers tokens that are granted at the end of one window and used at the
+	// beginning of the next: the reply takes 1 to 3 ms, on a busy VM up to this.
+	transitTime zinniatide.Millis = 50
 	// MaxConfirmationAge is how old the confirmation of the configuration may be on a VM
 	// that grants tokens. Heartbeats every 800 ms and an election of about 1 s fit in it.
 	MaxConfirmationAge zinniatide.Millis = 2000
@@ -35,12 +42,9 @@
 	EmergencyRanks = 2
 	// emergencyBurst and emergencyPerWindow are the tokens that one of them grants at
 	// once and in each window, as fractions of the slack. Together both VMs grant at most
-	// 2 x (0.25 + 0.1 x 1.1) = 72% of the slack in a window.
+	// 2 x (0.25 + 0.1 x 1.2) = 74% of the slack in a window.
 	emergencyBurst     = 0.25
 	emergencyPerWindow = 0.1
-	// overshootShare is the part of the overshoot that enlarges the bucket. The rest
-	// covers tokens that were granted in one window and used in the next.
-	overshootShare = 0.8
 	// maxRetryAfter bounds the time for which refused callers are spread.
 	maxRetryAfter zinniatide.Millis = 30_000
 	// maxTokensPerTake bounds the tokens in one message. A VM that sends 205 requests/s
@@ -109,7 +113,8 @@
 	// granted again.
 	Unused    int               `cbor:"5,keyasint,omitempty"`
 	GrantedAt zinniatide.Millis `cbor:"6,keyasint,omitempty"`
-	// Returned are tokens of requests that have not run, granted at ReturnedAt or later.
+	// Returned are tokens of requests that have not run, granted or used at ReturnedAt or
+	// later, by the clock of the counting VM.
 	Returned   int               `cbor:"7,keyasint,omitempty"`
 	ReturnedAt zinniatide.Millis `cbor:"8,keyasint,omitempty"`
 	// Rank is 0 for the counting VM and higher for the VMs that grant in its place.
@@ -462,11 +467,18 @@
 	limit.sanitize()
 	if b.limit.Number <= limit.Number {
 		b.limit = limit
-		b.size = max(1, limit.Burst*(1+g.config.Overshoot)+limit.Rate*overshootShare*g.config.Overshoot*float64(g.config.Window)/1000)
+		b.size = g.sizeOf(limit)
 	}
 	return b
 }
 
+// sizeOf returns the size of a bucket. It uses what of the overshoot is not needed for
+// tokens that are used later than they are granted.
+func (g *Granter) sizeOf(limit Limit) float64 {
+	spare := max(0, g.config.Overshoot*float64(g.config.Window)-float64(ReturnTime+transitTime)) / 1000
+	return max(1, limit.Burst*(1+g.config.Overshoot)+limit.Rate*spare)
+}
+
 // sanitize bounds the values of a message.
 func (r *Request) sanitize() {
 	for _, n := range []*int{&r.Needed, &r.Extra, &r.Unused, &r.Returned} {
--- a/granter/property_test.go
+++ b/granter/property_test.go
@@ -39,6 +39,9 @@
 	faults     []fault
 	load       float64 // requests divided by what the limit allows
 	spread     int     // VMs that get the requests
+	// withoutServers are times from which no request runs for a while: all are refused and
+	// give their tokens back.
+	withoutServers []zinniatide.Millis
 	seed       uint64
 	duration   zinniatide.Millis
 }
@@ -68,6 +71,9 @@
 			s.limits = append(s.limits, limitChange{s.limits[1].at + zinniatide.Millis(rapid.IntRange(100, 8000).Draw(t, "changed again after")), s.limits[0].rate, s.limits[0].burst})
 		}
 	}
+	for range rapid.IntRange(0, 2).Draw(t, "times without servers") {
+		s.withoutServers = append(s.withoutServers, zinniatide.Millis(rapid.IntRange(2000, 16_000).Draw(t, "without servers at")))
+	}
 	for range rapid.IntRange(1, 5).Draw(t, "faults") {
 		s.faults = append(s.faults, fault{rapid.SampledFrom(faultKinds).Draw(t, "kind"), zinniatide.Millis(rapid.IntRange(4000, 18_000).Draw(t, "at")),
 			rapid.IntRange(0, s.vms-1).Draw(t, "vm"), zinniatide.Millis(rapid.IntRange(200, 12_000).Draw(t, "lasts"))})
@@ -94,6 +100,10 @@
 			limits = append(limits, l)
 		})
 	}
+	for _, at := range s.withoutServers {
+		f.after(at, func() { f.returned = 1 })
+		f.after(at+1500, func() { f.returned = 0 })
+	}
 	for _, fl := range s.faults {
 		f.after(fl.at, func() { f.inject(fl) })
 	}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -11,7 +11,7 @@
 
 const (
 	// idleTime is how long tokens are renewed after the last request of a workspace.
-	// Each renewal costs a message, so one request is followed by at most 8.
+	// Each renewal costs a question and a reply: at most 4 after one request.
 	idleTime zinniatide.Millis = 2000
 	// renewAhead is how long before their end held tokens are renewed. It leaves time for
 	// a message to a busy VM and another attempt.
@@ -57,9 +57,10 @@
 	from zinniatide.VMID
 	// held tokens are used until expiresAt. grantedAt identifies the reply of the counting
 	// VM that granted them.
-	held      int
-	expiresAt zinniatide.Millis
-	grantedAt zinniatide.Millis
+	held       int
+	expiresAt  zinniatide.Millis
+	grantedAt  zinniatide.Millis
+	receivedAt zinniatide.Millis // when the reply arrived
 	// usedSinceAsk counts the held tokens used while a question is open.
 	usedSinceAsk int
 	// taken are the tokens of admitted requests that can still be given back, oldest first.
@@ -75,7 +76,8 @@
 	spacing        float64
 }
 
-// token is one token and the clock of the counting VM when it was granted.
+// token is a token that can be given back until expiresAt. grantedAt is a time by the clock
+// of the counting VM when it was granted, or was used after having been held.
 type token struct{ expiresAt, grantedAt zinniatide.Millis }
 
 // New returns an empty Holder.
@@ -93,9 +95,9 @@
 	return s
 }
 
-// Take decides on a request of w. retryAfter is set if it is refused, and usableFor, how
+// Take decides on a request of w. retryAfter is set if it is refused, and returnWithin, how
 // long its token can be given back, if it is admitted.
-func (h *Holder) Take(w zinniatide.WorkspaceID, now zinniatide.Millis) (d Decision, retryAfter, usableFor zinniatide.Millis) {
+func (h *Holder) Take(w zinniatide.WorkspaceID, now zinniatide.Millis) (d Decision, retryAfter, returnWithin zinniatide.Millis) {
 	s := h.get(w, now)
 	s.addDemand(now)
 	s.expire(now)
@@ -107,7 +109,7 @@
 	case s.held > 0:
 		s.held--
 		s.usedSinceAsk++
-		return Admit, 0, s.use(token{s.expiresAt, s.grantedAt}, now)
+		return Admit, 0, s.use(token{min(s.expiresAt, now+granter.ReturnTime), s.grantedAt + now - s.receivedAt}, now)
 	case now < s.exhaustedUntil:
 		retryAfter = zinniatide.Millis(min(max(s.nextRetryAt-float64(now), 1), float64(maxRetryAfter)))
 		s.nextRetryAt = max(s.nextRetryAt, float64(now)) + s.spacing
@@ -184,20 +186,21 @@
 		return 0
 	}
 	s.held = max(0, min(r.Held, maxHeld)-s.usedSinceAsk)
-	s.expiresAt, s.grantedAt = expiresAt, r.GrantedAt
+	s.expiresAt, s.grantedAt, s.receivedAt = expiresAt, r.GrantedAt, now
 	s.plenty = r.Held > 0
 	return expiresAt - now
 }
 
-// Use records that a granted token was used for a request that waited.
-func (h *Holder) Use(w zinniatide.WorkspaceID, r *granter.Reply, sentAt, now zinniatide.Millis) {
-	h.get(w, now).use(token{sentAt + granter.Lease, r.GrantedAt}, now)
+// Use records that a granted token was used for a request that waited. It returns how long
+// the token can be given back.
+func (h *Holder) Use(w zinniatide.WorkspaceID, r *granter.Reply, sentAt, now zinniatide.Millis) zinniatide.Millis {
+	return h.get(w, now).use(token{sentAt + granter.ReturnTime, r.GrantedAt}, now)
 }
 
 // Keep keeps a granted token whose request has been cancelled.
 func (h *Holder) Keep(w zinniatide.WorkspaceID, r *granter.Reply, sentAt, now zinniatide.Millis) {
 	s := h.get(w, now)
-	s.returned = append(s.returned, token{sentAt + granter.Lease, r.GrantedAt})
+	s.returned = append(s.returned, token{sentAt + granter.ReturnTime, r.GrantedAt})
 }
 
 // Exhausted records that there was no token for refused requests, and returns the
--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -174,14 +174,14 @@
 	defer l.unlock()
 	now := l.boot.Now()
 	l.scheduleTick()
-	decision, retryAfter, usableFor := l.holder.Take(w, now)
+	decision, retryAfter, returnWithin := l.holder.Take(w, now)
 	calls := l.callsOf(w)
 	calls.limit = granter.Limit{Number: l.config.Number, Rate: rate, Burst: burst}
 	wt := &waiter{done: done}
 	switch {
 	case decision == leaseholder.Admit:
 		l.metrics.held.Inc()
-		l.decide(wt, zinniatide.QuotaDecision{Admitted: true, ReturnWithin: usableFor})
+		l.decide(wt, zinniatide.QuotaDecision{Admitted: true, ReturnWithin: returnWithin})
 	case decision == leaseholder.Refuse:
 		l.metrics.exhausted.Inc()
 		l.decide(wt, zinniatide.QuotaDecision{Exhausted: true, RetryAfter: retryAfter, Reason: "refused shortly before: " + calls.reason})
@@ -239,8 +239,8 @@
 	calls.asking = true
 	q := &question{workspace: w, batch: calls.waiting}
 	calls.waiting = nil
-	if l.boot.Now() < calls.skipUntil {
-		q.rank, q.reasons, q.wait = 1, calls.reason, calls.skipUntil-l.boot.Now()
+	if now := l.boot.Now(); now < calls.skipUntil {
+		q.rank, q.reasons, q.wait = 1, calls.reason, calls.skipUntil-now
 	}
 	l.ask(q)
 }
@@ -399,8 +399,7 @@
 			l.holder.Keep(q.workspace, r, q.sentAt, now)
 			return 0
 		}
-		l.holder.Use(q.workspace, r, q.sentAt, now)
-		return usableFor
+		return l.holder.Use(q.workspace, r, q.sentAt, now)
 	})
 	if refused := q.batch[n:]; len(refused) > 0 {
 		calls.reason = fmt.Sprintf("counted by %s at epoch %d, answered in %d ms", q.vm, r.Epoch, now-q.sentAt)
