--- a/granter/property_test.go
+++ b/granter/property_test.go
@@ -13,13 +13,16 @@
 )
 
 const (
-	testWindow    zinniatide.Millis = 5000
-	testOvershoot                   = 0.1
-	testSlack                       = 20
+	testWindow zinniatide.Millis = 5000
 	// configApply is config_apply_ms of the specification.
 	configApply zinniatide.Millis = 4000
 )
 
+const (
+	testOvershoot = 0.1
+	testSlack     = 20
+)
+
 func useFixedSeed() {
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "1")
@@ -42,8 +45,8 @@
 	// withoutServers are times from which no request runs for a while: all are refused and
 	// give their tokens back.
 	withoutServers []zinniatide.Millis
-	seed       uint64
-	duration   zinniatide.Millis
+	seed           uint64
+	duration       zinniatide.Millis
 }
 
 type fault struct {
