--- a/granter/granter.go
+++ b/granter/granter.go
@@ -124,7 +124,8 @@
 // Reply answers a Request.
 type Reply struct {
 	Status Status `cbor:"1,keyasint,omitempty"`
-	// Granted of the needed tokens were granted. Held are the tokens that the asking VM
+	// Granted of the needed tokens were granted, with another Status than Decided from an
+	// emergency budget. Held are the tokens that the asking VM
 	// holds, instead of those it held when it asked.
 	Granted   int               `cbor:"2,keyasint,omitempty"`
 	Held      int               `cbor:"3,keyasint,omitempty"`
@@ -240,6 +241,10 @@
 	// full is set if nobody has granted a token within the last window.
 	full   bool
 	bucket *bucket // nil before the first request
+	// emergency is the budget that this VM had with a higher rank until the tenure began. It
+	// is used until emergencyUntil, which is before another VM can have that rank's budget.
+	emergency      *tenure
+	emergencyUntil zinniatide.Millis
 }
 
 type receivedHandover struct {
@@ -292,6 +297,7 @@
 		key := tenureKey{w, rank}
 		if tenures[key] = g.tenures[key]; tenures[key] == nil {
 			tenures[key] = g.newTenure(key, now)
+			g.keepEmergency(tenures[key], w, now)
 			if consecutive {
 				g.startEarlier(tenures[key], key, previous, now)
 			}
@@ -337,6 +343,24 @@
 	return &tenure{since: now, epoch: g.current.Epoch, startsAt: now + g.waitOf(key.rank)}
 }
 
+// keepEmergency lets a VM whose rank has changed use its emergency budget while it waits:
+// after the loss of a counting VM all VMs behind it have new ranks.
+func (g *Granter) keepEmergency(t *tenure, w zinniatide.WorkspaceID, now zinniatide.Millis) {
+	for rank := range EmergencyRanks + 1 {
+		old := g.tenures[tenureKey{w, rank}]
+		switch {
+		case old == nil:
+		case rank > 0 && now >= old.startsAt:
+			old.emergency = nil
+			t.emergency, t.emergencyUntil = old, now+g.wait
+			return
+		case old.emergency != nil:
+			t.emergency, t.emergencyUntil = old.emergency, old.emergencyUntil
+			return
+		}
+	}
+}
+
 // startEarlier shortens the wait of a new tenure if no VM granted tokens by the
 // configuration before it, because that had no limit.
 func (g *Granter) startEarlier(t *tenure, key tenureKey, previous *Configuration, now zinniatide.Millis) {
@@ -416,21 +440,35 @@
 		reply.Status, reply.Wait = Waiting, t.startsAt-now
 		if r.Rank == 0 && now-t.since < handoverTime {
 			reply.Wait = min(reply.Wait, soon)
+			return
+		}
+		if t.emergency != nil && now < t.emergencyUntil {
+			g.takeEmergency(t.emergency, r, reply, now)
 		}
 		return
 	}
-	b := g.bucketOf(t, r)
 	if r.Rank == 0 {
-		b.answer(from, r, reply, now)
+		g.bucketOf(t, r).answer(from, r, reply, now)
 		return
 	}
-	b.refill(now)
-	reply.Granted, reply.GrantedAt = b.takeNeeded(r.Needed), now
+	g.takeEmergency(t, r, reply, now)
 	if reply.Granted < r.Needed {
 		reply.Status = NoEmergency
 	}
 }
 
+// takeEmergency grants tokens of the emergency budget of a tenure with a rank above 0.
+func (g *Granter) takeEmergency(t *tenure, r *Request, reply *Reply, now zinniatide.Millis) {
+	b := t.bucket
+	if b == nil {
+		b = &bucket{filledAt: t.startsAt, tokens: maxLimit, held: map[zinniatide.VMID]heldTokens{}}
+		t.bucket = b
+	}
+	b.limit.Rate, b.size = emergencyPerWindow*g.config.Slack*1000/float64(g.config.Window), emergencyBurst*g.config.Slack
+	b.refill(now)
+	reply.Granted, reply.GrantedAt = b.takeNeeded(r.Needed), now
+}
+
 func (g *Granter) applyHandover(t *tenure, h *receivedHandover) {
 	t.startsAt = h.at
 	switch {
@@ -446,7 +484,7 @@
 	}
 }
 
-// bucketOf returns the bucket of a tenure with the newest known limit.
+// bucketOf returns the bucket of a tenure with rank 0, with the newest known limit.
 func (g *Granter) bucketOf(t *tenure, r *Request) *bucket {
 	b := t.bucket
 	if b == nil {
@@ -456,10 +494,6 @@
 		}
 		t.bucket = b
 	}
-	if r.Rank > 0 {
-		b.limit.Rate, b.size = emergencyPerWindow*g.config.Slack*1000/float64(g.config.Window), emergencyBurst*g.config.Slack
-		return b
-	}
 	limit := r.Limit
 	if own := g.current.Limits[r.Workspace]; own.Number >= limit.Number {
 		limit = own
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 
 	"zinniatide.example/zinniatide"
@@ -199,3 +200,29 @@
 		t.Errorf("got %d emergency tokens in a window, want more than 0 and fewer than %d", granted, testSlack)
 	}
 }
+
+// Guards against no emergency tokens during the wait after the loss of a counting VM,
+// when the VMs behind it have new ranks, and against two budgets of one VM.
+func TestEmergencyBudgetIsKeptDuringTheWait(t *testing.T) {
+	counters := []zinniatide.VMID{"a", "b", "c", "d", "e"}
+	ranking := granter.Ranking(testWorkspace, counters)
+	g := granter.New(granter.Config{VM: ranking[1], Bounds: granter.Bounds{Window: testWindow, Overshoot: testOvershoot, Slack: testSlack}})
+	g.Install(&granter.Configuration{Epoch: 1}, 900, 900)
+	c := configuration(2, 1, "", granter.Limit{Rate: 100})
+	c.Counters = counters
+	g.Install(c, 1000, 1000)
+	r := take(3)
+	r.Rank = 1
+	first := g.Take(other, r, 2000, 2000).Granted
+	next := *c
+	next.Epoch, next.Counters = 3, slices.DeleteFunc(slices.Clone(counters), func(vm zinniatide.VMID) bool { return vm == ranking[0] })
+	g.Install(&next, 2500, 2500)
+	r.Rank = 0
+	got := g.Take(other, r, 3000, 3000)
+	if got.Status != granter.Waiting || first != 3 || got.Granted != 2 {
+		t.Errorf("got status %s, %d and %d tokens, want waiting, 3 and the 2 that are left of 5", got.Status, first, got.Granted)
+	}
+	if got := g.Take(other, r, 7700, 7700); got.Status != granter.Decided || got.Granted != 3 {
+		t.Errorf("got status %s and %d tokens after the wait, want decided and 3", got.Status, got.Granted)
+	}
+}
--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -336,8 +336,8 @@
 		q.rank++
 		l.ask(q)
 	case q.rank > 0:
-		if l.admit(q, r, now, nil) < len(q.batch) {
-			q.batch = q.batch[min(max(r.Granted, 0), len(q.batch)):]
+		if n := l.admit(q, r, now, nil); n < len(q.batch) {
+			q.batch = q.batch[n:]
 			q.addReason(q.vm, r.Status.String(), r.Epoch)
 			q.rank++
 			l.ask(q)
@@ -357,6 +357,7 @@
 			})
 		})
 	default:
+		q.batch = q.batch[l.admit(q, r, now, nil):]
 		q.addReason(q.vm, r.Status.String(), r.Epoch)
 		q.wait = r.Wait
 		calls.skipUntil, calls.reason = now+min(max(r.Wait, unknownTime), silentTime), q.reasons
@@ -461,7 +462,7 @@
 	answer := l.granter.Take(from, r, l.boot.Now(), l.boot.Convert(l.deps.ConfirmedAt()))
 	l.unlock()
 	l.metrics.answered.Inc()
-	if answer.Granted > 0 && r.Rank > 0 {
+	if answer.Granted > 0 && (r.Rank > 0 || answer.Status != granter.Decided) {
 		l.metrics.emergency.Add(float64(answer.Granted))
 	}
 	reply(&answer, nil)
