Give a workspace its burst a window after its counting VM changes

The bucket now limits the grants like an empty one only for the window that the predecessor's tokens fall into.

--- a/granter/bucket.go
+++ b/granter/bucket.go
@@ -12,6 +12,11 @@
 	size     float64
 	tokens   float64
 	filledAt zinniatide.Millis
+	// early is what a bucket that was empty at the start would hold. It limits the grants
+	// until earlyUntil, a window after the start: the tokens of the previous counting VM
+	// fall into the same windows until then.
+	early      float64
+	earlyUntil zinniatide.Millis
 	// held are the tokens that VMs hold for later requests. They take room in the bucket:
 	// otherwise it would fill up again while they are held, and both could be used in the
 	// same window.
@@ -46,10 +51,25 @@
 		room -= float64(h.count)
 	}
 	if now > b.filledAt {
-		b.tokens += b.limit.Rate * float64(now-b.filledAt) / 1000
+		added := b.limit.Rate * float64(now-b.filledAt) / 1000
+		b.tokens += added
+		b.early += added
 		b.filledAt = now
 	}
-	b.tokens = min(b.tokens, room)
+	b.tokens, b.early = min(b.tokens, room), min(b.early, room)
+}
+
+// available returns the tokens that may be granted at the time of the last refill.
+func (b *bucket) available() float64 {
+	if b.filledAt < b.earlyUntil {
+		return min(b.tokens, b.early)
+	}
+	return b.tokens
+}
+
+func (b *bucket) add(n float64) {
+	b.tokens += n
+	b.early += n
 }
 
 func (b *bucket) heldCount() int {
@@ -62,8 +82,8 @@
 
 // takeNeeded grants up to needed tokens.
 func (b *bucket) takeNeeded(needed int) int {
-	granted := max(0, min(needed, int(math.Floor(b.tokens+1e-9))))
-	b.tokens -= float64(granted)
+	granted := max(0, min(needed, int(math.Floor(b.available()+1e-9))))
+	b.add(-float64(granted))
 	return granted
 }
 
@@ -71,7 +91,7 @@
 func (b *bucket) answer(from zinniatide.VMID, r *Request, reply *Reply, now zinniatide.Millis) {
 	b.refill(now)
 	if r.Returned > 0 && now-r.ReturnedAt <= ReturnTime && now >= r.ReturnedAt {
-		b.tokens += float64(r.Returned)
+		b.add(float64(r.Returned))
 		b.refill(now)
 	}
 	// Tokens that are still held are granted again; only new ones leave the bucket.
@@ -83,9 +103,9 @@
 	reply.Granted = b.takeNeeded(r.Needed)
 	// Only tokens beyond the burst of the limit are granted to be held: those that are not
 	// used are lost, and must not be missed by a workspace within its limit.
-	if spare := int(math.Floor(b.tokens - max(1, b.limit.Burst))); spare > 0 && r.Extra > held {
+	if spare := int(math.Floor(b.available() - max(1, b.limit.Burst))); spare > 0 && r.Extra > held {
 		extra := min(r.Extra-held, spare)
-		b.tokens -= float64(extra)
+		b.add(-float64(extra))
 		held += extra
 	}
 	reply.Held = held
@@ -106,7 +126,7 @@
 		return
 	}
 	reply.Spacing = 1000 / b.limit.Rate
-	first := now + zinniatide.Millis(math.Ceil(min((1-b.tokens)*reply.Spacing, float64(maxRetryAfter))))
+	first := now + zinniatide.Millis(math.Ceil(min((1-b.available())*reply.Spacing, float64(maxRetryAfter))))
 	at := max(first, b.nextRetryAt)
 	if at > now+maxRetryAfter {
 		at = first
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -154,6 +154,10 @@
 	Tokens     float64           `cbor:"4,keyasint"`
 	Held       int               `cbor:"5,keyasint,omitempty"`
 	EmptySince zinniatide.Millis `cbor:"6,keyasint,omitempty"`
+	// Early tokens are the limit for EarlyFor: the sender has begun to count within the
+	// last window.
+	Early    float64           `cbor:"7,keyasint,omitempty"`
+	EarlyFor zinniatide.Millis `cbor:"8,keyasint,omitempty"`
 }
 
 // Configuration is what a Granter needs of a zinniatide.Configuration.
@@ -380,6 +384,7 @@
 	if b := t.bucket; b != nil {
 		b.refill(now)
 		h.Tokens, h.Held = b.tokens, b.heldCount()
+		h.Early, h.EarlyFor = b.early, max(0, b.earlyUntil-now)
 	} else if !t.full {
 		h.EmptySince = now - t.startsAt
 	}
@@ -388,8 +393,8 @@
 
 // Receive accepts the bucket of a VM that has stopped counting.
 func (g *Granter) Receive(h Handover, now zinniatide.Millis) {
-	h.EmptySince = min(h.EmptySince, maxEmptySince)
-	if len(g.handovers) < maxBuckets && !math.IsNaN(h.Tokens) {
+	h.EmptySince, h.EarlyFor = min(h.EmptySince, maxEmptySince), min(max(h.EarlyFor, 0), g.config.Window)
+	if len(g.handovers) < maxBuckets && !math.IsNaN(h.Tokens) && !math.IsNaN(h.Early) {
 		g.handovers[h.Workspace] = receivedHandover{h, now}
 	}
 }
@@ -473,7 +478,8 @@
 	t.startsAt = h.at
 	switch {
 	case h.Tokens >= 0:
-		t.bucket = &bucket{filledAt: h.at, tokens: min(h.Tokens, maxLimit), held: map[zinniatide.VMID]heldTokens{}}
+		t.bucket = &bucket{filledAt: h.at, tokens: min(h.Tokens, maxLimit), held: map[zinniatide.VMID]heldTokens{},
+			early: min(h.Early, maxLimit), earlyUntil: h.at + h.EarlyFor}
 		if h.Held > 0 {
 			t.bucket.held[""] = heldTokens{min(h.Held, maxTokensPerTake), h.at}
 		}
@@ -488,9 +494,10 @@
 func (g *Granter) bucketOf(t *tenure, r *Request) *bucket {
 	b := t.bucket
 	if b == nil {
-		b = &bucket{filledAt: t.startsAt, held: map[zinniatide.VMID]heldTokens{}}
-		if t.full {
-			b.tokens = math.MaxInt32 // refill reduces it to the size
+		// refill reduces the tokens to the size.
+		b = &bucket{filledAt: t.startsAt, tokens: maxLimit, held: map[zinniatide.VMID]heldTokens{}}
+		if !t.full {
+			b.earlyUntil = t.startsAt + g.config.Window
 		}
 		t.bucket = b
 	}
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -226,3 +226,18 @@
 		t.Errorf("got status %s and %d tokens after the wait, want decided and 3", got.Status, got.Granted)
 	}
 }
+
+// Guards against a workspace with a large burst and a low rate that is refused for minutes
+// after a change of the counting VM, and against a burst in the window of the previous one.
+func TestBurstAfterTakeover(t *testing.T) {
+	g := granter.New(granter.Config{VM: self, Bounds: granter.Bounds{Window: testWindow, Overshoot: testOvershoot, Slack: testSlack}})
+	g.Install(configuration(5, 1, self, granter.Limit{Rate: 1, Burst: 50}), 1000, 1000)
+	for _, row := range []struct {
+		at   zinniatide.Millis
+		want int
+	}{{6000, 0}, {8100, 2}, {11_000, 2}, {11_100, 53}} { // the wait ends at 6100, the window at 11100
+		if got := g.Take(other, take(100), row.at, row.at).Granted; got != row.want {
+			t.Errorf("at %d: got %d tokens, want %d", row.at, got, row.want)
+		}
+	}
+}
