Test bursts at a change of the counting VM

The property test did not find a new counting VM that grants the burst at once (trial with a scratch change): its load had no pauses. It draws pauses now, and the fault is planted like the others. go test ./granter passed.

--- a/granter/fleet_test.go
+++ b/granter/fleet_test.go
@@ -36,7 +36,7 @@
 
 // plant is a fault in the rules that the property test must find.
 type plant struct {
-	noWait, monotonicLeases, trustsOldConfiguration bool
+	noWait, monotonicLeases, trustsOldConfiguration, burstAtOnce bool
 }
 
 type event struct {
@@ -114,6 +114,9 @@
 	if m.f.plant.noWait {
 		g.SetWait(0)
 	}
+	if m.f.plant.burstAtOnce {
+		g.SetEarlyTime(0)
+	}
 	m.limiter = quotalimiter.New(g, quotalimiter.Dependencies{
 		Clock: m, BootTime: m.bootTime, Timer: m, Linker: m, ConfirmedAt: func() zinniatide.Millis {
 			if m.f.plant.trustsOldConfiguration {
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -218,9 +218,9 @@
 // Granter counts the requests of workspaces. It is not safe for concurrent use.
 type Granter struct {
 	config Config
-	// wait is takeoverWait, except in a test that plants a fault.
-	wait    zinniatide.Millis
-	current *Configuration
+	// wait is takeoverWait, and earlyTime the window, except in tests that plant a fault.
+	wait, earlyTime zinniatide.Millis
+	current         *Configuration
 	// continuousSince is when this VM installed its first configuration, or the first one
 	// after it had missed some.
 	continuousSince zinniatide.Millis
@@ -259,7 +259,7 @@
 // New returns a Granter without a configuration.
 func New(config Config) *Granter {
 	config.Window = max(config.Window, 1)
-	return &Granter{config: config, wait: takeoverWait, tenures: map[tenureKey]*tenure{}, limitedUntil: map[zinniatide.WorkspaceID]zinniatide.Millis{},
+	return &Granter{config: config, wait: takeoverWait, earlyTime: config.Window, tenures: map[tenureKey]*tenure{}, limitedUntil: map[zinniatide.WorkspaceID]zinniatide.Millis{},
 		handovers: map[zinniatide.WorkspaceID]receivedHandover{}}
 }
 
@@ -497,7 +497,7 @@
 		// refill reduces the tokens to the size.
 		b = &bucket{filledAt: t.startsAt, tokens: maxLimit, held: map[zinniatide.VMID]heldTokens{}}
 		if !t.full {
-			b.earlyUntil = t.startsAt + g.config.Window
+			b.earlyUntil = t.startsAt + g.earlyTime
 		}
 		t.bucket = b
 	}
--- a/granter/property_test.go
+++ b/granter/property_test.go
@@ -42,6 +42,9 @@
 	faults     []fault
 	load       float64 // requests divided by what the limit allows
 	spread     int     // VMs that get the requests
+	// pause is the time without requests before each burst of half a second, or 0 for
+	// requests all the time.
+	pause zinniatide.Millis
 	// withoutServers are times from which no request runs for a while: all are refused and
 	// give their tokens back.
 	withoutServers []zinniatide.Millis
@@ -65,6 +68,7 @@
 		vms: rapid.IntRange(10, 80).Draw(t, "vms"), zones: rapid.IntRange(1, 3).Draw(t, "zones"),
 		load: rapid.SampledFrom([]float64{0.6, 1.5, 4}).Draw(t, "load"), seed: rapid.Uint64().Draw(t, "seed"), duration: 26_000,
 	}
+	s.pause = rapid.SampledFrom([]zinniatide.Millis{0, 0, 2500, 3500, 4500, 9500}).Draw(t, "pause")
 	s.spread = rapid.IntRange(1, s.vms).Draw(t, "spread")
 	s.limits = []limitChange{{0, rapid.SampledFrom([]float64{0.5, 10, 60, 200}).Draw(t, "rate"), rapid.SampledFrom([]float64{0, 5, 100}).Draw(t, "burst")}}
 	if rapid.Bool().Draw(t, "changes") {
@@ -111,8 +115,15 @@
 		f.after(fl.at, func() { f.inject(fl) })
 	}
 	perSecond := s.load * (s.limits[0].rate + s.limits[0].burst/5)
+	if s.pause > 0 {
+		perSecond = s.load * 4 * (s.limits[0].rate + s.limits[0].burst)
+	}
 	var next func()
 	next = func() {
+		if s.pause > 0 && (f.now-begin)%(s.pause+500) >= 500 {
+			f.after(s.pause+500-(f.now-begin)%(s.pause+500), next)
+			return
+		}
 		f.request(f.vms[f.random.IntN(s.spread)], testWorkspace)
 		if f.now < begin+s.duration {
 			f.after(zinniatide.Millis(f.random.ExpFloat64()*1000/perSecond+f.random.Float64()), next)
@@ -159,8 +170,8 @@
 	case "counter returns":
 		// The VM that counted in the meantime is cut off just before it learns of it.
 		returning := f.counter()
-		returning.kill(6500)
-		f.after(6450, func() {
+		returning.kill(10_500)
+		f.after(10_450, func() {
 			if c := f.counter(); c != returning {
 				f.isolate(f.counterHalf(returning), fl.lasts)
 			}
@@ -257,15 +268,18 @@
 		plant plant
 		fault string
 		lasts zinniatide.Millis
+		limit limitChange
+		pause zinniatide.Millis
 	}{
-		{"new counting VM does not wait", plant{noWait: true}, "counter returns", 8000},
-		{"leases on a clock that stops", plant{monotonicLeases: true}, "suspend and cut", 9500},
-		{"outdated configuration trusted", plant{trustsOldConfiguration: true}, "cut the counter's half", 14_000},
+		{"new counting VM does not wait", plant{noWait: true}, "counter returns", 8000, limitChange{0, 60, 5}, 0},
+		{"leases on a clock that stops", plant{monotonicLeases: true}, "suspend and cut", 9500, limitChange{0, 60, 5}, 0},
+		{"outdated configuration trusted", plant{trustsOldConfiguration: true}, "cut the counter's half", 14_000, limitChange{0, 60, 5}, 0},
+		{"new counting VM grants the burst at once", plant{burstAtOnce: true}, "counter returns", 8000, limitChange{0, 10, 100}, 3500},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			found := 0
 			for seed := range uint64(12) {
-				s := &scenario{vms: 20, zones: 2, load: 4, spread: 20, seed: seed, duration: 26_000, limits: []limitChange{{0, 60, 5}},
+				s := &scenario{vms: 20, zones: 2, load: 4, spread: 20, seed: seed, duration: 26_000, limits: []limitChange{row.limit}, pause: row.pause,
 					faults: []fault{{row.fault, 7000 + 300*zinniatide.Millis(seed), 0, row.lasts}}} //nolint:gosec // small
 				f, limits := s.run(row.plant)
 				if violation(f.runs[testWorkspace], limits) != "" {
