--- a/quotalimiter/quotalimiter.go
+++ b/quotalimiter/quotalimiter.go
@@ -86,7 +86,18 @@
 	// asked again. unknown counts the requests refused since then.
 	skipUntil, unknownUntil zinniatide.Millis
 	unknown                 int
-	reason                  string
+	// reason explains the last refusal or fault. grantedAt is when the counting VM last
+	// granted tokens, or 0.
+	reason    string
+	grantedAt zinniatide.Millis
+}
+
+// explain returns the reason of a refusal with the age of the last grant.
+func (c *openCalls) explain(now zinniatide.Millis) string {
+	if c.grantedAt == 0 {
+		return c.reason + ", no tokens granted so far"
+	}
+	return fmt.Sprintf("%s, tokens last granted %d ms ago", c.reason, now-c.grantedAt)
 }
 
 type waiter struct {
@@ -184,11 +195,11 @@
 		l.decide(wt, zinniatide.QuotaDecision{Admitted: true, ReturnWithin: returnWithin})
 	case decision == leaseholder.Refuse:
 		l.metrics.exhausted.Inc()
-		l.decide(wt, zinniatide.QuotaDecision{Exhausted: true, RetryAfter: retryAfter, Reason: "refused shortly before: " + calls.reason})
+		l.decide(wt, zinniatide.QuotaDecision{Exhausted: true, RetryAfter: retryAfter, Reason: "refused shortly before: " + calls.explain(now)})
 	case len(calls.waiting) >= maxWaiting:
 		l.decideUnknown(calls, wt, unknownTime, "too many requests wait for a decision")
 	case now < calls.unknownUntil:
-		l.decideUnknown(calls, wt, calls.unknownUntil-now, calls.reason)
+		l.decideUnknown(calls, wt, calls.unknownUntil-now, calls.explain(now))
 	default:
 		calls.waiting = append(calls.waiting, wt)
 		l.askNext(w, calls, false)
@@ -317,7 +328,7 @@
 			after = unknownRetryAfter
 		}
 		for _, wt := range q.batch {
-			l.decideUnknown(calls, wt, after, calls.reason)
+			l.decideUnknown(calls, wt, after, calls.explain(now))
 		}
 	}
 	l.askNext(q.workspace, calls, false)
@@ -402,6 +413,9 @@
 		}
 		return l.holder.Use(q.workspace, r, q.sentAt, now)
 	})
+	if r.Granted+r.Held > 0 {
+		calls.grantedAt = now
+	}
 	if refused := q.batch[n:]; len(refused) > 0 {
 		calls.reason = fmt.Sprintf("counted by %s at epoch %d, answered in %d ms", q.vm, r.Epoch, now-q.sentAt)
 		for i, retryAfter := range l.holder.Exhausted(q.workspace, r, len(refused), now) {
@@ -409,7 +423,7 @@
 				continue
 			}
 			l.metrics.exhausted.Inc()
-			l.decide(refused[i], zinniatide.QuotaDecision{Exhausted: true, RetryAfter: retryAfter, Reason: calls.reason})
+			l.decide(refused[i], zinniatide.QuotaDecision{Exhausted: true, RetryAfter: retryAfter, Reason: calls.explain(now)})
 		}
 	}
 	calls.asking = false
