Confirm a configuration after its callbacks

install extended the lease before the callbacks ran, so ConfirmedAt said that the new configuration was the newest while a counting VM still worked with the one before. Found by reading; TestConfigurationIsConfirmedAfterItsCallbacks fails without the change. go test ./subscriber ./controller ./dispatcher ./node passed.

--- a/subscriber/install.go
+++ b/subscriber/install.go
@@ -48,10 +48,12 @@
 		s.links.SetPeers(s.Peers())
 	}
 	s.dropCompletedReleases()
-	s.extendLease()
 	for _, f := range s.configurationCallbacks {
 		f(next)
 	}
+	// After the callbacks: until then, parts of the process work with the configuration
+	// before, and ConfirmedAt must not say that it is the newest.
+	s.extendLease()
 }
 
 // decodePush returns the newest configuration that results from push, or current
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -164,6 +164,26 @@
 	}
 }
 
+// Guards against a confirmation of a new configuration that holds for the parts of the
+// process that still work with the one before: a VM that has counted requests of a
+// workspace would go on to do so.
+func TestConfigurationIsConfirmedAfterItsCallbacks(t *testing.T) {
+	s, links, _ := newTestSubscriber(t)
+	reply := &controlproto.HeartbeatReply{LeaderStatus: controlproto.LeaderStatus{Leading: true, Leader: "c1"}, LeaseExtended: true, Epoch: 5}
+	links.respond = func(zinniatide.VMID, zinniatide.MessageKind, any) (any, error) { return reply, nil }
+	s.Step()
+	s.Step()
+	var during []zinniatide.Millis
+	s.OnConfiguration(func(*zinniatide.Configuration) { during = append(during, s.ConfirmedAt()) })
+	s.install(fullPush(t, 5))
+	if got, want := s.ConfirmedAt(), zinniatide.Millis(1000); got != want {
+		t.Errorf("confirmed at %d after the installation, want %d", got, want)
+	}
+	if len(during) != 1 || during[0] >= 1000 {
+		t.Errorf("confirmed at %v during the callbacks, want one time before 1000", during)
+	}
+}
+
 // Guards against a VM that contacts only one control VM although it fails, that
 // contacts the others without delay, or that ignores the leader named in a reply.
 func TestFailoverBetweenControlVMs(t *testing.T) {
