--- a/common/boottime/boottime.go
+++ b/common/boottime/boottime.go
@@ -11,11 +11,12 @@
 	"zinniatide.example/zinniatide"
 )
 
-// Read returns the time since the machine was booted, or 0 if the clock cannot be read.
+// Read returns the time since the machine was booted. On a kernel without that clock, it
+// is the time without suspensions.
 func Read() zinniatide.Millis {
 	var ts unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts) != nil {
-		return 0
+		_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts)
 	}
 	return zinniatide.Millis(ts.Nano() / 1_000_000)
 }
