--- a/granter/fleet_test.go
+++ b/granter/fleet_test.go
@@ -28,6 +28,8 @@
 	// runs are the times at which requests of each workspace were admitted.
 	runs    map[zinniatide.WorkspaceID][]zinniatide.Millis
 	outcome map[string]int
+	// lastSeen are the times of the last heartbeats at the leader.
+	lastSeen map[zinniatide.VMID]zinniatide.Millis
 	// messages and bytes are those of the quota.
 	messages, bytes int
 	// returned is the share of admitted requests that do not run and give their token back.
@@ -95,7 +97,7 @@
 }
 
 func newFleet(vms, zones int, random *rand.Rand, p plant) *fleet {
-	f := &fleet{random: random, now: 100_000, plant: p, cut: map[*vm]bool{}, runs: map[zinniatide.WorkspaceID][]zinniatide.Millis{}, outcome: map[string]int{},
+	f := &fleet{random: random, now: 100_000, plant: p, cut: map[*vm]bool{}, runs: map[zinniatide.WorkspaceID][]zinniatide.Millis{}, outcome: map[string]int{}, lastSeen: map[zinniatide.VMID]zinniatide.Millis{},
 		config: &zinniatide.Configuration{Members: map[zinniatide.VMID]zinniatide.Member{}}}
 	for i := range vms {
 		m := &vm{f: f, id: zinniatide.VMID(fmt.Sprintf("10.0.%d.%d", i%zones, i)), zone: zinniatide.ZoneID(fmt.Sprint("z", i%zones))}
@@ -261,20 +263,11 @@
 	}
 	seen := f.now
 	m.f.after(4400, func() {
-		if last, ok := f.lastSeen()[m.id]; ok && last == seen {
+		if f.lastSeen[m.id] == seen {
 			f.change(func(c *zinniatide.Configuration) { delete(c.Members, m.id) })
 		}
 	})
-	f.lastSeen()[m.id] = seen
-}
-
-var seenBy = map[*fleet]map[zinniatide.VMID]zinniatide.Millis{}
-
-func (f *fleet) lastSeen() map[zinniatide.VMID]zinniatide.Millis {
-	if seenBy[f] == nil {
-		seenBy = map[*fleet]map[zinniatide.VMID]zinniatide.Millis{f: {}}
-	}
-	return seenBy[f]
+	f.lastSeen[m.id] = seen
 }
 
 // change commits a new configuration and pushes it to the VMs in contact.
