Share one budget of memory and connections among all clients

Cause: 640 connections with an unfinished body took a process with memory_mb = 96 to between 188 and 379 MB, answers that were not read to 826 MB, and max_fds was not read.

Change: package reserver keeps one budget per process, derived from memory_mb (three tenths) and max_fds (three quarters of those above 200). The acceptor, the endpoints (package responder) and the link port open their connections in it and reserve memory before they read further. When it runs out, the connection with the oldest unfinished request makes room, for memory first those that hold reserved memory, then idle connections of the address with the most. Bodies are read in steps (common/bodyreader) instead of allocating what Content-Length states; sockets have small buffers; a read buffer starts at 4 KB instead of 16 KB. acceptor.New takes the budget, so that its tests pass one.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -46,6 +46,7 @@
 	names          HeaderNames
 	droppedHeaders map[string]bool
 	handler        Handler
+	budget         zinniatide.ClientBudget
 	clock          zinniatide.Clock
 
 	listener net.Listener
@@ -57,8 +58,8 @@
 }
 
 // New returns an Acceptor. Serve starts it.
-func New(names HeaderNames, handler Handler, clock zinniatide.Clock) *Acceptor {
-	a := &Acceptor{names: names, handler: handler, clock: clock, conns: map[*conn]struct{}{}, droppedHeaders: map[string]bool{
+func New(names HeaderNames, handler Handler, budget zinniatide.ClientBudget, clock zinniatide.Clock) *Acceptor {
+	a := &Acceptor{names: names, handler: handler, budget: budget, clock: clock, conns: map[*conn]struct{}{}, droppedHeaders: map[string]bool{
 		"Host": true, "Connection": true, "Content-Length": true, "Transfer-Encoding": true, "Keep-Alive": true, "Te": true,
 		"Trailer": true, "Upgrade": true, "Proxy-Connection": true, "Proxy-Authorization": true, "Expect": true,
 		names.Deadline: true,
@@ -90,6 +91,10 @@
 			continue
 		}
 		c := newConn(a, nc)
+		if c == nil {
+			reset(nc)
+			continue
+		}
 		a.mu.Lock()
 		a.conns[c] = struct{}{}
 		a.mu.Unlock()
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -11,10 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/clock"
 	"zinniatide.example/zinniatide/common/drainer/drainertest"
 	"zinniatide.example/zinniatide/relayer"
+	"zinniatide.example/zinniatide/reserver"
 )
 
 // fakeHandler answers with the body of the request, or leaves the answer to the
@@ -61,13 +64,18 @@
 	return append([]relayer.Request(nil), f.requests...)
 }
 
+// newBudget returns a budget that is never exhausted.
+func newBudget() zinniatide.ClientBudget {
+	return reserver.New(reserver.Config{MemoryBytes: 1 << 30, Connections: 1 << 20}, clock.New(), prometheus.NewRegistry())
+}
+
 func start(t *testing.T, f *fakeHandler) (*Acceptor, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(HeaderNames{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", NotForwarded: []string{"X-Expect"}}, f, clock.New())
+	a := New(HeaderNames{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms", NotForwarded: []string{"X-Expect"}}, f, newBudget(), clock.New())
 	go a.Serve(l)
 	t.Cleanup(func() { a.Close(context.Background()) })
 	return a, l.Addr().String()
@@ -258,7 +266,7 @@
 		f.arrived = make(chan struct{}, 1<<16)
 		f.cancelled = make(chan struct{}, 1<<16)
 		listener := drainertest.Listen(t)
-		a := New(HeaderNames{RequestID: "X-Request-Id"}, f, clock.New())
+		a := New(HeaderNames{RequestID: "X-Request-Id"}, f, newBudget(), clock.New())
 		go a.Serve(listener)
 		aborted := 0
 		cut, answered := listener.CutRequests("GET /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n\r\n", func() {
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -16,9 +16,11 @@
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/bodyreader"
 	"zinniatide.example/zinniatide/common/headerline"
 	"zinniatide.example/zinniatide/common/trywriter"
 	"zinniatide.example/zinniatide/relayer"
+	"zinniatide.example/zinniatide/reserver"
 )
 
 // conn is a caller's connection. A goroutine reads from it for its whole lifetime.
@@ -27,8 +29,14 @@
 	acceptor *Acceptor
 	netConn  net.Conn
 	reader   *bufio.Reader
-	request  fasthttp.Request
 	writer   *trywriter.Writer
+	// budget limits the memory of the connection, and memory reserves that of its
+	// request. The reading goroutine reserves before the request is served, the one that
+	// has written the answer releases.
+	budget zinniatide.ClientConnection
+	memory *bodyreader.Reader
+	// bufferBytes is what is reserved for a reader that has grown.
+	bufferBytes int
 	// limits are those in force when the request that is read now began, or when the
 	// connection was opened.
 	limits zinniatide.CallerLimits
@@ -51,14 +59,45 @@
 	// initialHeaderBuffer is the size of the read buffer in bytes until a larger
 	// header arrives, and maxHeaderBuffer that of the largest header that is read,
 	// whatever the limits allow.
-	initialHeaderBuffer = 16 << 10
+	initialHeaderBuffer = 4 << 10
 	maxHeaderBuffer     = 1 << 20
+	// smallFields is the number of header fields up to which a request is small, and
+	// fieldBytes what each further one costs while the request is parsed: its entry in a
+	// slice that doubles, two allocations and its forwarded copy.
+	smallFields = 40
+	fieldBytes  = 160
+	// prefetchBytes is what fasthttp reads of a body of known length before it streams
+	// the rest.
+	prefetchBytes = 8 << 10
+	// aheadBytes is reserved while a further request waits behind one that is served: the
+	// receive buffer of the socket, which the kernel doubles.
+	aheadBytes = 2 * reserver.ReceiveBufferBytes
 )
 
+// newConn returns nil if the budget has no room for the connection.
 func newConn(a *Acceptor, nc net.Conn) *conn {
 	limits := a.limits()
-	return &conn{acceptor: a, netConn: nc, limits: limits, writer: trywriter.New(nc), idleSince: time.Now(),
-		reader: bufio.NewReaderSize(nc, min(max(limits.MaxHeaderBytes, 1<<10), initialHeaderBuffer)), replied: make(chan struct{}, 1)}
+	c := &conn{acceptor: a, netConn: nc, limits: limits, writer: trywriter.New(nc), idleSince: time.Now(), replied: make(chan struct{}, 1)}
+	peer, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
+	budget, ok := a.budget.Open(peer, func() { reset(nc) })
+	if !ok {
+		return nil
+	}
+	c.budget, c.memory = budget, bodyreader.New(budget)
+	c.reader = bufio.NewReaderSize(nc, c.initialBufferSize())
+	return c
+}
+
+// reset closes a connection and discards what the kernel holds of it.
+func reset(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = nc.Close()
+}
+
+func (c *conn) initialBufferSize() int {
+	return min(max(c.limits.MaxHeaderBytes, 1<<10), initialHeaderBuffer)
 }
 
 // refreshLimits applies the limits of the configuration in force. It must not be
@@ -129,12 +168,14 @@
 	defer func() {
 		c.acceptor.remove(c)
 		_ = c.netConn.Close()
+		c.budget.Close()
 	}()
 	c.setReadTimeout(c.limits.IdleTimeout)
 	for {
 		if err := c.awaitByte(); err != nil {
 			return
 		}
+		c.budget.Begin()
 		c.setReading(true)
 		c.refreshLimits()
 		c.setReadTimeout(c.limits.HeaderTimeout)
@@ -157,13 +198,18 @@
 // readRequest reads one request. It returns a status other than 0 if the request
 // must be rejected, and no request if the connection must be closed.
 func (c *conn) readRequest() (req *relayer.Request, status int) {
-	r := &c.request
-	r.Reset()
+	fields, status := c.awaitHead()
+	if status != 0 {
+		return nil, status
+	}
+	r := fasthttp.AcquireRequest()
+	defer func() {
+		if fields <= smallFields { // larger ones hold memory that is not reserved once the request has been read
+			fasthttp.ReleaseRequest(r)
+		}
+	}()
 	err := r.Header.Read(c.reader)
 	var small *fasthttp.ErrSmallBuffer
-	for errors.As(err, &small) && c.growBuffer() {
-		err = r.Header.Read(c.reader)
-	}
 	if err != nil {
 		var netErr net.Error
 		switch {
@@ -184,33 +230,112 @@
 		}
 	}
 	c.setReadTimeout(c.limits.IdleTimeout)
-	if err := r.ContinueReadBody(c.reader, c.limits.MaxBodyBytes, false); err != nil {
-		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			return nil, fasthttp.StatusRequestEntityTooLarge
+	body, status := c.readBody(r)
+	if status != 0 || body == nil {
+		return nil, status
+	}
+	return c.parseRequest(r, body)
+}
+
+// awaitHead waits until the head of a request has arrived and reserves the memory to parse
+// it. It leaves errors of the connection to the next read. A head that is cut short or
+// exceeds the buffer is left to the parser, too.
+func (c *conn) awaitHead() (fields, status int) {
+	var head []byte
+	for {
+		head, _ = c.reader.Peek(c.reader.Buffered()) // cannot fail
+		if end := headEnd(head); end > 0 {
+			head = head[:end]
+			break
+		}
+		if len(head) == c.reader.Size() {
+			grown, ok := c.growBuffer()
+			if !ok {
+				return 0, fasthttp.StatusServiceUnavailable
+			}
+			if !grown {
+				break
+			}
+		}
+		if _, err := c.reader.Peek(len(head) + 1); err != nil {
+			break
+		}
+	}
+	fields = bytes.Count(head, []byte{'\n'})
+	if fields > smallFields && !c.memory.Reserve((fields-smallFields)*fieldBytes) {
+		return fields, fasthttp.StatusServiceUnavailable
+	}
+	return fields, 0
+}
+
+// headEnd returns the length of the head in data, or 0 if it is incomplete. The parser
+// skips empty lines in front of a request.
+func headEnd(data []byte) int {
+	start := len(data) - len(bytes.TrimLeft(data, "\r\n"))
+	end := 0
+	for _, mark := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(data[start:], []byte(mark)); i >= 0 && (end == 0 || start+i+len(mark) < end) {
+			end = start + i + len(mark)
 		}
+	}
+	return end
+}
+
+// readBody reads the body of a request. It returns nil if the connection must be closed
+// or the request must be rejected.
+func (c *conn) readBody(r *fasthttp.Request) (body []byte, status int) {
+	length, limit := r.Header.ContentLength(), c.limits.MaxBodyBytes
+	if prefetch := min(length, prefetchBytes); prefetch > bodyreader.SmallBytes && !c.memory.Reserve(prefetch) {
+		return nil, fasthttp.StatusServiceUnavailable
+	}
+	if err := r.ContinueReadBodyStream(c.reader, limit, false); err != nil {
+		return nil, 0
+	}
+	stream := r.BodyStream()
+	if stream == nil {
+		return []byte{}, 0
+	}
+	body, err := c.memory.Read(stream, length, limit)
+	switch {
+	case errors.Is(err, bodyreader.ErrTooLarge):
+		return nil, fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, bodyreader.ErrNoMemory):
+		return nil, fasthttp.StatusServiceUnavailable
+	case err != nil:
 		return nil, 0
 	}
-	return c.parseRequest(r)
+	return body, 0
 }
 
-// growBuffer doubles the read buffer and keeps what it holds. It returns false if the
-// buffer has reached the limit for headers.
-func (c *conn) growBuffer() bool {
-	limit := min(c.limits.MaxHeaderBytes, maxHeaderBuffer)
-	if c.reader.Size() >= limit {
-		return false
+// growBuffer doubles the read buffer and keeps what it holds. grown is false if the
+// buffer has reached the limit for headers, and ok is false if there is no memory.
+func (c *conn) growBuffer() (grown, ok bool) {
+	size, limit := c.reader.Size(), min(c.limits.MaxHeaderBytes, maxHeaderBuffer)
+	if size >= limit {
+		return false, true
 	}
-	unread, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return false
+	next := min(2*size, limit)
+	if !c.budget.Reserve(next) {
+		return false, false
 	}
+	c.bufferBytes += next
+	unread, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail
 	rest := io.MultiReader(bytes.NewReader(bytes.Clone(unread)), c.netConn)
-	c.reader = bufio.NewReaderSize(rest, min(2*c.reader.Size(), limit))
-	return true
+	c.reader = bufio.NewReaderSize(rest, next)
+	return true, true
+}
+
+// shrinkBuffer replaces a read buffer that has grown and is empty.
+func (c *conn) shrinkBuffer() {
+	if c.bufferBytes > 0 && c.reader.Buffered() == 0 {
+		c.reader = bufio.NewReaderSize(c.netConn, c.initialBufferSize())
+		c.budget.Release(c.bufferBytes)
+		c.bufferBytes = 0
+	}
 }
 
 // parseRequest copies a request out of the connection's buffers.
-func (c *conn) parseRequest(r *fasthttp.Request) (*relayer.Request, int) {
+func (c *conn) parseRequest(r *fasthttp.Request, body []byte) (*relayer.Request, int) {
 	h := &r.Header
 	names := &c.acceptor.names
 	uri := string(h.RequestURI())
@@ -229,8 +354,8 @@
 	}
 	c.reused = true
 	req.Head = c.forwardedHeader(h, uri)
-	if body := r.Body(); len(body) > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
-		req.Body = append([]byte(nil), body...)
+	if len(body) > 0 || h.IsPost() || h.IsPut() || h.IsPatch() {
+		req.Body = body
 		req.Head = headerline.Append(req.Head, "Content-Length", strconv.Itoa(len(body)))
 	}
 	c.mu.Lock()
@@ -277,6 +402,10 @@
 	case <-c.replied: // left over from a previous request
 	default:
 	}
+	c.shrinkBuffer()
+	if !c.budget.Run() {
+		return false
+	}
 	c.mu.Lock()
 	c.active, c.reading = true, false
 	c.mu.Unlock()
@@ -310,7 +439,22 @@
 		}
 		return false
 	}
-	<-c.replied // the next request has arrived, but the answer to this one may not be written yet
+	// The next request has arrived, but the answer to this one may not be written yet.
+	select {
+	case <-c.replied:
+		return true
+	default:
+	}
+	ahead := c.budget.Reserve(aheadBytes)
+	if !ahead {
+		c.mu.Lock()
+		c.closeAfterReply = true
+		c.mu.Unlock()
+	}
+	<-c.replied
+	if ahead {
+		c.budget.Release(aheadBytes)
+	}
 	return true
 }
 
@@ -325,15 +469,21 @@
 		c.failed = true
 	}
 	if err == nil && n < len(out) {
-		go c.flush(out[n:], c.limits.IdleTimeout)
-		return
+		c.budget.Begin()
+		if c.budget.Reserve(len(out)) {
+			go c.flush(out[n:], len(out), c.limits.IdleTimeout)
+			return
+		}
+		c.failed = true
 	}
 	c.finishRequest()
 }
 
-// flush writes the remainder of an answer to a caller that reads slowly.
-func (c *conn) flush(rest []byte, limit zinniatide.Millis) {
+// flush writes the remainder of an answer to a caller that reads slowly, and releases
+// what was reserved for it.
+func (c *conn) flush(rest []byte, reserved int, limit zinniatide.Millis) {
 	err := c.writeWithin(rest, limit.Duration())
+	c.budget.Release(reserved)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.failed = c.failed || err != nil
@@ -355,6 +505,8 @@
 // finishRequest ends the request after its answer. The caller holds the lock.
 func (c *conn) finishRequest() {
 	c.active = false
+	c.memory.Release()
+	c.budget.Idle()
 	// The idle timeout starts now, also for a read that is already waiting.
 	c.idleSince = time.Now()
 	c.setReadTimeout(c.limits.IdleTimeout)
--- a/acceptor/phases_test.go
+++ b/acceptor/phases_test.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(HeaderNames{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms"}, phaseHandler{f}, clock.New())
+	a := New(HeaderNames{RequestID: "X-Request-Id", Deadline: "X-Deadline-Ms"}, phaseHandler{f}, newBudget(), clock.New())
 	go a.Serve(l)
 	t.Cleanup(func() { _ = l.Close() })
 	for first, sendFirst := range phases {
--- a/cmd/zinniasoak/bounds/system_test.go
+++ b/cmd/zinniasoak/bounds/system_test.go
@@ -176,15 +176,15 @@
 	}
 	s.retry("configure", func() error {
 		resp, err := (&http.Client{Timeout: 2 * time.Second}).Post(fmt.Sprintf("http://%s:%d%s", s.control.ip, controlPort, platform.PathConfigPut), "application/json", bytes.NewReader(raw))
-		return checkStatus(resp, err)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return checkStatus(resp)
 	})
 }
 
-func checkStatus(resp *http.Response, err error) error {
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
+func checkStatus(resp *http.Response) error {
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return err
 	}
@@ -227,7 +227,13 @@
 		req.Host = host
 		req.Header.Set(platform.HeaderRequestID, fmt.Sprint("r", time.Now().UnixNano()))
 		req.Header.Set(platform.HeaderDeadline, "4000")
-		if err = checkStatus(client.Do(req)); err == nil {
+		var resp *http.Response
+		if resp, err = client.Do(req); err != nil {
+			continue
+		}
+		err = checkStatus(resp)
+		_ = resp.Body.Close()
+		if err == nil {
 			return nil
 		}
 	}
--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -22,6 +22,7 @@
 	"zinniatide.example/zinniatide/exposer"
 	"zinniatide.example/zinniatide/node"
 	"zinniatide.example/zinniatide/platform"
+	"zinniatide.example/zinniatide/reserver"
 )
 
 // platformCommand serves on the deployment platform that package platform adapts
@@ -57,7 +58,7 @@
 	defer logWriter.Close()
 	logger.Install(logWriter, slog.LevelInfo, s.VM, s.Zone)
 	klog.InfoS("settings loaded", "step", "start", "machine", s.Name, "caller-address", s.CallerAddress, "control-address", s.ControlAddress,
-		"directory-address", s.DirectoryAddress, "cores", s.Cores, "memory-bytes", s.MemoryBytes)
+		"directory-address", s.DirectoryAddress, "cores", s.Cores, "memory-bytes", s.MemoryBytes, "descriptors", s.Descriptors)
 	configureRelayGC(s.MemoryBytes)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -77,6 +78,7 @@
 		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, ControlAddress: s.ControlAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
 		Seeds: s.Seeds, LoadSeeds: loadSeeds, Voters: s.Voters, Budget: s.Budget, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
 		CallerNames: platform.CallerHeaders(), RelayNames: platform.ResponseHeaders(), BackendNames: platform.BackendHeaders(),
+		Clients: reserver.ConfigFor(s.MemoryBytes, s.Descriptors),
 	}, systemClock, registry)
 	if err != nil {
 		klog.ErrorS(err, "failed to create the relay", "step", "start")
@@ -108,7 +110,7 @@
 func endpoints(relay *node.Relay, s *platform.Settings) []node.Endpoint {
 	var out []node.Endpoint
 	if s.ControlAddress != "" {
-		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControlHandler(relay.Operator(), relay.Enroller(), relay.HeartbeatAddress)})
+		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControlHandler(relay.Operator(), relay.Enroller(), relay.HeartbeatAddress), ReadsBodies: true})
 	}
 	if s.DirectoryAddress != "" {
 		lifetime := min(node.RelayAddressLifetime, s.LongestLifetime)
--- a/interfaces.go
+++ b/interfaces.go
@@ -281,3 +281,33 @@
 	Epoch  Epoch        `json:"epoch"`
 	Digest string       `json:"digest"` // hexadecimal SHA-256 of the canonical content
 }
+
+// ClientBudget limits what all clients of a process can occupy together.
+type ClientBudget interface {
+	// Open counts a new connection from peer, the IP address of the client. If it
+	// returns false, the connection must be closed at once. closeConn closes the
+	// connection when it has to make room; it must not block.
+	Open(peer string, closeConn func()) (ClientConnection, bool)
+}
+
+// ClientConnection is a connection in a ClientBudget. A new one counts as one whose
+// request is being received.
+type ClientConnection interface {
+	// Begin is called when a request starts to arrive, and when an answer waits for its
+	// reader. From then on the connection may be closed to make room.
+	Begin()
+	// Run is called when the request has arrived. The connection is not closed until
+	// Begin or Idle. It returns false if the connection has been closed to make room;
+	// the request must not run then.
+	Run() bool
+	// Idle is called when the answer has been written.
+	Idle()
+	// Reserve is called before memory is allocated for the connection beyond that of a
+	// small request. It returns false if there is none, or the connection has been
+	// closed.
+	Reserve(bytes int) bool
+	// Release gives reserved bytes back.
+	Release(bytes int)
+	// Close ends the connection. Later calls have no effect.
+	Close()
+}
--- a/linker/handshakes.go
+++ b/linker/handshakes.go
@@ -21,6 +21,7 @@
 	// gnet does so later, and may deliver the hello before.
 	closing bool
 	element *list.Element // in handshakeQueue, nil outside
+	account zinniatide.ClientConnection
 }
 
 // close has the connection closed. The caller holds the server's lock.
--- a/linker/link.go
+++ b/linker/link.go
@@ -36,6 +36,7 @@
 	compresses   bool   // both sides support compressed payloads
 	transport    transport
 	linker       *Linker
+	account      zinniatide.ClientConnection // of an accepted connection, nil without a budget
 	established  zinniatide.Millis
 	lastReceived atomic.Int64 // time of the last received byte
 	lastPing     zinniatide.Millis
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -44,6 +44,9 @@
 	// DialAddress returns the address to dial for a peer, such as the address of a
 	// relay. The default is the peer's own address.
 	DialAddress func(peer zinniatide.VMID, address string) string
+	// Budget counts the connections that this VM accepts. Without one, they are limited
+	// only while they have sent no hello.
+	Budget zinniatide.ClientBudget
 	// Random adds jitter to redial delays. The default is seeded by the runtime.
 	Random *rand.Rand
 }
--- a/linker/server.go
+++ b/linker/server.go
@@ -209,14 +209,40 @@
 	hs := &handshake{conn: c, address: remoteAddress(c), acceptedAt: s.linker.clock.Now()}
 	c.SetContext(hs)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.handshakes.len() >= maxHandshakes {
 		s.closeOldestHandshake()
 	}
 	s.handshakes.accept(hs)
+	s.mu.Unlock()
+	if !s.openAccount(hs) {
+		s.linker.metrics.refusedConnections.Inc()
+		return nil, gnet.Close
+	}
 	return nil, gnet.None
 }
 
+// openAccount counts the connection of hs in the budget. It reports whether there is room
+// for it.
+func (s *server) openAccount(hs *handshake) bool {
+	budget := s.linker.config.Budget
+	if budget == nil {
+		return true
+	}
+	peer, _, _ := net.SplitHostPort(hs.address)
+	account, ok := budget.Open(peer, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if hs.element == nil {
+			return // closed already, or its hello is being answered, which Run ends
+		}
+		s.handshakes.remove(hs)
+		s.linker.metrics.refusedConnections.Inc()
+		hs.close()
+	})
+	hs.account = account
+	return ok
+}
+
 // closeOldestHandshake closes the connection that has waited longest for its
 // hello. A VM sends its hello within milliseconds, so connections that stay silent
 // do not keep VMs out. The caller holds the lock.
@@ -241,7 +267,13 @@
 	switch state := c.Context().(type) {
 	case *link:
 		s.linker.dropLink(state, "connection closed", err)
+		if state.account != nil {
+			state.account.Close()
+		}
 	case *handshake:
+		if state.account != nil {
+			state.account.Close()
+		}
 		s.mu.Lock()
 		s.handshakes.remove(state)
 		s.mu.Unlock()
@@ -370,7 +402,7 @@
 	if err != nil {
 		return err
 	}
-	if !s.claimHandshake(hs) {
+	if !s.claimHandshake(hs) || hs.account != nil && !hs.account.Run() {
 		return errTooManyHandshakes
 	}
 	lk, err := s.linker.answerHello(c, &peerHello)
@@ -379,8 +411,12 @@
 	}
 	if lk == nil { // the peer closes the connection, or it becomes overdue
 		s.returnHandshake(hs)
+		if hs.account != nil {
+			hs.account.Begin()
+		}
 		return nil
 	}
+	lk.account = hs.account
 	c.SetContext(lk)
 	return nil
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -8,10 +8,11 @@
 	"os"
 	"slices"
 	"sync"
-	"time"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
@@ -27,7 +28,9 @@
 	"zinniatide.example/zinniatide/quarantiner"
 	"zinniatide.example/zinniatide/registrar"
 	"zinniatide.example/zinniatide/relayer"
+	"zinniatide.example/zinniatide/reserver"
 	"zinniatide.example/zinniatide/resolver"
+	"zinniatide.example/zinniatide/responder"
 	"zinniatide.example/zinniatide/retrybudget"
 	"zinniatide.example/zinniatide/subscriber"
 	"zinniatide.example/zinniatide/transporter"
@@ -71,6 +74,8 @@
 	CallerNames  acceptor.HeaderNames
 	RelayNames   relayer.HeaderNames
 	BackendNames transporter.HeaderNames
+	// Clients limits what all clients of the process can occupy together.
+	Clients reserver.Config
 }
 
 // Endpoint is an HTTP address that the process serves in addition to
@@ -78,6 +83,8 @@
 type Endpoint struct {
 	Address string
 	Handler fasthttp.RequestHandler
+	// ReadsBodies is set if Handler needs the bodies of requests.
+	ReadsBodies bool
 }
 
 // Relay is a process that relays HTTP requests, takes part in the replicated
@@ -99,6 +106,8 @@
 	transporter   *transporter.Transporter
 	acceptor      *acceptor.Acceptor
 	httpServers   []*fasthttp.Server
+	budget        *reserver.Reserver
+	responder     *responder.Responder
 
 	updates chan struct{}
 	// updating is held during an update of the relayer, so that no older state replaces
@@ -146,9 +155,11 @@
 func NewRelay(cfg RelayConfig, clock zinniatide.Clock, registerer prometheus.Registerer) (*Relay, error) {
 	r := &Relay{cfg: cfg, clock: clock, process: newProcessID(), updates: make(chan struct{}, 1)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.budget = reserver.New(cfg.Clients, clock, registerer)
+	r.responder = responder.New(r.budget)
 	var err error
 	r.linker, err = linker.New(linker.Config{
-		Self: cfg.VM, Process: r.process, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM),
+		Self: cfg.VM, Process: r.process, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM), Budget: r.budget,
 	}, clock, registerer)
 	if err != nil {
 		return nil, err
@@ -368,7 +379,7 @@
 	r.linker.Handle(zinniatide.KindGatherCancel, r.relayer.HandleGatherCancel)
 	r.linker.Handle(zinniatide.KindGatherLateParts, r.relayer.HandleLateParts)
 	r.linker.Handle(zinniatide.KindGatherAttempts, r.relayer.HandleGatherAttempts)
-	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
+	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.budget, r.clock)
 }
 
 // notifyChange tells applyUpdates that the enrollments have changed. It does not
@@ -393,7 +404,7 @@
 	r.startGoroutine(func() { r.subscriber.Run(r.ctx) })
 	if r.acceptor != nil {
 		r.startGoroutine(r.applyUpdates)
-		listener, err := net.Listen("tcp", r.cfg.CallerAddress)
+		listener, err := listenForClients(r.cfg.CallerAddress)
 		if err != nil {
 			return zinniatide.WrapStep(err, "listen", r.cfg.CallerAddress)
 		}
@@ -409,26 +420,30 @@
 	return nil
 }
 
-// Limits of the HTTP servers of endpoints.
-const (
-	maxRequestBodyBytes = 4 << 20
-	idleTimeout         = 30 * time.Second
-	readTimeout         = 10 * time.Second
-)
+// listenForClients listens on a TCP address. Its sockets have small buffers, so that the
+// kernel holds little for clients that do not read or whose requests are not read.
+func listenForClients(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var sendErr, receiveErr error
+		err := raw.Control(func(fd uintptr) {
+			sendErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, reserver.SendBufferBytes)
+			receiveErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, reserver.ReceiveBufferBytes)
+		})
+		return errors.Join(err, sendErr, receiveErr)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
 
 // serveEndpoint starts an HTTP server for e.
 func (r *Relay) serveEndpoint(e Endpoint) error {
-	listener, err := net.Listen("tcp", e.Address)
+	listener, err := listenForClients(e.Address)
 	if err != nil {
 		return zinniatide.WrapStep(err, "listen", e.Address)
 	}
-	server := &fasthttp.Server{
-		Handler: e.Handler, MaxRequestBodySize: maxRequestBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
-	}
+	server := r.responder.Server(e.Handler, e.ReadsBodies)
 	r.httpServers = append(r.httpServers, server)
 	go func() {
-		if err := server.Serve(listener); err != nil {
+		if err := server.Serve(r.responder.Listen(listener)); err != nil {
 			klog.ErrorS(err, "HTTP server failed", "step", "serve", "peer", e.Address)
 		}
 	}()
