Give steady slow readers the whole answer

Cause: the kernel no longer holds megabytes of an answer, so that a caller which takes longer than idle_timeout_ms to read it was cut (seen in a test with a client buffer of 4 KB: 600 KB within 5 s).

Change: a caller must read 64 KB within each idle timeout instead of the whole answer. Tests of the reservation for unread answers and of a steady slow reader.

--- a/acceptor/budget_test.go
+++ b/acceptor/budget_test.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/relayer"
 	"zinniatide.example/zinniatide/reserver"
 )
 
@@ -92,3 +97,85 @@
 		}
 	}
 }
+
+// heldBudget records what is reserved by its only connection.
+type heldBudget struct{ held, peak atomic.Int64 }
+
+func (b *heldBudget) Open(string, func()) (zinniatide.ClientConnection, bool) { return b, true }
+func (*heldBudget) Begin()                                                    {}
+func (*heldBudget) Run() bool                                                 { return true }
+func (*heldBudget) Idle()                                                     {}
+func (*heldBudget) Close()                                                    {}
+
+func (b *heldBudget) Reserve(n int) bool {
+	b.peak.Store(max(b.peak.Load(), b.held.Add(int64(n))))
+	return true
+}
+
+func (b *heldBudget) Release(n int) { b.held.Add(-int64(n)) }
+
+// Guards against answers that the client does not read and nobody counts, in the process
+// or in the kernel, and against counting them for longer.
+func TestUnreadAnswersAreReserved(t *testing.T) {
+	for _, size := range []int{60_000, 600_000} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := newFakeHandler()
+		f.hold = true
+		budget := &heldBudget{}
+		a := New(HeaderNames{RequestID: "X-Request-Id"}, f, budget, clock.New())
+		go a.Serve(l)
+		c := dial(t, l.Addr().String())
+		if err := c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+			t.Fatal(err)
+		}
+		c.write("GET /a HTTP/1.1\r\n" + head + "\r\n")
+		<-f.arrived
+		f.respond[0](relayer.Reply{Status: 200, Body: make([]byte, size)})
+		if got, want := budget.held.Load(), int64(reserver.UnsentBytes); got < want {
+			t.Errorf("%d bytes: got %d reserved for an unread answer, want at least %d", size, got, want)
+		}
+		if status, _, _ := c.answer(); status != 200 {
+			t.Errorf("%d bytes: got %d, want 200", size, status)
+		}
+		for end := time.Now().Add(10 * time.Second); budget.held.Load() != 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if got := budget.held.Load(); got != 0 {
+			t.Errorf("%d bytes: got %d reserved after the answer was read, want 0", size, got)
+		}
+		a.Close(context.Background())
+	}
+}
+
+// Guards against cutting an answer that the client reads all the time, if it takes longer
+// than the idle timeout for the whole.
+func TestSteadySlowReaderGetsWholeAnswer(t *testing.T) {
+	f := newFakeHandler()
+	f.hold = true
+	f.limits.IdleTimeout = 1000
+	_, address := start(t, f)
+	c := dial(t, address)
+	if err := c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10); err != nil {
+		t.Fatal(err)
+	}
+	c.write("GET /a HTTP/1.1\r\n" + head + "\r\n")
+	<-f.arrived
+	const size = 4 << 20
+	f.respond[0](relayer.Reply{Status: 200, Body: make([]byte, size)})
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got := 0
+	for part := int64(256 << 10); got < size; {
+		n, err := io.CopyN(io.Discard, resp.Body, part)
+		if got += int(n); err != nil {
+			t.Fatalf("got %d bytes and %v, want %d bytes", got, err, size)
+		}
+		time.Sleep(100 * time.Millisecond) // 1.6 s in all
+	}
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -524,10 +524,19 @@
 	})
 }
 
+// flushBytes is what a caller must read of an answer within each idle timeout. The kernel
+// no longer holds a whole answer for callers that take longer for it.
+const flushBytes = 64 << 10
+
 // flush writes the remainder of an answer to a caller that reads slowly, and releases
 // what was reserved for it.
 func (c *conn) flush(rest []byte, reserved int, limit zinniatide.Millis) {
-	err := c.writeWithin(rest, limit.Duration())
+	var err error
+	for len(rest) > 0 && err == nil {
+		part := rest[:min(len(rest), flushBytes)]
+		err = c.writeWithin(part, limit.Duration())
+		rest = rest[len(part):]
+	}
 	c.budget.Release(reserved)
 	c.mu.Lock()
 	defer c.mu.Unlock()
