--- a/cmd/zinniatide/commands/platform.go
+++ b/cmd/zinniatide/commands/platform.go
@@ -22,6 +22,7 @@
 	"zinniatide.example/zinniatide/exposer"
 	"zinniatide.example/zinniatide/node"
 	"zinniatide.example/zinniatide/platform"
+	"zinniatide.example/zinniatide/reserver"
 	"zinniatide.example/zinniatide/rollouter"
 )
 
@@ -58,7 +59,7 @@
 	defer logWriter.Close()
 	logger.Install(logWriter, slog.LevelInfo, s.VM, s.Zone)
 	klog.InfoS("settings loaded", "step", "start", "machine", s.Name, "caller-address", s.CallerAddress, "control-address", s.ControlAddress,
-		"directory-address", s.DirectoryAddress, "cores", s.Cores, "memory-bytes", s.MemoryBytes)
+		"directory-address", s.DirectoryAddress, "cores", s.Cores, "memory-bytes", s.MemoryBytes, "descriptors", s.Descriptors)
 	configureRelayGC(s.MemoryBytes)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -78,6 +79,7 @@
 		VM: s.VM, Zone: s.Zone, CallerAddress: s.CallerAddress, ControlAddress: s.ControlAddress, DataFolder: s.DataFolder, FirstStart: s.FirstStart,
 		Seeds: s.Seeds, LoadSeeds: loadSeeds, Voters: s.Voters, Budget: s.Budget, Quota: s.Quota, RelayCapacity: relayRequestsPerSecondPerCore * s.Cores, StopLimit: s.StopLimit,
 		Rollouts: rolloutLimits(s), CallerNames: platform.CallerHeaders(), RelayNames: platform.ResponseHeaders(), BackendNames: platform.BackendHeaders(),
+		Clients: reserver.ConfigFor(s.MemoryBytes, s.Descriptors),
 	}, systemClock, registry)
 	if err != nil {
 		klog.ErrorS(err, "failed to create the relay", "step", "start")
@@ -113,7 +115,7 @@
 		options = append(options, platform.WithRollouts(rollouts))
 	}
 	if s.ControlAddress != "" {
-		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControlHandler(relay.Operator(), relay.Enroller(), relay.HeartbeatAddress, options...)})
+		out = append(out, node.Endpoint{Address: s.ControlAddress, Handler: platform.NewControlHandler(relay.Operator(), relay.Enroller(), relay.HeartbeatAddress, options...), ReadsBodies: true})
 	}
 	if s.DirectoryAddress != "" {
 		lifetime := min(node.RelayAddressLifetime, s.LongestLifetime)
