Decide by priority and workspace when capacity is short

Cause: each gathered route had a concurrency limit of its own that knows neither priority nor workspace, and plain requests had none.

Change: package prioritizer decides in Relayer.Serve for pools of services that share gathered routes. Nothing is refused until a limit is reached or has fallen. The limit forgets late requests over time.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -3,11 +3,15 @@
 // time and the others are refused immediately.
 package limiter
 
-import "zinniatide.example/zinniatide"
+import (
+	"math"
+
+	"zinniatide.example/zinniatide"
+)
 
 const (
-	// initialLimit is far above the concurrency of a VM under normal load.
-	initialLimit = 64.0
+	// InitialLimit is far above the concurrency of a VM under normal load.
+	InitialLimit = 64.0
 	// minLimit keeps some requests running, whose results show when the overload
 	// has ended.
 	minLimit = 2.0
@@ -24,22 +28,69 @@
 	increaseLateShare = 0.05
 	// decreaseFactor is the factor by which the limit decreases.
 	decreaseFactor = 0.8
-	// minUtilization is the share of the limit that must be in use for the limit
+	// MinUtilization is the share of the limit that must be in use for the limit
 	// to increase.
-	minUtilization = 0.7
+	MinUtilization = 0.7
+	// lateMemory is the time without a late request after which the share of late
+	// requests halves every lateHalfTime. A share counted in requests alone takes 28
+	// of them to fall, which at 20 requests/s is longer than the second in which
+	// refusals must end.
+	lateMemory   zinniatide.Millis = 200
+	lateHalfTime zinniatide.Millis = 50
+	// relaxInterval is the time in which the limit doubles, back to its initial value,
+	// if no request was late for lateMemory and none refused for refusalMemory: 2 to
+	// 64 takes 500 ms.
+	relaxInterval zinniatide.Millis = 100
+	refusalMemory zinniatide.Millis = 300
 )
 
 // Limiter limits the concurrent requests of one kind. It is guarded by the
 // caller's lock.
 type Limiter struct {
-	limit       float64
-	running     int
-	lateShare   float64 // moving average, 0 to 1
-	decreasedAt zinniatide.Millis
+	limit, initial float64
+	running        int
+	lateShare      float64 // moving average, 0 to 1
+	decreasedAt    zinniatide.Millis
+	lateAt         zinniatide.Millis // last late request
+	refusedAt      zinniatide.Millis // last refusal
+	recoveredAt    zinniatide.Millis // last call of recover
 }
 
 // New returns a Limiter with the initial limit.
-func New() *Limiter { return &Limiter{limit: initialLimit} }
+func New() *Limiter { return NewWithLimit(InitialLimit) }
+
+// NewWithLimit returns a Limiter with another initial limit, which may be infinite.
+func NewWithLimit(initial float64) *Limiter { return &Limiter{limit: initial, initial: initial} }
+
+// Limit returns the limit.
+func (l *Limiter) Limit(now zinniatide.Millis) float64 {
+	l.recover(now)
+	return l.limit
+}
+
+// HasFallen reports whether the limit is below its initial value.
+func (l *Limiter) HasFallen(now zinniatide.Millis) bool { return l.Limit(now) < l.initial }
+
+// RecordRefusal records that a request was refused because of the limit.
+func (l *Limiter) RecordRefusal(now zinniatide.Millis) { l.refusedAt = now }
+
+// recover forgets late requests over time, and raises the limit while there is no sign
+// of overload.
+func (l *Limiter) recover(now zinniatide.Millis) {
+	since := now - max(l.recoveredAt, l.lateAt+lateMemory)
+	if since > 0 && l.lateShare > 0 {
+		l.lateShare *= math.Exp2(-float64(since) / float64(lateHalfTime))
+	}
+	since = min(since, now-l.refusedAt-refusalMemory)
+	if since > 0 && l.limit < l.initial {
+		l.limit *= math.Exp2(float64(since) / float64(relaxInterval))
+		if l.limit > maxLimit {
+			l.limit = l.initial
+		}
+		l.limit = min(l.limit, l.initial)
+	}
+	l.recoveredAt = now
+}
 
 // TryAcquire reports whether another request may run, and counts it if so.
 func (l *Limiter) TryAcquire() bool {
@@ -57,20 +108,27 @@
 // have ended. The limit decreases at most once per target, because the effect
 // of a decrease shows only after that time.
 func (l *Limiter) Release(late bool, target, now zinniatide.Millis) {
-	utilized := float64(l.running) >= minUtilization*l.limit
 	l.running--
+	l.Observe(late, float64(l.running+1), target, now)
+}
+
+// Observe adjusts the limit to the result of a request, for callers that count the
+// running requests themselves. running includes the request.
+func (l *Limiter) Observe(late bool, running float64, target, now zinniatide.Millis) {
+	l.recover(now)
+	utilized := running >= MinUtilization*l.limit
 	sample := 0.0
 	if late {
-		sample = 1
+		sample, l.lateAt = 1, now
 	}
 	l.lateShare += lateWeight * (sample - l.lateShare)
 	switch {
 	case l.lateShare > decreaseLateShare && now-l.decreasedAt >= target:
-		l.limit = max(decreaseFactor*min(l.limit, float64(l.running+1)), minLimit)
+		l.limit = max(decreaseFactor*min(l.limit, running), minLimit)
 		l.decreasedAt = now
 	case !late && l.lateShare < increaseLateShare && utilized:
-		l.limit = min(l.limit+1, maxLimit)
+		l.limit = min(l.limit+1, max(maxLimit, l.initial))
 	case !late && utilized:
-		l.limit = min(l.limit+1/l.limit, maxLimit)
+		l.limit = min(l.limit+1/l.limit, max(maxLimit, l.initial))
 	}
 }
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -15,7 +15,7 @@
 		}
 		limiter.Release(i%12 == 0, 100, zinniatide.Millis(i*20))
 	}
-	if got, want := limiter.limit, initialLimit; got < want {
+	if got, want := limiter.limit, InitialLimit; got < want {
 		t.Errorf("got limit %.1f, want at least %.1f", got, want)
 	}
 }
@@ -43,7 +43,7 @@
 		}
 		now += 100
 	}
-	if got, want := limiter.limit, initialLimit; got < want {
+	if got, want := limiter.limit, InitialLimit; got < want {
 		t.Errorf("after recovery: got limit %.1f, want at least %.1f", got, want)
 	}
 }
--- /dev/null
+++ b/prioritizer/pool.go
@@ -0,0 +1,151 @@
+package prioritizer
+
+import (
+	"math"
+	"slices"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/limiter"
+)
+
+const (
+	// keptShare is the share of a limit that requests of the next lower priority may use
+	// while a higher one is present. The rest is free when an urgent request arrives; an
+	// urgent load of more than the rest pushes the others out as they end.
+	keptShare = 0.75
+	// presence is how long after its last request a priority counts as present. Urgent
+	// requests that arrive once a second still find room.
+	presence zinniatide.Millis = 2000
+	// shortMemory is how long capacity counts as short after the limit was reached. Shares
+	// are measured over several windows in that time.
+	shortMemory zinniatide.Millis = 1000
+	// maxClasses bounds the priorities that are told apart in a pool. Further ones are
+	// treated as the lowest known.
+	maxClasses = 32
+)
+
+// pool is the capacity of services that requests use together.
+type pool struct {
+	gatherRoutes int
+	// maxShards is the size of the largest gathered route. A request costs its number of
+	// shards in relation to it.
+	maxShards    int
+	initialLimit float64
+	running      float64 // cost of the running requests
+	permits      int     // number of the running requests
+	reachedAt    zinniatide.Millis
+	classes      []*class // by priority, the most urgent first
+}
+
+func newPool() *pool { return &pool{reachedAt: math.MinInt64 / 2} }
+
+// applyInitialLimit sets the limit at which an undisturbed pool begins to refuse: that
+// of all its gathered routes, or none.
+func (p *pool) applyInitialLimit() {
+	initial := math.Inf(1)
+	if p.gatherRoutes > 0 {
+		initial = limiter.InitialLimit * float64(p.gatherRoutes)
+	}
+	if initial == p.initialLimit {
+		return
+	}
+	p.initialLimit = initial
+	for _, c := range p.classes {
+		c.limit = newLimiter(initial)
+	}
+}
+
+// classOf returns the class of a priority.
+func (p *pool) classOf(priority int, now zinniatide.Millis) *class {
+	i, found := slices.BinarySearchFunc(p.classes, priority, func(c *class, priority int) int { return c.priority - priority })
+	if found {
+		return p.classes[i]
+	}
+	if len(p.classes) >= maxClasses {
+		p.classes = slices.DeleteFunc(p.classes, func(c *class) bool { return now-c.seenAt > presence })
+		if len(p.classes) >= maxClasses {
+			return p.classes[len(p.classes)-1]
+		}
+		i, _ = slices.BinarySearchFunc(p.classes, priority, func(c *class, priority int) int { return c.priority - priority })
+	}
+	c := newClass(priority, p.initialLimit)
+	p.classes = slices.Insert(p.classes, i, c)
+	return c
+}
+
+// limits returns the limit that holds for a class, and that for the pool without the
+// part kept for higher priorities. A class is limited by late requests of its own and of
+// the higher priorities that are present, but not by those of lower ones.
+func (p *pool) limits(c *class, now zinniatide.Millis) (own, whole float64) {
+	whole, share := math.Inf(1), 1.0
+	for _, higher := range p.classes {
+		if higher.priority > c.priority {
+			break
+		}
+		if higher != c && now-higher.seenAt > presence {
+			continue
+		}
+		whole = min(whole, higher.limit.Limit(now))
+		if higher != c {
+			share *= keptShare
+		}
+	}
+	if !p.isShort(now) {
+		share = 1
+	}
+	return whole * share, whole
+}
+
+// isShort reports whether the limit was reached a short time ago or has fallen.
+func (p *pool) isShort(now zinniatide.Millis) bool {
+	if now-p.reachedAt <= shortMemory {
+		return true
+	}
+	for _, c := range p.classes {
+		if c.limit.HasFallen(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pool) admit(workspace zinniatide.WorkspaceID, priority int, cost float64, target, now zinniatide.Millis) zinniatide.CapacityDecision {
+	c := p.classOf(priority, now)
+	c.seenAt = now
+	limit, whole := p.limits(c, now)
+	if p.running >= whole {
+		p.reachedAt = now
+	}
+	if p.isShort(now) {
+		w := c.shares.arrive(workspace, now)
+		reason := ""
+		switch {
+		case p.running >= whole:
+			reason = ReasonOverloaded
+		case p.running >= limit && p.running > 0:
+			reason = ReasonPriority
+		case p.running >= limiter.MinUtilization*limit && !w.hasCredit():
+			reason = ReasonShare
+		}
+		if reason != "" {
+			c.limit.RecordRefusal(now)
+			return zinniatide.CapacityDecision{Reason: reason, RetryAfter: c.shares.retryAfter(target, now)}
+		}
+		c.shares.admit(w)
+	}
+	p.running += cost
+	p.permits++
+	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target}}
+}
+
+// class holds the requests of one priority in a pool.
+type class struct {
+	priority int
+	limit    *limiter.Limiter
+	seenAt   zinniatide.Millis
+	shares   *shares
+}
+
+func newClass(priority int, initialLimit float64) *class {
+	return &class{priority: priority, limit: newLimiter(initialLimit), shares: newShares()}
+}
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -34,7 +34,11 @@
 	survived       bool
 	// leaving holds the processes that said in their answers to an onBehalf request
 	// that they are leaving, until the next reply to the delegating VM.
-	leaving      []leavingProcess
+	leaving []leavingProcess
+	// target is the service of a plain request.
+	target zinniatide.ServiceID
+	// permit is the capacity that the request holds, or nil.
+	permit       zinniatide.CapacityPermit
 	timerStops   []func()
 	openAttempts []*attempt
 }
@@ -140,6 +144,7 @@
 		return
 	}
 	ar.finished = true
+	ar.cancelPermit()
 	delete(ar.r.openRequests, ar)
 	ar.stopTimers()
 	for _, att := range ar.openAttempts {
@@ -204,6 +209,7 @@
 		return
 	}
 	ar.finished = true
+	ar.cancelPermit()
 	delete(ar.r.openRequests, ar)
 	ar.stopTimers()
 	now := ar.r.deps.Clock.Now()
--- a/relayer/delegated_gathers.go
+++ b/relayer/delegated_gathers.go
@@ -40,13 +40,14 @@
 	}}
 	g := &gatherRequest{activeRequest: activeRequest{
 		r: r, hedgesForPeer: msg.Hedge, onBehalf: true, req: &Request{ID: msg.RequestID, Head: msg.Head, Body: msg.Body, ArrivedAt: now}, route: route,
-		respond: func(Reply) {}, startedAt: now, deadline: now + msg.TimeToDeadline,
+		priority: msg.Priority, respond: func(Reply) {}, startedAt: now, deadline: now + msg.TimeToDeadline,
 	}, cutoff: now + msg.TimeToCutoff}
 	if msg.LendsAttempts {
 		g.lender = &id
 	}
 	digest := msg.digest()
 	g.sendDelegationReply = func() { g.sendParts(id, &msg, digest, sendReply) }
+	r.capacity.RecordPriority(msg.Shards[0], msg.Priority, now)
 	r.delegatedGathers[id] = g
 	r.metrics.delegatedGathers.Inc()
 	g.start()
--- a/relayer/delegation.go
+++ b/relayer/delegation.go
@@ -88,6 +88,9 @@
 	// LendsAttempts is set if the sender can be asked for more attempts than
 	// MaxAttempts.
 	LendsAttempts bool `cbor:"15,keyasint,omitempty"`
+	// Priority is that of the request. VMs of earlier versions send none, which counts as
+	// the highest.
+	Priority int `cbor:"16,keyasint,omitempty"`
 }
 
 // digest identifies what a delegate is asked for: the request and the shards in
@@ -316,7 +319,7 @@
 	msg := &delegationRequest{
 		Call: d.callID, Process: r.config.Process, RequestID: g.req.ID, Head: g.req.Head, Body: g.req.Body, Route: g.route.ID, Shards: d.shards,
 		TopRecords: g.route.TopRecords, MaxAttempts: 1, TargetLatency: g.route.TargetLatency,
-		TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: d.hedge,
+		TimeToCutoff: max(g.cutoff-now-roundTrip, 1), TimeToDeadline: max(g.deadline-now, 1), Hedge: d.hedge, Priority: g.priority,
 	}
 	if d.hedge {
 		msg.RecordThreshold = g.topRecords.Threshold()
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -29,11 +29,10 @@
 }
 
 func (f *forwardRequest) start() {
-	target := f.route.Target(f.r.deps.Random)
-	f.service = f.r.services[target]
+	f.service = f.r.services[f.target]
 	o := f.r.selectionOptions(nil)
 	if f.service == nil || !f.service.Available(o) {
-		f.r.refuse(f.req, f.route, f.respond, statusUnavailable, "no server of "+string(target)+" can be reached", f.r.retryAfterOf(o, f.service))
+		f.r.refuse(f.req, f.route, f.respond, statusUnavailable, "no server of "+string(f.target)+" can be reached", f.r.retryAfterOf(o, f.service))
 		f.finished = true
 		return
 	}
@@ -69,7 +68,7 @@
 		return
 	}
 	f.after(zinniatide.Millis(latency.HighQuantile)+1, func() {
-		if f.inFlight == 1 && f.possibleRuns < f.route.MaxAttempts {
+		if f.inFlight == 1 && f.possibleRuns < f.route.MaxAttempts && !f.leavesHedge(f.service) {
 			f.resend("no response within the hedge delay")
 		}
 	})
@@ -125,6 +124,7 @@
 func (f *forwardRequest) replySuccess(att *attempt, reply Reply) {
 	now := f.r.deps.Clock.Now()
 	f.r.metrics.observeOutcome(f.route, f.priority, "answered", float64(now-f.req.ArrivedAt))
+	f.releasePermit(f.endsLate(now))
 	if len(f.tried) > 1 {
 		klog.InfoS("request answered after several attempts", "step", "relay", "request", f.req.ID, "route", f.route.ID,
 			"server", att.server.Server, "sends", len(f.tried), "after-ms", now-f.req.ArrivedAt)
@@ -146,6 +146,9 @@
 		f.finish(*f.errorReply)
 		return
 	}
+	if f.sheds > 0 {
+		f.releasePermit(true)
+	}
 	f.fail(reason, shortRetryAfter, "tried", f.triedServers())
 }
 
@@ -160,7 +163,10 @@
 }
 
 // timeout ends the request at its deadline.
-func (f *forwardRequest) timeout() { f.end("timeout", 0) }
+func (f *forwardRequest) timeout() {
+	f.releasePermit(true)
+	f.end("timeout", 0)
+}
 
 // end ends the request before a server has answered it. retryAfter applies if no
 // server has received it.
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -8,7 +8,6 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/headerline"
-	"zinniatide.example/zinniatide/limiter"
 	"zinniatide.example/zinniatide/ranker"
 	"zinniatide.example/zinniatide/selector"
 	"zinniatide.example/zinniatide/transporter"
@@ -45,7 +44,6 @@
 	// enough have arrived.
 	cutoff      zinniatide.Millis
 	delegations []*delegation
-	limiter     *limiter.Limiter // nil once the request has ended, or if it runs on behalf of another VM
 	// sendDelegationReply replies to the delegating VM. It is nil if the request
 	// came from a caller.
 	sendDelegationReply func()
@@ -100,15 +98,6 @@
 		g.finished = true
 		return
 	}
-	if g.sendDelegationReply == nil {
-		g.limiter = g.r.limiterOf(g.route.ID)
-		if !g.limiter.TryAcquire() {
-			g.limiter = nil
-			g.r.refuse(g.req, g.route, g.respond, statusUnavailable, "overloaded", g.route.TargetLatency)
-			g.finished = true
-			return
-		}
-	}
 	g.pending = available
 	g.topRecords = ranker.New(g.route.TopRecords)
 	if g.sendDelegationReply == nil {
@@ -196,13 +185,17 @@
 
 // hedgeParts sends the parts that are still late to second servers.
 func (g *gatherRequest) hedgeParts(indexes []int) {
-	sent, denied := 0, 0
+	sent, denied, left := 0, 0, 0
 	remote := map[zinniatide.ZoneID][]int{}
 	for _, i := range indexes {
 		p := &g.parts[i]
 		if g.finished || !g.isLate(p) {
 			continue
 		}
+		if g.leavesHedge(p.service) {
+			left++
+			continue
+		}
 		if zone := g.hedgeZone(p); zone != "" {
 			remote[zone] = append(remote[zone], i)
 			continue
@@ -217,10 +210,11 @@
 		hedged, rejected := g.hedgeThroughDelegate(zone, indexes)
 		sent, denied = sent+hedged, denied+rejected
 	}
-	if sent+denied > 0 {
+	g.r.metrics.leftHedges.Add(float64(left))
+	if sent+denied+left > 0 {
 		g.r.metrics.hedges.Add(float64(sent))
 		klog.InfoS("hedging late parts", "step", "gather", "request", g.req.ID, "route", g.route.ID, "sent", sent,
-			"denied", denied, "got", g.received, "after-ms", g.r.deps.Clock.Now()-g.req.ArrivedAt)
+			"denied", denied, "left-to-others", left, "got", g.received, "after-ms", g.r.deps.Clock.Now()-g.req.ArrivedAt)
 	}
 }
 
@@ -302,7 +296,7 @@
 	switch {
 	case g.finished:
 	case g.received+g.pending < g.route.MinShards:
-		g.releaseLimiter(true)
+		g.releasePermit(true)
 		g.cancelDelegations(true)
 		g.fail(reason, shortRetryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.received >= g.route.MinShards && g.r.deps.Clock.Now() >= g.cutoff:
@@ -317,10 +311,6 @@
 	g.r.deps.Lock.Lock()
 	defer g.r.deps.Lock.Unlock()
 	g.cancelDelegations(false)
-	if g.limiter != nil {
-		g.limiter.ReleaseWithoutSample()
-		g.limiter = nil
-	}
 	g.cancelLocked()
 }
 
@@ -334,7 +324,7 @@
 		g.replyWithReceived()
 		return
 	}
-	g.releaseLimiter(true)
+	g.releasePermit(true)
 	g.cancelDelegations(true)
 	g.mayHaveRun = g.mayHaveRun || len(g.openAttempts) > 0 || len(g.delegations) > 0
 	g.fail(reason, retryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
@@ -351,23 +341,13 @@
 	return out
 }
 
-// releaseLimiter returns the slot of the concurrency limiter. It reports the
-// request as late if the parts did not arrive in time or failed.
-func (g *gatherRequest) releaseLimiter(late bool) {
-	if g.limiter == nil {
-		return
-	}
-	g.limiter.Release(late, g.route.TargetLatency, g.r.deps.Clock.Now())
-	g.limiter = nil
-}
-
 // replyWithReceived answers with the parts that have arrived.
 func (g *gatherRequest) replyWithReceived() {
 	if g.sendDelegationReply != nil {
 		g.sendDelegationReply()
 		return
 	}
-	g.releaseLimiter(g.r.deps.Clock.Now() > g.cutoff)
+	g.releasePermit(g.r.deps.Clock.Now() > g.cutoff)
 	g.cancelDelegations(true)
 	missing := len(g.parts) - g.received
 	now := g.r.deps.Clock.Now()
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -14,6 +14,9 @@
 	partialAnswers prometheus.Counter
 	missingShards  prometheus.Counter
 	hedges         prometheus.Counter
+	// leftHedges counts the late parts that were not hedged because the retry budget was
+	// left to more urgent requests.
+	leftHedges prometheus.Counter
 	// delegations counts the delegations sent to other VMs, delegatedGathers those
 	// served for other VMs.
 	delegations, delegatedGathers prometheus.Counter
@@ -50,6 +53,9 @@
 			Name: "zinniatide_relay_hedges_total", Help: "Sends to a second server because the first was late.",
 		}),
 	}
+	m.leftHedges = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "zinniatide_relay_left_hedges_total", Help: "Late parts that left a scarce retry budget to requests of a higher priority.",
+	})
 	m.delegations = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_relay_delegations_total", Help: "Groups of parts that a VM of another zone was asked to gather.",
 	})
@@ -70,7 +76,7 @@
 	})
 	if registerer != nil {
 		registerer.MustRegister(m.outcomes, m.refusals, m.exchanges, m.partialAnswers, m.missingShards, m.hedges, m.delegations, m.delegatedGathers, m.foreignReplies, m.leaves, m.pauses,
-			m.unconfirmedRequests)
+			m.unconfirmedRequests, m.leftHedges)
 	}
 	return m
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,7 +18,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
-	"zinniatide.example/zinniatide/limiter"
+	"zinniatide.example/zinniatide/prioritizer"
 	"zinniatide.example/zinniatide/retrybudget"
 	"zinniatide.example/zinniatide/router"
 	"zinniatide.example/zinniatide/selector"
@@ -74,7 +74,10 @@
 	// ConfirmedAt returns when the configuration was last known to be the newest. If it
 	// is nil, it always is.
 	ConfirmedAt func() zinniatide.Millis
-	Registerer  prometheus.Registerer
+	// Capacity decides when the capacity of servers is short. If it is nil, a
+	// prioritizer.Prioritizer does.
+	Capacity   zinniatide.CapacityAdmitter
+	Registerer prometheus.Registerer
 }
 
 // Quarantine knows the requests that crash the servers that run them.
@@ -112,8 +115,10 @@
 	// routeLatencies holds the latency statistics of the parts of each gathered
 	// route.
 	routeLatencies map[zinniatide.RouteID]*selector.LatencyStats
-	// limiters limit the concurrent gather requests of each route.
-	limiters map[zinniatide.RouteID]*limiter.Limiter
+	// capacity decides which requests run when the capacity of servers is short.
+	capacity zinniatide.CapacityAdmitter
+	// fastestAnswers are the fastest recent answers of each service of plain requests.
+	fastestAnswers map[zinniatide.ServiceID]*fastestAnswer
 	// pauses are the pauses that this VM has observed of all servers.
 	pauses        selector.Pauses
 	excludedZones map[zinniatide.ZoneID]bool
@@ -168,10 +173,15 @@
 		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processKey]*server{},
 		strippedHeaders: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
-		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, limiters: map[zinniatide.RouteID]*limiter.Limiter{},
+		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, capacity: d.Capacity, fastestAnswers: map[zinniatide.ServiceID]*fastestAnswer{},
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegatingVMs: map[zinniatide.VMID]*delegatingVM{}, delegations: map[uint64]*delegation{},
 		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
+	if r.capacity == nil {
+		p := prioritizer.New()
+		r.capacity = p
+		r.registerCapacity(d.Registerer, p)
+	}
 	r.registerTables(d.Registerer)
 	for _, name := range d.Names.Stripped {
 		r.strippedHeaders[name] = true
@@ -243,6 +253,9 @@
 			return noop
 		}
 	}
+	if !base.admitByCapacity() {
+		return noop
+	}
 	if r.confirmationAge() > maxConfirmationAge {
 		r.metrics.unconfirmedRequests.Inc()
 	}
@@ -284,9 +297,11 @@
 // trackRequest registers a request that has not finished yet with the function
 // that ends it early.
 func (r *Relayer) trackRequest(ar *activeRequest, end func(reason string, retryAfter zinniatide.Millis)) {
-	if !ar.finished {
-		r.openRequests[ar] = end
+	if ar.finished {
+		ar.cancelPermit()
+		return
 	}
+	r.openRequests[ar] = end
 }
 
 // Retry-After values of refusals.
@@ -342,23 +357,9 @@
 	return picker.Pick(string(s.Server), r.activeRelays) == r.config.VM
 }
 
-// maxTrackedRoutes bounds the routes whose latencies and concurrency limits are
-// kept.
+// maxTrackedRoutes bounds the routes whose latencies are kept.
 const maxTrackedRoutes = 4096
 
-// limiterOf returns the concurrency limiter of a route.
-func (r *Relayer) limiterOf(id zinniatide.RouteID) *limiter.Limiter {
-	l := r.limiters[id]
-	if l == nil {
-		if len(r.limiters) >= maxTrackedRoutes {
-			clear(r.limiters)
-		}
-		l = limiter.New()
-		r.limiters[id] = l
-	}
-	return l
-}
-
 // latencyOf returns the latency statistics of a route.
 func (r *Relayer) latencyOf(id zinniatide.RouteID) *selector.LatencyStats {
 	l := r.routeLatencies[id]
--- a/relayer/update.go
+++ b/relayer/update.go
@@ -41,6 +41,7 @@
 	if c.Routing != nil && (r.table == nil || c.RoutingNumber > r.table.Number) {
 		r.table = router.New(c.RoutingNumber, c.Routing)
 		r.keys = authenticator.New(c.Routing, r.deps.Names.CredentialScheme)
+		r.capacity.SetRouting(c.Routing)
 		klog.InfoS("routing table applied", "step", "routing", "number", c.RoutingNumber, "epoch", c.Epoch,
 			"routes", len(c.Routing.Routes), "services", len(c.Routing.Services),
 			"keys-required", c.Routing.KeysRequired, "workspaces", len(c.Routing.Workspaces))
@@ -82,6 +83,7 @@
 	for id := range r.services {
 		if _, ok := r.table.Service(id); !ok {
 			delete(r.services, id)
+			delete(r.fastestAnswers, id)
 		}
 	}
 }
