--- a/capacity.go
+++ b/capacity.go
@@ -32,12 +32,22 @@
 	RetryAfter Millis
 }
 
-// CapacityPermit is the capacity that a request holds. Exactly one of its methods is
-// called, once.
+// CapacityPermit is the capacity that a request holds.
 type CapacityPermit interface {
-	// Release ends a request. late tells whether it ended late or failed because of
-	// load.
-	Release(late bool, now Millis)
-	// Cancel ends a request whose result says nothing about the load.
-	Cancel()
+	// Observe records how the request ended. It is called at most once, and not if the
+	// end says nothing about the load.
+	Observe(result CapacityResult, now Millis)
+	// End gives the capacity back. It is called once, after Observe.
+	End()
 }
+
+// CapacityResult tells how a request ended with regard to the load.
+type CapacityResult uint8
+
+// Results of admitted requests.
+const (
+	CapacityInTime CapacityResult = iota
+	CapacityLate
+	// CapacityFailed means that the request was not answered.
+	CapacityFailed
+)
--- a/prioritizer/pool.go
+++ b/prioritizer/pool.go
@@ -109,15 +109,16 @@
 	return false
 }
 
-func (p *pool) admit(workspace zinniatide.WorkspaceID, priority int, cost float64, target, now zinniatide.Millis) zinniatide.CapacityDecision {
+func (p *pool) admit(id zinniatide.WorkspaceID, priority int, cost float64, target, now zinniatide.Millis) zinniatide.CapacityDecision {
 	c := p.classOf(priority, now)
 	c.seenAt = now
 	limit, whole := p.limits(c, now)
 	if p.running >= whole {
 		p.reachedAt = now
 	}
+	var charged *workspace
 	if p.isShort(now) {
-		w := c.shares.arrive(workspace, now)
+		w := c.shares.arrive(id, now)
 		reason := ""
 		switch {
 		case p.running >= whole:
@@ -132,10 +133,11 @@
 			return zinniatide.CapacityDecision{Reason: reason, RetryAfter: c.shares.retryAfter(target, now)}
 		}
 		c.shares.admit(w)
+		charged = w
 	}
 	p.running += cost
 	p.permits++
-	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target}}
+	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target, charged: charged}}
 }
 
 // class holds the requests of one priority in a pool.
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -137,8 +137,8 @@
 // uncounted is the permit of a request that uses no known pool.
 type uncounted struct{}
 
-func (uncounted) Release(bool, zinniatide.Millis) {}
-func (uncounted) Cancel()                         {}
+func (uncounted) Observe(zinniatide.CapacityResult, zinniatide.Millis) {}
+func (uncounted) End()                                                 {}
 
 // permit is the capacity that a request holds.
 type permit struct {
@@ -146,14 +146,20 @@
 	class  *class
 	cost   float64
 	target zinniatide.Millis
+	// charged is the workspace whose share the request has used, or nil.
+	charged *workspace
 }
 
-func (p *permit) Release(late bool, now zinniatide.Millis) {
-	p.class.limit.Observe(late, p.pool.running, p.target, now)
-	p.Cancel()
+// Observe implements zinniatide.CapacityPermit.
+func (p *permit) Observe(result zinniatide.CapacityResult, now zinniatide.Millis) {
+	p.class.limit.Observe(result != zinniatide.CapacityInTime, p.pool.running, p.target, now)
+	if result == zinniatide.CapacityFailed && p.charged != nil {
+		p.class.shares.refund(p.charged)
+	}
 }
 
-func (p *permit) Cancel() {
+// End implements zinniatide.CapacityPermit.
+func (p *permit) End() {
 	p.pool.permits--
 	p.pool.running -= p.cost
 	if p.pool.permits == 0 {
--- a/prioritizer/shares.go
+++ b/prioritizer/shares.go
@@ -95,6 +95,13 @@
 	s.admitted++
 }
 
+// refund takes back the charge of a request that was admitted and not answered. Requests
+// that servers turn away say nothing about the capacity.
+func (s *shares) refund(w *workspace) {
+	w.credit = min(w.credit+1, maxCredit)
+	s.admitted = max(s.admitted-1, 0)
+}
+
 // advance ends the current window if its time is over.
 func (s *shares) advance(now zinniatide.Millis) {
 	passed := (now - s.windowStart) / shareWindow
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -38,9 +38,12 @@
 	// target is the service of a plain request.
 	target zinniatide.ServiceID
 	// permit is the capacity that the request holds, or nil.
-	permit       zinniatide.CapacityPermit
-	timerStops   []func()
-	openAttempts []*attempt
+	permit zinniatide.CapacityPermit
+	// resultObserved is set once the permit knows how the request ended, failedByLoad if
+	// it failed.
+	resultObserved, failedByLoad bool
+	timerStops                   []func()
+	openAttempts                 []*attempt
 }
 
 // attempt is one exchange with a server.
@@ -92,6 +95,9 @@
 			break
 		}
 	}
+	if ar.finished {
+		defer ar.endPermit()
+	}
 	r, s := ar.r, att.server
 	now := r.deps.Clock.Now()
 	r.metrics.countExchange(a.Result)
@@ -144,12 +150,12 @@
 		return
 	}
 	ar.finished = true
-	ar.cancelPermit()
 	delete(ar.r.openRequests, ar)
 	ar.stopTimers()
 	for _, att := range ar.openAttempts {
 		att.exchange.Withdraw()
 	}
+	ar.endPermit()
 	ar.respond(reply)
 	ar.reportIfUnanswered()
 }
@@ -209,7 +215,6 @@
 		return
 	}
 	ar.finished = true
-	ar.cancelPermit()
 	delete(ar.r.openRequests, ar)
 	ar.stopTimers()
 	now := ar.r.deps.Clock.Now()
@@ -218,6 +223,7 @@
 		att.server.RecordCancel(att.startedAt, now)
 	}
 	ar.openAttempts = nil
+	ar.endPermit()
 	ar.r.metrics.observeOutcome(ar.route, ar.priority, "caller-left", float64(now-ar.req.ArrivedAt))
 	klog.InfoS("caller disconnected", "step", "relay", "request", ar.req.ID, "route", ar.route.ID, "after-ms", now-ar.req.ArrivedAt, "ran", ar.mayHaveRun)
 }
--- a/relayer/capacity.go
+++ b/relayer/capacity.go
@@ -25,22 +25,25 @@
 	return true
 }
 
-// releasePermit gives back the capacity of a request. late tells that it ended late or
-// failed because of load.
-func (ar *activeRequest) releasePermit(late bool) {
-	if ar.permit != nil {
-		ar.permit.Release(late, ar.r.deps.Clock.Now())
-		ar.permit = nil
+// observeResult records how a request ended with regard to the load.
+func (ar *activeRequest) observeResult(result zinniatide.CapacityResult) {
+	if ar.permit == nil || ar.resultObserved {
+		return
 	}
+	ar.resultObserved = true
+	ar.failedByLoad = result == zinniatide.CapacityFailed
+	ar.permit.Observe(result, ar.r.deps.Clock.Now())
 }
 
-// cancelPermit gives back the capacity of a request whose result says nothing about
-// the load.
-func (ar *activeRequest) cancelPermit() {
-	if ar.permit != nil {
-		ar.permit.Cancel()
-		ar.permit = nil
+// endPermit gives back the capacity of a request that has ended. A failed request keeps
+// it until servers no longer work on its parts: requests that fail at once because some
+// servers are full would otherwise keep the queues of the others full.
+func (ar *activeRequest) endPermit() {
+	if ar.permit == nil || ar.failedByLoad && len(ar.openAttempts) > 0 {
+		return
 	}
+	ar.permit.End()
+	ar.permit = nil
 }
 
 // leavesHedge reports whether the request must not use the retry budget of a service
@@ -55,12 +58,15 @@
 // operation, and a route that always misses its target is not overloaded.
 const queueingFactor = 3
 
-// endsLate reports whether an answer that arrives now is late because of load.
-func (f *forwardRequest) endsLate(now zinniatide.Millis) bool {
+// resultOf tells whether an answer that arrives now is late because of load.
+func (f *forwardRequest) resultOf(now zinniatide.Millis) zinniatide.CapacityResult {
 	took := now - f.startedAt
 	fastest := f.r.fastestAnswerOf(f.target)
 	fastest.add(took, now)
-	return f.sheds > 0 || f.route.TargetLatency > 0 && now-f.req.ArrivedAt > f.route.TargetLatency && took > queueingFactor*fastest.value()
+	if f.sheds > 0 || f.route.TargetLatency > 0 && now-f.req.ArrivedAt > f.route.TargetLatency && took > queueingFactor*fastest.value() {
+		return zinniatide.CapacityLate
+	}
+	return zinniatide.CapacityInTime
 }
 
 // fastestPeriod is the time over which the fastest answer is kept, longer than most
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -124,7 +124,7 @@
 func (f *forwardRequest) replySuccess(att *attempt, reply Reply) {
 	now := f.r.deps.Clock.Now()
 	f.r.metrics.observeOutcome(f.route, f.priority, "answered", float64(now-f.req.ArrivedAt))
-	f.releasePermit(f.endsLate(now))
+	f.observeResult(f.resultOf(now))
 	if len(f.tried) > 1 {
 		klog.InfoS("request answered after several attempts", "step", "relay", "request", f.req.ID, "route", f.route.ID,
 			"server", att.server.Server, "sends", len(f.tried), "after-ms", now-f.req.ArrivedAt)
@@ -147,7 +147,7 @@
 		return
 	}
 	if f.sheds > 0 {
-		f.releasePermit(true)
+		f.observeResult(zinniatide.CapacityFailed)
 	}
 	f.fail(reason, shortRetryAfter, "tried", f.triedServers())
 }
@@ -164,7 +164,7 @@
 
 // timeout ends the request at its deadline.
 func (f *forwardRequest) timeout() {
-	f.releasePermit(true)
+	f.observeResult(zinniatide.CapacityFailed)
 	f.end("timeout", 0)
 }
 
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -296,7 +296,7 @@
 	switch {
 	case g.finished:
 	case g.received+g.pending < g.route.MinShards:
-		g.releasePermit(true)
+		g.observeResult(zinniatide.CapacityFailed)
 		g.cancelDelegations(true)
 		g.fail(reason, shortRetryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.received >= g.route.MinShards && g.r.deps.Clock.Now() >= g.cutoff:
@@ -324,7 +324,7 @@
 		g.replyWithReceived()
 		return
 	}
-	g.releasePermit(true)
+	g.observeResult(zinniatide.CapacityFailed)
 	g.cancelDelegations(true)
 	g.mayHaveRun = g.mayHaveRun || len(g.openAttempts) > 0 || len(g.delegations) > 0
 	g.fail(reason, retryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
@@ -347,7 +347,11 @@
 		g.sendDelegationReply()
 		return
 	}
-	g.releasePermit(g.r.deps.Clock.Now() > g.cutoff)
+	result := zinniatide.CapacityInTime
+	if g.r.deps.Clock.Now() > g.cutoff {
+		result = zinniatide.CapacityLate
+	}
+	g.observeResult(result)
 	g.cancelDelegations(true)
 	missing := len(g.parts) - g.received
 	now := g.r.deps.Clock.Now()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -298,7 +298,7 @@
 // that ends it early.
 func (r *Relayer) trackRequest(ar *activeRequest, end func(reason string, retryAfter zinniatide.Millis)) {
 	if ar.finished {
-		ar.cancelPermit()
+		ar.endPermit()
 		return
 	}
 	r.openRequests[ar] = end
