--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -48,19 +48,24 @@
 // caller's lock.
 type Limiter struct {
 	limit, initial float64
-	running        int
-	lateShare      float64 // moving average, 0 to 1
-	decreasedAt    zinniatide.Millis
-	lateAt         zinniatide.Millis // last late request
-	refusedAt      zinniatide.Millis // last refusal
-	recoveredAt    zinniatide.Millis // last call of recover
+	// slowAbove is the limit above which it increases slowly: that after the last
+	// decrease, or infinity.
+	slowAbove   float64
+	running     int
+	lateShare   float64 // moving average, 0 to 1
+	decreasedAt zinniatide.Millis
+	lateAt      zinniatide.Millis // last late request
+	refusedAt   zinniatide.Millis // last refusal
+	recoveredAt zinniatide.Millis // last call of recover
 }
 
 // New returns a Limiter with the initial limit.
 func New() *Limiter { return NewWithLimit(InitialLimit) }
 
 // NewWithLimit returns a Limiter with another initial limit, which may be infinite.
-func NewWithLimit(initial float64) *Limiter { return &Limiter{limit: initial, initial: initial} }
+func NewWithLimit(initial float64) *Limiter {
+	return &Limiter{limit: initial, initial: initial, slowAbove: math.Inf(1)}
+}
 
 // Limit returns the limit.
 func (l *Limiter) Limit(now zinniatide.Millis) float64 {
@@ -88,6 +93,9 @@
 			l.limit = l.initial
 		}
 		l.limit = min(l.limit, l.initial)
+		if l.limit == l.initial {
+			l.slowAbove = math.Inf(1)
+		}
 	}
 	l.recoveredAt = now
 }
@@ -125,8 +133,8 @@
 	switch {
 	case l.lateShare > decreaseLateShare && now-l.decreasedAt >= target:
 		l.limit = max(decreaseFactor*min(l.limit, running), minLimit)
-		l.decreasedAt = now
-	case !late && l.lateShare < increaseLateShare && utilized:
+		l.decreasedAt, l.slowAbove = now, l.limit
+	case !late && l.lateShare < increaseLateShare && utilized && l.limit < l.slowAbove:
 		l.limit = min(l.limit+1, max(maxLimit, l.initial))
 	case !late && utilized:
 		l.limit = min(l.limit+1/l.limit, max(maxLimit, l.initial))
--- a/prioritizer/pool.go
+++ b/prioritizer/pool.go
@@ -73,11 +73,11 @@
 	return c
 }
 
-// limits returns the limit that holds for a class, and that for the pool without the
-// part kept for higher priorities. A class is limited by late requests of its own and of
+// limits returns the limit of the pool for a class, and the share of it that is not kept
+// for higher priorities. A class is limited by late requests of its own and of
 // the higher priorities that are present, but not by those of lower ones.
-func (p *pool) limits(c *class, now zinniatide.Millis) (own, whole float64) {
-	whole, share := math.Inf(1), 1.0
+func (p *pool) limits(c *class, now zinniatide.Millis) (limit, share float64) {
+	limit, share = math.Inf(1), 1
 	for _, higher := range p.classes {
 		if higher.priority > c.priority {
 			break
@@ -85,7 +85,7 @@
 		if higher != c && now-higher.seenAt > presence {
 			continue
 		}
-		whole = min(whole, higher.limit.Limit(now))
+		limit = min(limit, higher.limit.Limit(now))
 		if higher != c {
 			share *= keptShare
 		}
@@ -93,7 +93,7 @@
 	if !p.isShort(now) {
 		share = 1
 	}
-	return whole * share, whole
+	return limit, share
 }
 
 // isShort reports whether the limit was reached a short time ago or has fallen.
@@ -112,8 +112,8 @@
 func (p *pool) admit(id zinniatide.WorkspaceID, priority int, cost float64, target, now zinniatide.Millis) zinniatide.CapacityDecision {
 	c := p.classOf(priority, now)
 	c.seenAt = now
-	limit, whole := p.limits(c, now)
-	if p.running >= whole {
+	limit, share := p.limits(c, now)
+	if p.running >= limit {
 		p.reachedAt = now
 	}
 	var charged *workspace
@@ -121,15 +121,18 @@
 		w := c.shares.arrive(id, now)
 		reason := ""
 		switch {
-		case p.running >= whole:
+		case p.running >= limit:
 			reason = ReasonOverloaded
-		case p.running >= limit && p.running > 0:
+		case p.running >= share*limit && p.running > 0:
 			reason = ReasonPriority
-		case p.running >= limiter.MinUtilization*limit && !w.hasCredit():
+		case now-c.reachedAt <= shortMemory && p.running >= limiter.MinUtilization*share*limit && !w.hasCredit():
 			reason = ReasonShare
 		}
 		if reason != "" {
 			c.limit.RecordRefusal(now)
+			if reason != ReasonShare {
+				c.reachedAt = now
+			}
 			return zinniatide.CapacityDecision{Reason: reason, RetryAfter: c.shares.retryAfter(target, now)}
 		}
 		c.shares.admit(w)
@@ -137,7 +140,7 @@
 	}
 	p.running += cost
 	p.permits++
-	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target, charged: charged}}
+	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target, share: share, charged: charged}}
 }
 
 // class holds the requests of one priority in a pool.
@@ -145,9 +148,12 @@
 	priority int
 	limit    *limiter.Limiter
 	seenAt   zinniatide.Millis
-	shares   *shares
+	// reachedAt is when a request was last refused because the limit was reached. Shares
+	// hold for a short time after it.
+	reachedAt zinniatide.Millis
+	shares    *shares
 }
 
 func newClass(priority int, initialLimit float64) *class {
-	return &class{priority: priority, limit: newLimiter(initialLimit), shares: newShares()}
+	return &class{priority: priority, limit: newLimiter(initialLimit), reachedAt: math.MinInt64 / 2, shares: newShares()}
 }
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -146,13 +146,15 @@
 	class  *class
 	cost   float64
 	target zinniatide.Millis
+	// share is the part of the limit that the class could use.
+	share float64
 	// charged is the workspace whose share the request has used, or nil.
 	charged *workspace
 }
 
 // Observe implements zinniatide.CapacityPermit.
 func (p *permit) Observe(result zinniatide.CapacityResult, now zinniatide.Millis) {
-	p.class.limit.Observe(result != zinniatide.CapacityInTime, p.pool.running, p.target, now)
+	p.class.limit.Observe(result != zinniatide.CapacityInTime, p.pool.running/p.share, p.target, now)
 	if result == zinniatide.CapacityFailed && p.charged != nil {
 		p.class.shares.refund(p.charged)
 	}
