Answer 502 instead of 503 when parts of a failed query may run

Cause: a query that lost too many parts was answered with 503 although servers had its other parts. Exchanges that were withdrawn at the end of a plain request also stayed counted at their server.

Change: unsent attempts are withdrawn, and any other open attempt or delegation makes it 502. Limits count the requests of a priority and of higher ones, rise fast only while answers are prompt, and late requests lower the limits of lower priorities first.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -26,6 +26,9 @@
 	// than either share.
 	decreaseLateShare = 0.15
 	increaseLateShare = 0.05
+	// maxSlowShare is the share of requests that are not prompt above which the limit
+	// increases slowly.
+	maxSlowShare = 0.2
 	// decreaseFactor is the factor by which the limit decreases.
 	decreaseFactor = 0.8
 	// MinUtilization is the share of the limit that must be in use for the limit
@@ -54,6 +57,7 @@
 	running     int
 	lateShare   float64 // moving average, 0 to 1
 	decreasedAt zinniatide.Millis
+	slowShare   float64           // moving average of the requests that were not prompt
 	lateAt      zinniatide.Millis // last late request
 	refusedAt   zinniatide.Millis // last refusal
 	recoveredAt zinniatide.Millis // last call of recover
@@ -117,26 +121,47 @@
 // of a decrease shows only after that time.
 func (l *Limiter) Release(late bool, target, now zinniatide.Millis) {
 	l.running--
-	l.Observe(late, float64(l.running+1), target, now)
+	sample := Prompt
+	if late {
+		sample = Late
+	}
+	l.Observe(sample, float64(l.running+1), target, now)
 }
 
+// Sample tells how a request ended.
+type Sample uint8
+
+// Results of requests.
+const (
+	// Prompt means that the request ended so early that more can run.
+	Prompt Sample = iota
+	// InTime means that it ended in time, but not early.
+	InTime
+	Late
+)
+
 // Observe adjusts the limit to the result of a request, for callers that count the
 // running requests themselves. running includes the request.
-func (l *Limiter) Observe(late bool, running float64, target, now zinniatide.Millis) {
+func (l *Limiter) Observe(sample Sample, running float64, target, now zinniatide.Millis) {
 	l.recover(now)
 	utilized := running >= MinUtilization*l.limit
-	sample := 0.0
-	if late {
-		sample, l.lateAt = 1, now
+	late := 0.0
+	if sample == Late {
+		late, l.lateAt = 1, now
+	}
+	l.lateShare += lateWeight * (late - l.lateShare)
+	slow := 0.0
+	if sample != Prompt {
+		slow = 1
 	}
-	l.lateShare += lateWeight * (sample - l.lateShare)
+	l.slowShare += lateWeight * (slow - l.slowShare)
 	switch {
 	case l.lateShare > decreaseLateShare && now-l.decreasedAt >= target:
 		l.limit = max(decreaseFactor*min(l.limit, running), minLimit)
 		l.decreasedAt, l.slowAbove = now, l.limit
-	case !late && l.lateShare < increaseLateShare && utilized && l.limit < l.slowAbove:
+	case sample == Prompt && l.lateShare < increaseLateShare && l.slowShare < maxSlowShare && utilized && l.limit < l.slowAbove:
 		l.limit = min(l.limit+1, max(maxLimit, l.initial))
-	case !late && utilized:
+	case sample != Late && utilized:
 		l.limit = min(l.limit+1/l.limit, max(maxLimit, l.initial))
 	}
 }
--- a/prioritizer/pool.go
+++ b/prioritizer/pool.go
@@ -13,6 +13,9 @@
 	// while a higher one is present. The rest is free when an urgent request arrives; an
 	// urgent load of more than the rest pushes the others out as they end.
 	keptShare = 0.75
+	// minLowerShare is the part of the running requests that lower classes have at least
+	// if they are the cause of late requests.
+	minLowerShare = 0.25
 	// presence is how long after its last request a priority counts as present. Urgent
 	// requests that arrive once a second still find room.
 	presence zinniatide.Millis = 2000
@@ -31,8 +34,6 @@
 	// shards in relation to it.
 	maxShards    int
 	initialLimit float64
-	running      float64 // cost of the running requests
-	permits      int     // number of the running requests
 	reachedAt    zinniatide.Millis
 	classes      []*class // by priority, the most urgent first
 }
@@ -96,6 +97,35 @@
 	return limit, share
 }
 
+// runningUpTo returns the cost of the running requests of a priority and of higher ones.
+// Lower ones do not count: an urgent request runs also while they fill the servers.
+func (p *pool) runningUpTo(priority int) float64 {
+	running := 0.0
+	for _, c := range p.classes {
+		if c.priority > priority {
+			break
+		}
+		running += c.running
+	}
+	return running
+}
+
+// observe adjusts the limits to the result of a request. While lower classes have a
+// considerable part of the running requests, a late request lowers their limits instead
+// of that of its own class.
+func (p *pool) observe(c *class, sample limiter.Sample, share float64, target, now zinniatide.Millis) {
+	running := p.runningUpTo(c.priority)
+	if all := p.runningUpTo(math.MaxInt); sample != limiter.Late || all-running < minLowerShare*all {
+		c.limit.Observe(sample, running/share, target, now)
+		return
+	}
+	for _, lower := range p.classes {
+		if lower.priority > c.priority && lower.running > 0 {
+			lower.limit.Observe(limiter.Late, p.runningUpTo(lower.priority), target, now)
+		}
+	}
+}
+
 // isShort reports whether the limit was reached a short time ago or has fallen.
 func (p *pool) isShort(now zinniatide.Millis) bool {
 	if now-p.reachedAt <= shortMemory {
@@ -113,7 +143,8 @@
 	c := p.classOf(priority, now)
 	c.seenAt = now
 	limit, share := p.limits(c, now)
-	if p.running >= limit {
+	running := p.runningUpTo(c.priority)
+	if running >= limit {
 		p.reachedAt = now
 	}
 	var charged *workspace
@@ -121,11 +152,11 @@
 		w := c.shares.arrive(id, now)
 		reason := ""
 		switch {
-		case p.running >= limit:
+		case running >= limit:
 			reason = ReasonOverloaded
-		case p.running >= share*limit && p.running > 0:
+		case running >= share*limit && running > 0:
 			reason = ReasonPriority
-		case now-c.reachedAt <= shortMemory && p.running >= limiter.MinUtilization*share*limit && !w.hasCredit():
+		case now-c.reachedAt <= shortMemory && running >= limiter.MinUtilization*share*limit && !w.hasCredit():
 			reason = ReasonShare
 		}
 		if reason != "" {
@@ -138,15 +169,17 @@
 		c.shares.admit(w)
 		charged = w
 	}
-	p.running += cost
-	p.permits++
-	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target, share: share, charged: charged}}
+	c.running += cost
+	c.permits++
+	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target, admittedAt: now, share: share, charged: charged}}
 }
 
 // class holds the requests of one priority in a pool.
 type class struct {
 	priority int
 	limit    *limiter.Limiter
+	running  float64 // cost of the running requests
+	permits  int     // number of the running requests
 	seenAt   zinniatide.Millis
 	// reachedAt is when a request was last refused because the limit was reached. Shares
 	// hold for a short time after it.
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -140,12 +140,18 @@
 func (uncounted) Observe(zinniatide.CapacityResult, zinniatide.Millis) {}
 func (uncounted) End()                                                 {}
 
+// promptShare is the share of the target latency within which an answer shows that
+// there is more capacity. Above it, more requests would only make the queues of servers
+// longer.
+const promptShare = 0.5
+
 // permit is the capacity that a request holds.
 type permit struct {
-	pool   *pool
-	class  *class
-	cost   float64
-	target zinniatide.Millis
+	pool       *pool
+	class      *class
+	cost       float64
+	target     zinniatide.Millis
+	admittedAt zinniatide.Millis
 	// share is the part of the limit that the class could use.
 	share float64
 	// charged is the workspace whose share the request has used, or nil.
@@ -154,7 +160,15 @@
 
 // Observe implements zinniatide.CapacityPermit.
 func (p *permit) Observe(result zinniatide.CapacityResult, now zinniatide.Millis) {
-	p.class.limit.Observe(result != zinniatide.CapacityInTime, p.pool.running/p.share, p.target, now)
+	sample := limiter.Late
+	switch {
+	case result != zinniatide.CapacityInTime:
+	case p.target > 0 && float64(now-p.admittedAt) > promptShare*float64(p.target):
+		sample = limiter.InTime
+	default:
+		sample = limiter.Prompt
+	}
+	p.pool.observe(p.class, sample, p.share, p.target, now)
 	if result == zinniatide.CapacityFailed && p.charged != nil {
 		p.class.shares.refund(p.charged)
 	}
@@ -162,10 +176,10 @@
 
 // End implements zinniatide.CapacityPermit.
 func (p *permit) End() {
-	p.pool.permits--
-	p.pool.running -= p.cost
-	if p.pool.permits == 0 {
-		p.pool.running = 0 // drops rounding errors
+	p.class.permits--
+	p.class.running -= p.cost
+	if p.class.permits == 0 {
+		p.class.running = 0 // drops rounding errors
 	}
 }
 
--- a/prioritizer/shares.go
+++ b/prioritizer/shares.go
@@ -130,7 +130,10 @@
 		}
 		rates = append(rates, w.rate)
 	}
-	s.level = levelOf(rates, shareSlack*s.admittedRate)
+	s.level = math.Inf(1)
+	if len(rates) > 1 {
+		s.level = levelOf(rates, shareSlack*s.admittedRate)
+	}
 }
 
 // levelOf returns the level at which workspaces that ask for rates get capacity
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -160,6 +160,21 @@
 	ar.reportIfUnanswered()
 }
 
+// recallUnsent withdraws the attempts that no server has received yet, so that they
+// never run. Any other open attempt may run.
+func (ar *activeRequest) recallUnsent() {
+	sent := ar.openAttempts[:0]
+	for _, att := range ar.openAttempts {
+		if att.exchange.CancelIfUnsent() {
+			att.server.Discard(att.startedAt)
+			continue
+		}
+		sent = append(sent, att)
+	}
+	ar.openAttempts = sent
+	ar.mayHaveRun = ar.mayHaveRun || len(sent) > 0
+}
+
 // recordDrops records that n servers dropped their connection while they ran the
 // request.
 func (ar *activeRequest) recordDrops(n int) {
--- a/relayer/capacity.go
+++ b/relayer/capacity.go
@@ -63,7 +63,7 @@
 	took := now - f.startedAt
 	fastest := f.r.fastestAnswerOf(f.target)
 	fastest.add(took, now)
-	if f.sheds > 0 || f.route.TargetLatency > 0 && now-f.req.ArrivedAt > f.route.TargetLatency && took > queueingFactor*fastest.value() {
+	if f.route.TargetLatency > 0 && now-f.req.ArrivedAt > f.route.TargetLatency && took > queueingFactor*fastest.value() {
 		return zinniatide.CapacityLate
 	}
 	return zinniatide.CapacityInTime
--- a/relayer/forwarding.go
+++ b/relayer/forwarding.go
@@ -176,13 +176,7 @@
 		f.failUnlessInFlight(reason)
 		return
 	}
-	// An attempt that still waits for a connection has not run, and is withdrawn
-	// so that it never will.
-	for _, att := range f.openAttempts {
-		if !att.exchange.CancelIfUnsent() {
-			f.mayHaveRun = true
-		}
-	}
+	f.recallUnsent()
 	f.fail(reason, retryAfter, "tried", f.triedServers())
 }
 
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -297,7 +297,7 @@
 	case g.finished:
 	case g.received+g.pending < g.route.MinShards:
 		g.observeResult(zinniatide.CapacityFailed)
-		g.cancelDelegations(true)
+		g.recallOpen()
 		g.fail(reason, shortRetryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.received >= g.route.MinShards && g.r.deps.Clock.Now() >= g.cutoff:
 		g.replyWithReceived()
@@ -325,11 +325,20 @@
 		return
 	}
 	g.observeResult(zinniatide.CapacityFailed)
-	g.cancelDelegations(true)
-	g.mayHaveRun = g.mayHaveRun || len(g.openAttempts) > 0 || len(g.delegations) > 0
+	g.recallOpen()
 	g.fail(reason, retryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
 
+// recallOpen withdraws what no server has received yet and ends the delegations. It
+// records whether servers may still run parts: 503 would be false then.
+func (g *gatherRequest) recallOpen() {
+	g.recallUnsent()
+	for _, d := range g.delegations {
+		g.mayHaveRun = g.mayHaveRun || d.open
+	}
+	g.cancelDelegations(true)
+}
+
 // stamps returns the stamps of the parts that have arrived.
 func (g *gatherRequest) stamps() []string {
 	out := make([]string, 0, g.received)
