--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -26,6 +26,10 @@
 	// than either share.
 	decreaseLateShare = 0.15
 	increaseLateShare = 0.05
+	// firstLateShare replaces decreaseLateShare while there is no limit. Half of the
+	// requests are late only under overload, while one server of several that pauses
+	// makes fewer late.
+	firstLateShare = 0.5
 	// maxSlowShare is the share of requests that are not prompt above which the limit
 	// increases slowly.
 	maxSlowShare = 0.2
@@ -143,25 +147,39 @@
 // Observe adjusts the limit to the result of a request, for callers that count the
 // running requests themselves. running includes the request.
 func (l *Limiter) Observe(sample Sample, running float64, target, now zinniatide.Millis) {
-	l.recover(now)
-	utilized := running >= MinUtilization*l.limit
-	late := 0.0
-	if sample == Late {
-		late, l.lateAt = 1, now
-	}
-	l.lateShare += lateWeight * (late - l.lateShare)
+	utilized := running >= MinUtilization*l.Limit(now)
+	decreased := l.ObserveOther(sample == Late, running, target, now)
 	slow := 0.0
 	if sample != Prompt {
 		slow = 1
 	}
 	l.slowShare += lateWeight * (slow - l.slowShare)
 	switch {
-	case l.lateShare > decreaseLateShare && now-l.decreasedAt >= target:
-		l.limit = max(decreaseFactor*min(l.limit, running), minLimit)
-		l.decreasedAt, l.slowAbove = now, l.limit
+	case decreased:
 	case sample == Prompt && l.lateShare < increaseLateShare && l.slowShare < maxSlowShare && utilized && l.limit < l.slowAbove:
 		l.limit = min(l.limit+1, max(maxLimit, l.initial))
 	case sample != Late && utilized:
 		l.limit = min(l.limit+1/l.limit, max(maxLimit, l.initial))
 	}
 }
+
+// ObserveOther counts the result of a request that this limit does not admit but affects.
+// The limit may decrease, which it reports, but does not increase.
+func (l *Limiter) ObserveOther(late bool, running float64, target, now zinniatide.Millis) bool {
+	l.recover(now)
+	sample := 0.0
+	if late {
+		sample, l.lateAt = 1, now
+	}
+	l.lateShare += lateWeight * (sample - l.lateShare)
+	threshold := decreaseLateShare
+	if math.IsInf(l.limit, 1) {
+		threshold = firstLateShare
+	}
+	if l.lateShare <= threshold || now-l.decreasedAt < target {
+		return false
+	}
+	l.limit = max(decreaseFactor*min(l.limit, running), minLimit)
+	l.decreasedAt, l.slowAbove = now, l.limit
+	return true
+}
--- a/prioritizer/pool.go
+++ b/prioritizer/pool.go
@@ -1,6 +1,7 @@
 package prioritizer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -16,6 +17,9 @@
 	// minLowerShare is the part of the running requests that lower classes have at least
 	// if they are the cause of late requests.
 	minLowerShare = 0.25
+	// idleShare is the part of a limit below which requests are admitted whatever the share
+	// of their workspace, because capacity would be left unused.
+	idleShare = 0.7
 	// presence is how long after its last request a priority counts as present. Urgent
 	// requests that arrive once a second still find room.
 	presence zinniatide.Millis = 2000
@@ -58,16 +62,16 @@
 
 // classOf returns the class of a priority.
 func (p *pool) classOf(priority int, now zinniatide.Millis) *class {
-	i, found := slices.BinarySearchFunc(p.classes, priority, func(c *class, priority int) int { return c.priority - priority })
+	i, found := slices.BinarySearchFunc(p.classes, priority, func(c *class, priority int) int { return cmp.Compare(c.priority, priority) })
 	if found {
 		return p.classes[i]
 	}
 	if len(p.classes) >= maxClasses {
-		p.classes = slices.DeleteFunc(p.classes, func(c *class) bool { return now-c.seenAt > presence })
+		p.classes = slices.DeleteFunc(p.classes, func(c *class) bool { return now-c.seenAt > presence && c.permits == 0 })
 		if len(p.classes) >= maxClasses {
 			return p.classes[len(p.classes)-1]
 		}
-		i, _ = slices.BinarySearchFunc(p.classes, priority, func(c *class, priority int) int { return c.priority - priority })
+		i, _ = slices.BinarySearchFunc(p.classes, priority, func(c *class, priority int) int { return cmp.Compare(c.priority, priority) })
 	}
 	c := newClass(priority, p.initialLimit)
 	p.classes = slices.Insert(p.classes, i, c)
@@ -115,22 +119,25 @@
 // of that of its own class.
 func (p *pool) observe(c *class, sample limiter.Sample, share float64, target, now zinniatide.Millis) {
 	running := p.runningUpTo(c.priority)
-	if all := p.runningUpTo(math.MaxInt); sample != limiter.Late || all-running < minLowerShare*all {
+	all := p.runningUpTo(math.MaxInt)
+	lowerCause := all-running >= minLowerShare*all && all > running
+	if sample != limiter.Late || !lowerCause {
 		c.limit.Observe(sample, running/share, target, now)
-		return
 	}
 	for _, lower := range p.classes {
-		if lower.priority > c.priority && lower.running > 0 {
-			lower.limit.Observe(limiter.Late, p.runningUpTo(lower.priority), target, now)
+		if lowerCause && lower.priority > c.priority && lower.running > 0 {
+			lower.limit.ObserveOther(sample == limiter.Late, p.runningUpTo(lower.priority), target, now)
 		}
 	}
 }
 
 // isShort reports whether the limit was reached a short time ago or has fallen.
 func (p *pool) isShort(now zinniatide.Millis) bool {
-	if now-p.reachedAt <= shortMemory {
-		return true
-	}
+	return now-p.reachedAt <= shortMemory || p.hasFallen(now)
+}
+
+// hasFallen reports whether a limit is below its initial value.
+func (p *pool) hasFallen(now zinniatide.Millis) bool {
 	for _, c := range p.classes {
 		if c.limit.HasFallen(now) {
 			return true
@@ -139,24 +146,27 @@
 	return false
 }
 
-func (p *pool) admit(id zinniatide.WorkspaceID, priority int, cost float64, target, now zinniatide.Millis) zinniatide.CapacityDecision {
-	c := p.classOf(priority, now)
+func (p *pool) admit(r *zinniatide.CapacityRequest, cost float64, now zinniatide.Millis) zinniatide.CapacityDecision {
+	c := p.classOf(r.Priority, now)
 	c.seenAt = now
 	limit, share := p.limits(c, now)
+	if !r.Route.Gathers() && !p.hasFallen(now) {
+		limit = math.Inf(1) // only gathered requests have an initial limit
+	}
 	running := p.runningUpTo(c.priority)
 	if running >= limit {
 		p.reachedAt = now
 	}
 	var charged *workspace
 	if p.isShort(now) {
-		w := c.shares.arrive(id, now)
+		w := c.shares.arrive(r.Workspace, now)
 		reason := ""
 		switch {
 		case running >= limit:
 			reason = ReasonOverloaded
 		case running >= share*limit && running > 0:
 			reason = ReasonPriority
-		case now-c.reachedAt <= shortMemory && running >= limiter.MinUtilization*share*limit && !w.hasCredit():
+		case now-c.reachedAt <= shortMemory && running >= idleShare*share*limit && !w.hasCredit():
 			reason = ReasonShare
 		}
 		if reason != "" {
@@ -164,14 +174,16 @@
 			if reason != ReasonShare {
 				c.reachedAt = now
 			}
-			return zinniatide.CapacityDecision{Reason: reason, RetryAfter: c.shares.retryAfter(target, now)}
+			return zinniatide.CapacityDecision{Reason: reason, RetryAfter: c.shares.retryAfter(r.Route.TargetLatency, now)}
 		}
 		c.shares.admit(w)
 		charged = w
+	} else {
+		c.shares.reset(now)
 	}
 	c.running += cost
 	c.permits++
-	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: target, admittedAt: now, share: share, charged: charged}}
+	return zinniatide.CapacityDecision{Permit: &permit{pool: p, class: c, cost: cost, target: r.Route.TargetLatency, admittedAt: now, share: share, charged: charged}}
 }
 
 // class holds the requests of one priority in a pool.
--- a/prioritizer/prioritizer.go
+++ b/prioritizer/prioritizer.go
@@ -92,7 +92,7 @@
 		return zinniatide.CapacityDecision{Permit: uncounted{}}
 	}
 	cost := float64(shards) / float64(shared.maxShards)
-	return shared.admit(r.Workspace, r.Priority, cost, r.Route.TargetLatency, now)
+	return shared.admit(&r, cost, now)
 }
 
 // RecordPriority implements zinniatide.CapacityAdmitter.
--- a/prioritizer/shares.go
+++ b/prioritizer/shares.go
@@ -45,8 +45,6 @@
 	admittedRate float64
 	// level is the number of requests per window that a workspace may get.
 	level float64
-	// windows is the number of complete windows since the counts began.
-	windows int
 	// nextRetryAt is when the next refused caller is asked to come back.
 	nextRetryAt zinniatide.Millis
 }
@@ -102,6 +100,14 @@
 	s.admitted = max(s.admitted-1, 0)
 }
 
+// reset drops all counts.
+func (s *shares) reset(now zinniatide.Millis) {
+	if len(s.workspaces) > 0 {
+		s.workspaces = map[zinniatide.WorkspaceID]*workspace{}
+	}
+	s.admitted, s.admittedRate, s.level, s.windowStart = 0, 0, math.Inf(1), now
+}
+
 // advance ends the current window if its time is over.
 func (s *shares) advance(now zinniatide.Millis) {
 	passed := (now - s.windowStart) / shareWindow
@@ -109,12 +115,10 @@
 		return
 	}
 	if passed > 20 { // nothing of the counts is left after 4 s
-		s.workspaces, s.admitted, s.admittedRate, s.windows = map[zinniatide.WorkspaceID]*workspace{}, 0, 0, 0
-		s.level, s.windowStart = math.Inf(1), now
+		s.reset(now)
 		return
 	}
 	s.windowStart += passed * shareWindow
-	s.windows++
 	decay := math.Pow(1-shareWeight, float64(passed))
 	// The windows in between had no requests.
 	last := decay / (1 - shareWeight) * shareWeight
--- a/relayer/capacity.go
+++ b/relayer/capacity.go
@@ -50,7 +50,11 @@
 // for a hedge, because the budget is scarce and more urgent requests may need it.
 func (ar *activeRequest) leavesHedge(s *selector.Service) bool {
 	now := ar.r.deps.Clock.Now()
-	return !s.Budget.AtLeastHalfFull(now) && ar.r.capacity.LeavesHedges(s.Service, ar.priority, now)
+	if s.Budget.AtLeastHalfFull(now) || !ar.r.capacity.LeavesHedges(s.Service, ar.priority, now) {
+		return false
+	}
+	ar.r.metrics.leftHedges.Inc()
+	return true
 }
 
 // queueingFactor is how much longer than the fastest recent answer of its service an
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -210,7 +210,6 @@
 		hedged, rejected := g.hedgeThroughDelegate(zone, indexes)
 		sent, denied = sent+hedged, denied+rejected
 	}
-	g.r.metrics.leftHedges.Add(float64(left))
 	if sent+denied+left > 0 {
 		g.r.metrics.hedges.Add(float64(sent))
 		klog.InfoS("hedging late parts", "step", "gather", "request", g.req.ID, "route", g.route.ID, "sent", sent,
@@ -325,6 +324,7 @@
 		return
 	}
 	g.observeResult(zinniatide.CapacityFailed)
+	g.mayHaveRun = g.mayHaveRun || len(g.delegations) > 0
 	g.recallOpen()
 	g.fail(reason, retryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
--- a/relayer/metrics.go
+++ b/relayer/metrics.go
@@ -14,8 +14,8 @@
 	partialAnswers prometheus.Counter
 	missingShards  prometheus.Counter
 	hedges         prometheus.Counter
-	// leftHedges counts the late parts that were not hedged because the retry budget was
-	// left to more urgent requests.
+	// leftHedges counts the late parts and plain requests that were not hedged because the
+	// retry budget was left to more urgent requests.
 	leftHedges prometheus.Counter
 	// delegations counts the delegations sent to other VMs, delegatedGathers those
 	// served for other VMs.
@@ -54,7 +54,7 @@
 		}),
 	}
 	m.leftHedges = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "zinniatide_relay_left_hedges_total", Help: "Late parts that left a scarce retry budget to requests of a higher priority.",
+		Name: "zinniatide_relay_left_hedges_total", Help: "Late parts and plain requests that left a scarce retry budget to requests of a higher priority.",
 	})
 	m.delegations = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "zinniatide_relay_delegations_total", Help: "Groups of parts that a VM of another zone was asked to gather.",
--- a/routing.go
+++ b/routing.go
@@ -53,8 +53,8 @@
 	Timeout Millis `json:"timeout-ms"`
 	// TargetLatency is the latency up to which an answer has its full value.
 	TargetLatency Millis `json:"target-latency-ms"`
-	// Priority labels the metrics of the route; 0 is the highest priority. It does
-	// not affect scheduling.
+	// Priority decides, unless that of the workspace does, which requests run when
+	// capacity is short. 0 is usually the highest; it also labels metrics.
 	Priority int `json:"priority"`
 	// MaxAttempts is the maximum number of backend servers that one request, or
 	// one shard of a gathered request, is sent to.
