--- a/relayer/contention_test.go
+++ b/relayer/contention_test.go
@@ -106,6 +106,7 @@
 	repeats int
 
 	sent, inTime, served, refused int
+	complete                      int // in time with all parts
 	refusedIDs                    []string
 	lastRefusedAt                 zinniatide.Millis
 	shortestAdvice, longestAdvice zinniatide.Millis
@@ -132,13 +133,16 @@
 	req.Timeout = 0
 	sim.relayer.Serve(req, func(reply Reply) {
 		now := sim.clock.Now()
-		switch {
-		case reply.Status == 200:
+		switch reply.Status {
+		case 200:
 			c.served++
 			if now-startedAt <= c.target {
 				c.inTime++
+				if missingParts(sim.t, reply) == 0 {
+					c.complete++
+				}
 			}
-		case reply.Status == 503:
+		case statusUnavailable:
 			c.refused++
 			c.refusedIDs = append(c.refusedIDs, req.ID)
 			c.lastRefusedAt = now
