--- a/cmd/zinniabench/scenarios/scenario.go
+++ b/cmd/zinniabench/scenarios/scenario.go
@@ -93,7 +93,7 @@
 	return []Scenario{
 		steady, straggler, coldStart, turnedCold, zoneOutIn, leavingServer, zoneLoss, propagation,
 		entryLoss, resend, queryOfDeath, controlPartition,
-		leaderLoss, catchUp, overload, versionChange, repartition,
+		leaderLoss, catchUp, overload, contention, versionChange, repartition,
 		silentConnection, combined, plannedStop, changeCost,
 		capacitySessions, capacityChanges, capacityCatalog, capacityConfiguration, capacityClaims, capacityLinks,
 		capacityMessages, capacityQueries,
--- a/relayer/capacity_test.go
+++ b/relayer/capacity_test.go
@@ -43,6 +43,34 @@
 	}
 }
 
+// Load: queries while the servers of all but two shards are cold and have their rate. Guards
+// against queries that cannot be answered and run on the other shards.
+func TestQueryWithoutRateIsRefusedUnsent(t *testing.T) {
+	sim := newSimulation(t, testShards)
+	for i := range sim.config.Routing.Services {
+		sim.config.Routing.Services[i].ColdRate = 1
+	}
+	sim.config.RoutingNumber++
+	for i := range sim.enrollments[4:] {
+		sim.enrollments[4+i].ColdRemaining = 60_000
+		sim.enrollments[4+i].Sequence++
+	}
+	sim.updateRelayer()
+	status := map[int]int{}
+	for i := range 100 {
+		req := &Request{ID: fmt.Sprintf("z%d", i), Host: "h", Path: "/q/x", Head: []byte("GET /q/x HTTP/1.1\r\n"), ArrivedAt: sim.clock.Now()}
+		sim.relayer.Serve(req, func(reply Reply) { status[reply.Status]++ })
+		sim.run(sim.clock.Now() + 5)
+	}
+	sim.run(sim.clock.Now() + 5000)
+	if status[503] < 90 || status[502] > 0 {
+		t.Errorf("got statuses %v, want most of them 503 and none 502", status)
+	}
+	if got, most := sim.arrivals("shard-00"), 100-status[503]; got > most {
+		t.Errorf("got %d sends to a warm shard, want at most %d as answered queries", got, most)
+	}
+}
+
 // Load: requests of all outcomes, callers that leave, timeouts and servers that never
 // answer. Guards against capacity that is not given back.
 func TestCapacityIsGivenBack(t *testing.T) {
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -79,7 +79,7 @@
 func (g *gatherRequest) start() {
 	o := g.r.selectionOptions(nil)
 	g.parts = make([]part, len(g.route.Shards))
-	available := 0
+	available, sendable := 0, 0
 	var unavailable []*selector.Service
 	for i, shard := range g.route.Shards {
 		p := &g.parts[i]
@@ -88,6 +88,9 @@
 		p.failed = p.service == nil || !p.service.Available(o)
 		if !p.failed {
 			available++
+			if p.service.MaySendNow(o) {
+				sendable++
+			}
 		} else if p.service != nil {
 			unavailable = append(unavailable, p.service)
 		}
@@ -98,6 +101,13 @@
 		g.finished = true
 		return
 	}
+	// Refused before any part is sent: a query that fails later may have run.
+	if sendable < g.route.MinShards && g.sendDelegationReply == nil {
+		g.r.refuse(g.req, g.route, g.respond, statusUnavailable,
+			"servers that are cold or were paused have their rate", shortRetryAfter, "reachable", available, "free", sendable, "needed", g.route.MinShards)
+		g.finished = true
+		return
+	}
 	g.pending = available
 	g.topRecords = ranker.New(g.route.TopRecords)
 	if g.sendDelegationReply == nil {
--- a/selector/service.go
+++ b/selector/service.go
@@ -111,13 +111,29 @@
 	return false
 }
 
+// maySendNow reports whether a server may get a request now.
+func (o *Options) maySendNow(s *Server) bool {
+	return o.eligible(s) && !s.Unreachable() && o.maySendToCold(s) && s.coldRateAllows(o.Now) && s.resumes(o.Now)
+}
+
+// MaySendNow reports whether any server may get a request now. Unlike Available, it is
+// false while all servers are limited in their rate.
+func (s *Service) MaySendNow(o *Options) bool {
+	for _, server := range s.Servers {
+		if o.maySendNow(server) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pick returns the server with the lowest score that has not been tried, or
 // nil.
 func (s *Service) Pick(o *Options) *Server {
 	var best *Server
 	bestScore := 0.0
 	for _, server := range s.Servers {
-		if !o.eligible(server) || server.Unreachable() || o.tried(server) || !o.maySendToCold(server) || !server.coldRateAllows(o.Now) || !server.resumes(o.Now) {
+		if !o.maySendNow(server) || o.tried(server) {
 			continue
 		}
 		score := server.score(o.Now)
