--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -36,9 +36,16 @@
 	survived       bool
 	// leaving holds the processes that said in their answers to an onBehalf request
 	// that they are leaving, until the next reply to the delegating VM.
-	leaving      []leavingProcess
-	timerStops   []func()
-	openAttempts []*attempt
+	leaving []leavingProcess
+	// target is the service of a plain request.
+	target zinniatide.ServiceID
+	// permit is the capacity that the request holds, or nil.
+	permit zinniatide.CapacityPermit
+	// resultObserved is set once the permit knows how the request ended, failedByLoad if
+	// it failed.
+	resultObserved, failedByLoad bool
+	timerStops                   []func()
+	openAttempts                 []*attempt
 }
 
 // attempt is one exchange with a server.
@@ -94,6 +101,9 @@
 			break
 		}
 	}
+	if ar.finished {
+		defer ar.endPermit()
+	}
 	r, s := ar.r, att.server
 	now := r.deps.Clock.Now()
 	r.metrics.countExchange(a.Result)
@@ -150,10 +160,26 @@
 	for _, att := range ar.openAttempts {
 		att.exchange.Withdraw()
 	}
+	ar.endPermit()
 	ar.respond(reply)
 	ar.reportIfUnanswered()
 }
 
+// recallUnsent withdraws the attempts that no server has received yet, so that they
+// never run. Any other open attempt may run.
+func (ar *activeRequest) recallUnsent() {
+	sent := ar.openAttempts[:0]
+	for _, att := range ar.openAttempts {
+		if att.exchange.CancelIfUnsent() {
+			att.server.Discard(att.startedAt)
+			continue
+		}
+		sent = append(sent, att)
+	}
+	ar.openAttempts = sent
+	ar.mayHaveRun = ar.mayHaveRun || len(sent) > 0
+}
+
 // recordDrops records that n servers dropped their connection while they ran the
 // request.
 func (ar *activeRequest) recordDrops(n int) {
@@ -217,6 +243,7 @@
 		att.server.RecordCancel(att.startedAt, now)
 	}
 	ar.openAttempts = nil
+	ar.endPermit()
 	ar.r.metrics.observeOutcome(ar.route, ar.priority, "caller-left", float64(now-ar.req.ArrivedAt))
 	klog.InfoS("caller disconnected", "step", "relay", "request", ar.req.ID, "route", ar.route.ID, "after-ms", now-ar.req.ArrivedAt, "ran", ar.mayHaveRun)
 }
--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -8,7 +8,6 @@
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/headerline"
-	"zinniatide.example/zinniatide/limiter"
 	"zinniatide.example/zinniatide/ranker"
 	"zinniatide.example/zinniatide/selector"
 	"zinniatide.example/zinniatide/transporter"
@@ -45,7 +44,6 @@
 	// enough have arrived.
 	cutoff      zinniatide.Millis
 	delegations []*delegation
-	limiter     *limiter.Limiter // nil once the request has ended, or if it runs on behalf of another VM
 	// sendDelegationReply replies to the delegating VM. It is nil if the request
 	// came from a caller.
 	sendDelegationReply func()
@@ -81,7 +79,7 @@
 func (g *gatherRequest) start() {
 	o := g.r.selectionOptions(nil)
 	g.parts = make([]part, len(g.route.Shards))
-	available := 0
+	available, sendable := 0, 0
 	var unavailable []*selector.Service
 	for i, shard := range g.route.Shards {
 		p := &g.parts[i]
@@ -90,6 +88,9 @@
 		p.failed = p.service == nil || !p.service.Available(o)
 		if !p.failed {
 			available++
+			if p.service.MaySendNow(o) {
+				sendable++
+			}
 		} else if p.service != nil {
 			unavailable = append(unavailable, p.service)
 		}
@@ -100,14 +101,12 @@
 		g.finished = true
 		return
 	}
-	if g.sendDelegationReply == nil {
-		g.limiter = g.r.limiterOf(g.route.ID)
-		if !g.limiter.TryAcquire() {
-			g.limiter = nil
-			g.r.refuse(g.req, g.route, g.respond, statusUnavailable, "overloaded", g.route.TargetLatency)
-			g.finished = true
-			return
-		}
+	// Refused before any part is sent: a query that fails later may have run.
+	if sendable < g.route.MinShards && g.sendDelegationReply == nil {
+		g.r.refuse(g.req, g.route, g.respond, statusUnavailable,
+			"servers that are cold or were paused have their rate", shortRetryAfter, "reachable", available, "free", sendable, "needed", g.route.MinShards)
+		g.finished = true
+		return
 	}
 	g.pending = available
 	g.topRecords = ranker.New(g.route.TopRecords)
@@ -207,13 +206,17 @@
 
 // hedgeParts sends the parts that are still late to second servers.
 func (g *gatherRequest) hedgeParts(indexes []int) {
-	sent, denied := 0, 0
+	sent, denied, left := 0, 0, 0
 	remote := map[zinniatide.ZoneID][]int{}
 	for _, i := range indexes {
 		p := &g.parts[i]
 		if g.finished || !g.isLate(p) {
 			continue
 		}
+		if g.leavesHedge(p.service) {
+			left++
+			continue
+		}
 		if zone := g.hedgeZone(p); zone != "" {
 			remote[zone] = append(remote[zone], i)
 			continue
@@ -228,10 +231,10 @@
 		hedged, rejected := g.hedgeThroughDelegate(zone, indexes)
 		sent, denied = sent+hedged, denied+rejected
 	}
-	if sent+denied > 0 {
+	if sent+denied+left > 0 {
 		g.r.metrics.hedges.Add(float64(sent))
 		klog.InfoS("hedging late parts", "step", "gather", "request", g.req.ID, "route", g.route.ID, "sent", sent,
-			"denied", denied, "got", g.received, "after-ms", g.r.deps.Clock.Now()-g.req.ArrivedAt)
+			"denied", denied, "left-to-others", left, "got", g.received, "after-ms", g.r.deps.Clock.Now()-g.req.ArrivedAt)
 	}
 }
 
@@ -315,8 +318,8 @@
 	switch {
 	case g.finished:
 	case g.received+g.pending < g.route.MinShards:
-		g.releaseLimiter(true)
-		g.cancelDelegations(true)
+		g.observeResult(zinniatide.CapacityFailed)
+		g.recallOpen()
 		g.fail(reason, shortRetryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 	case g.pending == 0, g.received >= g.route.MinShards && g.r.deps.Clock.Now() >= g.cutoff:
 		g.replyWithReceived()
@@ -330,10 +333,6 @@
 	g.r.deps.Lock.Lock()
 	defer g.r.deps.Lock.Unlock()
 	g.cancelDelegations(false)
-	if g.limiter != nil {
-		g.limiter.ReleaseWithoutSample()
-		g.limiter = nil
-	}
 	g.cancelLocked()
 }
 
@@ -347,12 +346,22 @@
 		g.replyWithReceived()
 		return
 	}
-	g.releaseLimiter(true)
-	g.cancelDelegations(true)
-	g.mayHaveRun = g.mayHaveRun || len(g.openAttempts) > 0 || len(g.delegations) > 0
+	g.observeResult(zinniatide.CapacityFailed)
+	g.mayHaveRun = g.mayHaveRun || len(g.delegations) > 0
+	g.recallOpen()
 	g.fail(reason, retryAfter, "got", g.received, "needed", g.route.MinShards, "shards", g.missingShards(), "tried", g.triedServers())
 }
 
+// recallOpen withdraws what no server has received yet and ends the delegations. It
+// records whether servers may still run parts: 503 would be false then.
+func (g *gatherRequest) recallOpen() {
+	g.recallUnsent()
+	for _, d := range g.delegations {
+		g.mayHaveRun = g.mayHaveRun || d.open
+	}
+	g.cancelDelegations(true)
+}
+
 // stamps returns the stamps of the parts that have arrived.
 func (g *gatherRequest) stamps() []string {
 	out := make([]string, 0, g.received)
@@ -364,23 +373,17 @@
 	return out
 }
 
-// releaseLimiter returns the slot of the concurrency limiter. It reports the
-// request as late if the parts did not arrive in time or failed.
-func (g *gatherRequest) releaseLimiter(late bool) {
-	if g.limiter == nil {
-		return
-	}
-	g.limiter.Release(late, g.route.TargetLatency, g.r.deps.Clock.Now())
-	g.limiter = nil
-}
-
 // replyWithReceived answers with the parts that have arrived.
 func (g *gatherRequest) replyWithReceived() {
 	if g.sendDelegationReply != nil {
 		g.sendDelegationReply()
 		return
 	}
-	g.releaseLimiter(g.r.deps.Clock.Now() > g.cutoff)
+	result := zinniatide.CapacityInTime
+	if g.r.deps.Clock.Now() > g.cutoff {
+		result = zinniatide.CapacityLate
+	}
+	g.observeResult(result)
 	g.cancelDelegations(true)
 	missing := len(g.parts) - g.received
 	now := g.r.deps.Clock.Now()
--- a/selector/service.go
+++ b/selector/service.go
@@ -155,6 +155,23 @@
 	return false
 }
 
+// maySendNow reports whether the rules allow a request to a server now, apart from its
+// pace.
+func (o *Options) maySendNow(s *Server) bool {
+	return o.eligible(s) && !s.Unreachable() && o.maySendToCold(s) && s.coldRateAllows(o.Now)
+}
+
+// MaySendNow reports whether any server may get a request now. Unlike Available, it is
+// false while all servers are limited in their rate.
+func (s *Service) MaySendNow(o *Options) bool {
+	for _, server := range s.Servers {
+		if o.maySendNow(server) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pick returns the server with the lowest score that has not been tried, or
 // nil. Servers that are held back by their pace are left out. If all are, or the others
 // are much worse, the least loaded of them is returned: a refusal would be worse for the
@@ -209,10 +226,9 @@
 	s.PaceObserver.HeldBack(heldBack)
 }
 
-// allowed reports whether the rules allow a request to the server, apart from its pace.
-func (o *Options) allowed(s *Server) bool {
-	return o.eligible(s) && !s.Unreachable() && !o.tried(s) && o.maySendToCold(s) && s.coldRateAllows(o.Now)
-}
+// allowed reports whether the rules allow the request to a server that it has not been
+// sent to yet.
+func (o *Options) allowed(s *Server) bool { return !o.tried(s) && o.maySendNow(s) }
 
 // score returns the score of a server as seen from this VM's zone. A random factor
 // spreads the load over servers with about the same score.
