--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,10 @@
 	@mkdir -p bin
 	go build -o bin/ ./cmd/zinniatide ./cmd/zinniactl ./cmd/zinniastand ./cmd/zinniabench ./cmd/zinniasoak
 
+# The tests of hostile clients measure the memory of processes, so they run alone.
 test:
-	go test -count=1 -timeout 9m $(PACKAGES)
+	@status=0; go test -count=1 -timeout 9m $$(go list $(PACKAGES) | grep -v '/zinniasoak/bounds$$') || status=1; \
+	go test -count=1 -timeout 9m ./cmd/zinniasoak/bounds || status=1; exit $$status
 
 race:
 	go test -race -count=1 -timeout 30m $(PACKAGES)
--- a/node/relay.go
+++ b/node/relay.go
@@ -8,27 +8,34 @@
 	"os"
 	"slices"
 	"sync"
-	"time"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/acceptor"
 	"zinniatide.example/zinniatide/checker"
+	"zinniatide.example/zinniatide/common/boottime"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/controller"
 	"zinniatide.example/zinniatide/enroller"
+	"zinniatide.example/zinniatide/granter"
 	"zinniatide.example/zinniatide/journal"
 	"zinniatide.example/zinniatide/linker"
 	"zinniatide.example/zinniatide/logkeeper"
 	"zinniatide.example/zinniatide/quarantiner"
+	"zinniatide.example/zinniatide/quotalimiter"
 	"zinniatide.example/zinniatide/registrar"
 	"zinniatide.example/zinniatide/relayer"
+	"zinniatide.example/zinniatide/reserver"
 	"zinniatide.example/zinniatide/resolver"
+	"zinniatide.example/zinniatide/responder"
 	"zinniatide.example/zinniatide/retrybudget"
+	"zinniatide.example/zinniatide/rollouter"
 	"zinniatide.example/zinniatide/subscriber"
 	"zinniatide.example/zinniatide/transporter"
 )
@@ -64,6 +71,11 @@
 	RelayCapacity float64
 	// Budget limits the retries to one service over all VMs.
 	Budget retrybudget.Config
+	// Rollouts limits the requests that a bad version of backend servers gets. It is nil
+	// where rollouts are not in use.
+	Rollouts *rollouter.Config
+	// Quota holds the bounds of the rate limits of workspaces.
+	Quota granter.Bounds
 	// StopLimit is the time limit of a graceful shutdown.
 	StopLimit zinniatide.Millis
 	// CallerNames, RelayNames and BackendNames are the names of the HTTP headers
@@ -71,6 +83,8 @@
 	CallerNames  acceptor.HeaderNames
 	RelayNames   relayer.HeaderNames
 	BackendNames transporter.HeaderNames
+	// Clients limits what all clients of the process can occupy together.
+	Clients reserver.Config
 }
 
 // Endpoint is an HTTP address that the process serves in addition to
@@ -78,6 +92,8 @@
 type Endpoint struct {
 	Address string
 	Handler fasthttp.RequestHandler
+	// ReadsBodies is set if Handler needs the bodies of requests.
+	ReadsBodies bool
 }
 
 // Relay is a process that relays HTTP requests, takes part in the replicated
@@ -94,11 +110,14 @@
 	subscriber    *subscriber.Subscriber
 	enroller      *enroller.Enroller
 	quarantiner   *quarantiner.Quarantiner
+	quotaLimiter  *quotalimiter.Limiter // nil on a VM that does not relay
 	resolver      *resolver.Resolver
 	relayer       *relayer.Relayer
 	transporter   *transporter.Transporter
 	acceptor      *acceptor.Acceptor
 	httpServers   []*fasthttp.Server
+	budget        *reserver.Reserver
+	responder     *responder.Responder
 
 	updates chan struct{}
 	// updating is held during an update of the relayer, so that no older state replaces
@@ -146,9 +165,11 @@
 func NewRelay(cfg RelayConfig, clock zinniatide.Clock, registerer prometheus.Registerer) (*Relay, error) {
 	r := &Relay{cfg: cfg, clock: clock, process: newProcessID(), updates: make(chan struct{}, 1)}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.budget = reserver.New(cfg.Clients, clock, registerer)
+	r.responder = responder.New(r.budget)
 	var err error
 	r.linker, err = linker.New(linker.Config{
-		Self: cfg.VM, Process: r.process, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM),
+		Self: cfg.VM, Process: r.process, ListenAddress: string(cfg.VM), AdvertiseAddress: string(cfg.VM), Budget: r.budget,
 	}, clock, registerer)
 	if err != nil {
 		return nil, err
@@ -180,6 +201,9 @@
 	r.subscriber.OnConfiguration(func(c *zinniatide.Configuration) {
 		// Before the subscriber confirms the configuration to the control leader, which
 		// then acknowledges it to the operator.
+		if r.quotaLimiter != nil {
+			r.quotaLimiter.Install(c)
+		}
 		r.updateRelayer()
 		requestQuarantines.Do(r.quarantiner.RequestQuarantines)
 		r.enroller.TriggerTick()
@@ -224,6 +248,7 @@
 // links to all members. An active relay links to the control VMs, to the relays
 // of its zone that share the parts of queries with it, and to a few active
 // relays of each other zone. An inactive relay links to the control VMs only.
+// While a workspace has a limit, all relays link to the VMs that count as well.
 func (r *Relay) linkedPeers(c *zinniatide.Configuration) []zinniatide.VMID {
 	var peers []zinniatide.VMID
 	for vm, m := range c.Members {
@@ -231,6 +256,9 @@
 			peers = append(peers, vm)
 		}
 	}
+	if r.cfg.DataFolder == "" && r.cfg.CallerAddress != "" && granter.HasLimits(c) {
+		peers = append(peers, granter.Counters(c)...)
+	}
 	if r.cfg.DataFolder != "" || !slices.Contains(c.Relays(r.cfg.Zone), r.cfg.VM) {
 		return peers
 	}
@@ -317,6 +345,7 @@
 	}
 	r.controller = controller.New(controller.Config{
 		VM: cfg.VM, ControlVMs: cfg.Seeds, TargetControlVMs: cfg.Voters, AdjustRelayCounts: true, KnownLeader: r.subscriber.KnownLeader,
+		Rollouts: r.rolloutsOfLeader(),
 	}, r.replicatedLog, r.linker, r.clock, r.stateMachine, ticketChecker, registerer)
 	return nil
 }
@@ -354,12 +383,15 @@
 	r.transporter = transporter.New(transporter.Dependencies{
 		Lock: mu, Clock: r.clock, Timer: timers, Names: r.cfg.BackendNames, OnOpen: connections.Inc,
 	})
+	r.quotaLimiter = quotalimiter.New(granter.New(granter.Config{VM: r.cfg.VM, Bounds: r.cfg.Quota}), quotalimiter.Dependencies{
+		Clock: r.clock, BootTime: boottime.Read, Timer: timers, Linker: r.linker, ConfirmedAt: r.subscriber.ConfirmedAt, Registerer: registerer,
+	})
 	r.relayer = relayer.New(relayer.Config{
 		VM: r.cfg.VM, Process: r.process, Zone: r.cfg.Zone, Budget: r.cfg.Budget, RemoteCost: crossZoneCostMillis, ReplyMargin: replyMargin,
-		ConnectMargin: connectMargin,
+		ConnectMargin: connectMargin, Rollouts: r.cfg.Rollouts != nil,
 	}, relayer.Dependencies{
-		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Registerer: registerer,
-		ConfirmedAt: r.subscriber.ConfirmedAt,
+		Lock: mu, Clock: r.clock, Timer: timers, Random: newRand(), Names: r.cfg.RelayNames, Links: r.linker, Quarantine: r.quarantiner, Quota: r.quotaLimiter, Registerer: registerer,
+		ConfirmedAt: r.subscriber.ConfirmedAt, ReportRollouts: r.reportRollouts,
 		NewPool: func(server zinniatide.BackendServerID, address string, limit int) relayer.Pool {
 			return r.transporter.Pool(server, address, limit)
 		},
@@ -368,7 +400,7 @@
 	r.linker.Handle(zinniatide.KindGatherCancel, r.relayer.HandleGatherCancel)
 	r.linker.Handle(zinniatide.KindGatherLateParts, r.relayer.HandleLateParts)
 	r.linker.Handle(zinniatide.KindGatherAttempts, r.relayer.HandleGatherAttempts)
-	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.clock)
+	r.acceptor = acceptor.New(r.cfg.CallerNames, r.relayer, r.budget, r.clock)
 }
 
 // notifyChange tells applyUpdates that the enrollments have changed. It does not
@@ -393,7 +425,7 @@
 	r.startGoroutine(func() { r.subscriber.Run(r.ctx) })
 	if r.acceptor != nil {
 		r.startGoroutine(r.applyUpdates)
-		listener, err := net.Listen("tcp", r.cfg.CallerAddress)
+		listener, err := listenForClients(r.cfg.CallerAddress)
 		if err != nil {
 			return zinniatide.WrapStep(err, "listen", r.cfg.CallerAddress)
 		}
@@ -409,27 +441,31 @@
 	return nil
 }
 
-// Limits of the HTTP servers of endpoints.
-const (
-	maxRequestBodyBytes = 4 << 20
-	idleTimeout         = 30 * time.Second
-	readTimeout         = 10 * time.Second
-)
+// listenForClients listens on a TCP address. Its sockets have small buffers, so that the
+// kernel holds little for clients that do not read or whose requests are not read.
+func listenForClients(address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var sendErr, receiveErr error
+		err := raw.Control(func(fd uintptr) {
+			sendErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, reserver.SendBufferBytes)
+			receiveErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, reserver.ReceiveBufferBytes)
+		})
+		return errors.Join(err, sendErr, receiveErr)
+	}}
+	return config.Listen(context.Background(), "tcp", address)
+}
 
 // serveEndpoint starts an HTTP server for e.
 func (r *Relay) serveEndpoint(e Endpoint) error {
-	listener, err := net.Listen("tcp", e.Address)
+	listener, err := listenForClients(e.Address)
 	if err != nil {
 		return zinniatide.WrapStep(err, "listen", e.Address)
 	}
-	server := &fasthttp.Server{
-		Handler: e.Handler, MaxRequestBodySize: maxRequestBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		NoDefaultServerHeader: true, NoDefaultDate: true, DisablePreParseMultipartForm: true, CloseOnShutdown: true,
-		Logger: serverLogger{e.Address},
-	}
+	server := r.responder.Server(e.Handler, e.ReadsBodies)
+	server.Logger = serverLogger{e.Address}
 	r.httpServers = append(r.httpServers, server)
 	go func() {
-		if err := server.Serve(listener); err != nil {
+		if err := server.Serve(r.responder.Listen(listener)); err != nil {
 			klog.ErrorS(err, "HTTP server failed", "step", "serve", "peer", e.Address)
 		}
 	}()
--- a/relayer/active_request.go
+++ b/relayer/active_request.go
@@ -27,6 +27,8 @@
 	mayHaveRun bool
 	// onBehalf is set if the request runs on behalf of another VM.
 	onBehalf bool
+	// tokenUntil is until when the token of the request can be given back, or 0.
+	tokenUntil zinniatide.Millis
 	// droppedBy counts the servers that dropped their connection while they ran the
 	// request. survived is set once an answer shows that it does not crash servers.
 	droppedBy      int
@@ -34,9 +36,16 @@
 	survived       bool
 	// leaving holds the processes that said in their answers to an onBehalf request
 	// that they are leaving, until the next reply to the delegating VM.
-	leaving      []leavingProcess
-	timerStops   []func()
-	openAttempts []*attempt
+	leaving []leavingProcess
+	// target is the service of a plain request.
+	target zinniatide.ServiceID
+	// permit is the capacity that the request holds, or nil.
+	permit zinniatide.CapacityPermit
+	// resultObserved is set once the permit knows how the request ended, failedByLoad if
+	// it failed.
+	resultObserved, failedByLoad bool
+	timerStops                   []func()
+	openAttempts                 []*attempt
 }
 
 // attempt is one exchange with a server.
@@ -44,6 +53,9 @@
 	server    *selector.Server
 	exchange  *transporter.Exchange
 	startedAt zinniatide.Millis
+	// counts are those of a running rollout, or nil. cold is set if the server was cold.
+	counts *sideCounts
+	cold   bool
 }
 
 // after calls f with the lock held after delay, unless the request has finished
@@ -75,6 +87,7 @@
 		}
 	}
 	ar.r.sentRequests++
+	att.counts, att.cold = ar.r.countSend(s, ar.route.ID), s.IsCold(now)
 	s.RecordStart(now)
 	ar.openAttempts = append(ar.openAttempts, att)
 	ar.r.sendTo(s, att.exchange)
@@ -88,9 +101,13 @@
 			break
 		}
 	}
+	if ar.finished {
+		defer ar.endPermit()
+	}
 	r, s := ar.r, att.server
 	now := r.deps.Clock.Now()
 	r.metrics.countExchange(a.Result)
+	att.counts.record(a, now-att.startedAt, ar.route.Gathers(), att.cold)
 	ar.mayHaveRun = ar.mayHaveRun || a.Result.MayHaveRun()
 	if a.Dropped {
 		ar.recordDrops(1)
@@ -143,10 +160,26 @@
 	for _, att := range ar.openAttempts {
 		att.exchange.Withdraw()
 	}
+	ar.endPermit()
 	ar.respond(reply)
 	ar.reportIfUnanswered()
 }
 
+// recallUnsent withdraws the attempts that no server has received yet, so that they
+// never run. Any other open attempt may run.
+func (ar *activeRequest) recallUnsent() {
+	sent := ar.openAttempts[:0]
+	for _, att := range ar.openAttempts {
+		if att.exchange.CancelIfUnsent() {
+			att.server.Discard(att.startedAt)
+			continue
+		}
+		sent = append(sent, att)
+	}
+	ar.openAttempts = sent
+	ar.mayHaveRun = ar.mayHaveRun || len(sent) > 0
+}
+
 // recordDrops records that n servers dropped their connection while they ran the
 // request.
 func (ar *activeRequest) recordDrops(n int) {
@@ -210,6 +243,7 @@
 		att.server.RecordCancel(att.startedAt, now)
 	}
 	ar.openAttempts = nil
+	ar.endPermit()
 	ar.r.metrics.observeOutcome(ar.route, ar.priority, "caller-left", float64(now-ar.req.ArrivedAt))
 	klog.InfoS("caller disconnected", "step", "relay", "request", ar.req.ID, "route", ar.route.ID, "after-ms", now-ar.req.ArrivedAt, "ran", ar.mayHaveRun)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -19,7 +19,7 @@
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
 	"zinniatide.example/zinniatide/estimator"
-	"zinniatide.example/zinniatide/limiter"
+	"zinniatide.example/zinniatide/prioritizer"
 	"zinniatide.example/zinniatide/retrybudget"
 	"zinniatide.example/zinniatide/router"
 	"zinniatide.example/zinniatide/selector"
@@ -56,6 +56,8 @@
 	// request. ConnectMargin is subtracted as well if the caller had to open a
 	// connection.
 	ReplyMargin, ConnectMargin zinniatide.Millis
+	// Rollouts is set where the versions of servers decide which of them get requests.
+	Rollouts bool
 }
 
 // Dependencies are the dependencies of a Relayer.
@@ -72,10 +74,18 @@
 	Links Links
 	// Quarantine is nil if no request is refused because it crashes servers.
 	Quarantine Quarantine
+	// Quota limits the rates of workspaces. If it is nil, they have no limits.
+	Quota zinniatide.QuotaLimiter
 	// ConfirmedAt returns when the configuration was last known to be the newest. If it
 	// is nil, it always is.
 	ConfirmedAt func() zinniatide.Millis
-	Registerer  prometheus.Registerer
+	// ReportRollouts sends a report to the control leader. It must not block, and may be
+	// nil.
+	ReportRollouts func(*zinniatide.RolloutReports)
+	// Capacity decides when the capacity of servers is short. If it is nil, a
+	// prioritizer.Prioritizer does.
+	Capacity   zinniatide.CapacityAdmitter
+	Registerer prometheus.Registerer
 }
 
 // Quarantine knows the requests that crash the servers that run them.
@@ -113,8 +123,10 @@
 	// routeLatencies holds the latency statistics of the parts of each gathered
 	// route.
 	routeLatencies map[zinniatide.RouteID]*selector.LatencyStats
-	// limiters limit the concurrent gather requests of each route.
-	limiters map[zinniatide.RouteID]*limiter.Limiter
+	// capacity decides which requests run when the capacity of servers is short.
+	capacity zinniatide.CapacityAdmitter
+	// fastestAnswers are the fastest recent answers of each service of plain requests.
+	fastestAnswers map[zinniatide.ServiceID]*fastestAnswer
 	// pauses are the pauses that this VM has observed of all servers.
 	pauses        selector.Pauses
 	excludedZones map[zinniatide.ZoneID]bool
@@ -144,6 +156,7 @@
 	// openRequests holds, for each request of a caller in progress, a function that
 	// ends it early.
 	openRequests map[*activeRequest]func(reason string, retryAfter zinniatide.Millis)
+	rollouts     rollouts
 }
 
 // processKey identifies one process of a backend server.
@@ -172,11 +185,16 @@
 		services: map[zinniatide.ServiceID]*selector.Service{}, servers: map[processKey]*server{},
 		strippedHeaders: map[string]bool{"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Content-Length": true,
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
-		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, limiters: map[zinniatide.RouteID]*limiter.Limiter{},
+		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, capacity: d.Capacity, fastestAnswers: map[zinniatide.ServiceID]*fastestAnswer{},
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegatingVMs: map[zinniatide.VMID]*delegatingVM{}, delegations: map[uint64]*delegation{},
 		zoneReplyTime: estimator.New(zoneRoundTrip, zoneRoundTrip+maxReplyDelay), remoteReplyTime: estimator.New(remoteRoundTrip, remoteRoundTrip+maxReplyDelay),
 		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
+	if r.capacity == nil {
+		p := prioritizer.New()
+		r.capacity = p
+		r.registerCapacity(d.Registerer, p)
+	}
 	r.registerTables(d.Registerer)
 	for _, name := range d.Names.Stripped {
 		r.strippedHeaders[name] = true
@@ -242,22 +260,37 @@
 		r.refuse(req, route, respond, statusUnavailable, "this VM is stopping", stoppingRetryAfter, "stop-in-ms", r.stopping.endsAt-base.startedAt)
 		return noop
 	}
+	if w := r.limitOf(req); w != nil {
+		return r.awaitQuota(base, w)
+	}
+	return r.run(base)
+}
+
+// run serves a request that has passed the quota.
+func (r *Relayer) run(base activeRequest) (cancel func()) {
+	noop := func() {}
 	if q := r.deps.Quarantine; q != nil && !q.Empty() {
-		if left := q.QuarantineLeft(req.fingerprint()); left > 0 {
-			r.refuse(req, route, respond, statusUnavailable, "request crashed backend servers", left)
+		if left := q.QuarantineLeft(base.req.fingerprint()); left > 0 {
+			refused := base // a copy, so that base is not allocated for each request
+			r.refuse(base.req, base.route, refused.returningRespond(), statusUnavailable, "request crashed backend servers", left)
 			return noop
 		}
 	}
+	if !base.admitByCapacity() {
+		return noop
+	}
 	if r.confirmationAge() > maxConfirmationAge {
 		r.metrics.unconfirmedRequests.Inc()
 	}
-	if route.Gathers() {
+	if base.route.Gathers() {
 		g := &gatherRequest{activeRequest: base}
+		g.respond = g.returningRespond()
 		g.start()
 		r.trackRequest(&g.activeRequest, g.end)
 		return g.cancel
 	}
 	f := &forwardRequest{activeRequest: base}
+	f.respond = f.returningRespond()
 	f.start()
 	r.trackRequest(&f.activeRequest, f.end)
 	return f.cancel
@@ -289,9 +322,11 @@
 // trackRequest registers a request that has not finished yet with the function
 // that ends it early.
 func (r *Relayer) trackRequest(ar *activeRequest, end func(reason string, retryAfter zinniatide.Millis)) {
-	if !ar.finished {
-		r.openRequests[ar] = end
+	if ar.finished {
+		ar.endPermit()
+		return
 	}
+	r.openRequests[ar] = end
 }
 
 // Retry-After values of refusals.
@@ -333,11 +368,13 @@
 
 // selectionOptions returns the options for choosing a server now.
 func (r *Relayer) selectionOptions(tried []*selector.Server) *selector.Options {
-	return &selector.Options{
+	o := &selector.Options{
 		Zone: r.config.Zone, RemoteCost: r.config.RemoteCost, Now: r.deps.Clock.Now(), Tried: tried, Random: r.deps.Random,
 		ZoneExcluded:  func(zone zinniatide.ZoneID) bool { return r.excludedZones[zone] },
 		MaySendToCold: r.pacesColdServer,
 	}
+	r.excludeVersions(o)
+	return o
 }
 
 // pacesColdServer reports whether this VM is the one that sends requests to a
@@ -347,23 +384,9 @@
 	return picker.Pick(string(s.Server), r.activeRelays) == r.config.VM
 }
 
-// maxTrackedRoutes bounds the routes whose latencies and concurrency limits are
-// kept.
+// maxTrackedRoutes bounds the routes whose latencies are kept.
 const maxTrackedRoutes = 4096
 
-// limiterOf returns the concurrency limiter of a route.
-func (r *Relayer) limiterOf(id zinniatide.RouteID) *limiter.Limiter {
-	l := r.limiters[id]
-	if l == nil {
-		if len(r.limiters) >= maxTrackedRoutes {
-			clear(r.limiters)
-		}
-		l = limiter.New()
-		r.limiters[id] = l
-	}
-	return l
-}
-
 // latencyOf returns the latency statistics of a route.
 func (r *Relayer) latencyOf(id zinniatide.RouteID) *selector.LatencyStats {
 	l := r.routeLatencies[id]
--- a/selector/service.go
+++ b/selector/service.go
@@ -60,6 +60,9 @@
 	// LastAttempt is set if the request fails once another server refuses it. Paces do
 	// not count then: they would leave only servers that are as full as those tried.
 	LastAttempt bool
+	// Excluded reports whether a server may not get the request because of its version. If
+	// it is nil, no server is excluded.
+	Excluded func(*Server) bool
 }
 
 // Available reports whether any reachable server may get requests.
@@ -94,7 +97,31 @@
 }
 
 func (o *Options) eligible(s *Server) bool {
-	return s.usable() && !s.IsPaused(o.Now) && !o.ZoneExcluded(s.Zone)
+	return s.usable() && !s.IsPaused(o.Now) && !o.ZoneExcluded(s.Zone) && !o.excluded(s)
+}
+
+func (o *Options) excluded(s *Server) bool { return o.Excluded != nil && o.Excluded(s) }
+
+// InService reports whether a server that matches takes requests by its enrollment and its
+// answers, also if it is unreachable or its zone is out of service.
+func (s *Service) InService(matches func(*Server) bool) bool {
+	for _, server := range s.Servers {
+		if matches(server) && server.usable() {
+			return true
+		}
+	}
+	return false
+}
+
+// HasServer reports whether a server that matches is in service and reachable. Excluded
+// is not asked, and a server that has asked for a short pause counts.
+func (s *Service) HasServer(o *Options, matches func(*Server) bool) bool {
+	for _, server := range s.Servers {
+		if matches(server) && server.usable() && !o.ZoneExcluded(server.Zone) && !server.Unreachable() {
+			return true
+		}
+	}
+	return false
 }
 
 // ReturnsIn returns the time until the first paused server may get requests again. It
@@ -102,7 +129,7 @@
 func (s *Service) ReturnsIn(o *Options) (zinniatide.Millis, bool) {
 	var first zinniatide.Millis
 	for _, server := range s.Servers {
-		if server.usable() && server.IsPaused(o.Now) && !o.ZoneExcluded(server.Zone) && (first == 0 || server.pausedUntil < first) {
+		if server.usable() && server.IsPaused(o.Now) && !o.ZoneExcluded(server.Zone) && !o.excluded(server) && (first == 0 || server.pausedUntil < first) {
 			first = server.pausedUntil
 		}
 	}
@@ -128,6 +155,23 @@
 	return false
 }
 
+// maySendNow reports whether the rules allow a request to a server now, apart from its
+// pace.
+func (o *Options) maySendNow(s *Server) bool {
+	return o.eligible(s) && !s.Unreachable() && o.maySendToCold(s) && s.coldRateAllows(o.Now)
+}
+
+// MaySendNow reports whether any server may get a request now. Unlike Available, it is
+// false while all servers are limited in their rate.
+func (s *Service) MaySendNow(o *Options) bool {
+	for _, server := range s.Servers {
+		if o.maySendNow(server) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pick returns the server with the lowest score that has not been tried, or
 // nil. Servers that are held back by their pace are left out. If all are, or the others
 // are much worse, the least loaded of them is returned: a refusal would be worse for the
@@ -182,10 +226,9 @@
 	s.PaceObserver.HeldBack(heldBack)
 }
 
-// allowed reports whether the rules allow a request to the server, apart from its pace.
-func (o *Options) allowed(s *Server) bool {
-	return o.eligible(s) && !s.Unreachable() && !o.tried(s) && o.maySendToCold(s) && s.coldRateAllows(o.Now)
-}
+// allowed reports whether the rules allow the request to a server that it has not been
+// sent to yet.
+func (o *Options) allowed(s *Server) bool { return !o.tried(s) && o.maySendNow(s) }
 
 // score returns the score of a server as seen from this VM's zone. A random factor
 // spreads the load over servers with about the same score.
