--- a/relayer/gathering.go
+++ b/relayer/gathering.go
@@ -32,6 +32,12 @@
 // replies are merged after the cutoff.
 const sharedPartsPerMillisecond = 12
 
+// minCutoffShare is the least share of the target latency that is left for the parts. With
+// half of it, a query of 135 shards with a target of 40 ms was cut off too late for its
+// margin of 26 ms, so that most answers missed the target. In a third, parts that come late
+// would be missing from most answers.
+const minCutoffShare = 0.35
+
 // gatherRequest answers a request by merging the responses of one server of
 // each shard.
 type gatherRequest struct {
@@ -115,7 +121,8 @@
 		if g.req.NewConnection {
 			margin += g.r.config.ConnectMargin
 		}
-		g.cutoff = min(g.req.ArrivedAt+max(g.route.TargetLatency-margin, g.route.TargetLatency/2), g.deadline-deadlineMargin)
+		least := zinniatide.Millis(minCutoffShare * float64(g.route.TargetLatency))
+		g.cutoff = min(g.req.ArrivedAt+max(g.route.TargetLatency-margin, least), g.deadline-deadlineMargin)
 		g.delegateParts(o)
 	}
 	o.Hedge = g.hedgesForPeer
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,6 +18,7 @@
 	"zinniatide.example/zinniatide"
 	"zinniatide.example/zinniatide/common/picker"
 	"zinniatide.example/zinniatide/common/timer"
+	"zinniatide.example/zinniatide/estimator"
 	"zinniatide.example/zinniatide/prioritizer"
 	"zinniatide.example/zinniatide/retrybudget"
 	"zinniatide.example/zinniatide/router"
@@ -137,6 +138,9 @@
 	// share the parts of large queries. delegates are the other relay VMs by zone.
 	zonePeers []zinniatide.VMID
 	delegates map[zinniatide.ZoneID][]*delegate
+	// zoneReplyTime and remoteReplyTime estimate the time that the first reply of a
+	// delegate of this or another zone needs.
+	zoneReplyTime, remoteReplyTime *estimator.Estimator
 	// delegatedGathers are the gather requests that run here on behalf of other
 	// VMs.
 	delegatedGathers map[delegationKey]*gatherRequest
@@ -183,6 +187,7 @@
 			"Upgrade": true, "Trailer": true, "Te": true, "Proxy-Connection": true, "Proxy-Authenticate": true},
 		routeLatencies: map[zinniatide.RouteID]*selector.LatencyStats{}, capacity: d.Capacity, fastestAnswers: map[zinniatide.ServiceID]*fastestAnswer{},
 		delegates: map[zinniatide.ZoneID][]*delegate{}, delegatedGathers: map[delegationKey]*gatherRequest{}, delegatingVMs: map[zinniatide.VMID]*delegatingVM{}, delegations: map[uint64]*delegation{},
+		zoneReplyTime: estimator.New(zoneRoundTrip, zoneRoundTrip+maxReplyDelay), remoteReplyTime: estimator.New(remoteRoundTrip, remoteRoundTrip+maxReplyDelay),
 		hints: map[processKey]hint{}, openRequests: map[*activeRequest]func(string, zinniatide.Millis){},
 	}
 	if r.capacity == nil {
