--- a/granter/bucket.go
+++ b/granter/bucket.go
@@ -21,7 +21,7 @@
 	// otherwise it would fill up again while they are held, and both could be used in the
 	// same window.
 	held map[zinniatide.VMID]heldTokens
-	// nextRetryAt is when the next refused request is told to come back.
+	// nextRetryAt is when the next refused request should come back.
 	nextRetryAt zinniatide.Millis
 	refused     refusedVMs
 }
