--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -72,7 +72,7 @@
 		{"counts again", func(g *granter.Granter) {
 			g.Install(configuration(3, 1, other, limit), 1500, 1500)
 			g.Install(configuration(4, 1, self, limit), 1600, 1600)
-		}, 2000, 0, granter.Waiting, 0},
+		}, 2000, 0, granter.Waiting, 1}, // the one of a VM that waits
 		{"counts again, after the wait", func(g *granter.Granter) {
 			g.Install(configuration(3, 1, other, limit), 1500, 1500)
 			g.Install(configuration(4, 1, self, limit), 1600, 1600)
@@ -219,14 +219,37 @@
 	g.Install(&next, 2500, 2500)
 	r.Rank = 0
 	got := g.Take(other, r, 3000, 3000)
-	if got.Status != granter.Waiting || first != 3 || got.Granted != 2 {
-		t.Errorf("got status %s, %d and %d tokens, want waiting, 3 and the 2 that are left of 5", got.Status, first, got.Granted)
+	if got.Status != granter.Waiting || first != 3 || got.Granted != 1 {
+		t.Errorf("got status %s, %d and %d tokens, want waiting, 3 and the one that is left of 4", got.Status, first, got.Granted)
 	}
 	if got := g.Take(other, r, 7700, 7700); got.Status != granter.Decided || got.Granted != 3 {
 		t.Errorf("got status %s and %d tokens after the wait, want decided and 3", got.Status, got.Granted)
 	}
 }
 
+// Guards against workspaces that nobody serves for seconds after a restart of all VMs, and
+// against a VM that grants the tokens of a wait more than once in a window.
+func TestTokensWhileWaiting(t *testing.T) {
+	for _, row := range []struct {
+		slack float64
+		want  []int
+	}{{testSlack, []int{1, 0, 0, 1}}, {2 * testSlack, []int{2, 0, 0, 2}}, {0, []int{0, 0, 0, 0}}} {
+		g := granter.New(granter.Config{VM: self, Bounds: granter.Bounds{Window: testWindow, Overshoot: testOvershoot, Slack: row.slack}})
+		limit := granter.Limit{Rate: 100}
+		g.Install(configuration(5, 1, self, limit), 1000, 1000)
+		for i, at := range []zinniatide.Millis{2000, 2100, 5900, 7300} {
+			if at == 5900 { // another wait begins
+				g.Install(configuration(6, 1, other, limit), 5000, 5000)
+				g.Install(configuration(7, 1, self, limit), 5100, 5100)
+			}
+			got := g.Take(other, take(3), at, at)
+			if got.Status != granter.Waiting || got.Granted != row.want[i] {
+				t.Errorf("slack %v at %d: got status %s and %d tokens, want waiting and %d", row.slack, at, got.Status, got.Granted, row.want[i])
+			}
+		}
+	}
+}
+
 // Guards against a workspace with a large burst and a low rate that is refused for minutes
 // after a change of the counting VM, and against a burst in the window of the previous one.
 func TestBurstAfterTakeover(t *testing.T) {
@@ -235,7 +258,7 @@
 	for _, row := range []struct {
 		at   zinniatide.Millis
 		want int
-	}{{6000, 0}, {8100, 2}, {11_000, 2}, {11_100, 53}} { // the wait ends at 6100, the window at 11100
+	}{{6000, 1}, {6050, 0}, {8100, 2}, {11_000, 2}, {11_100, 53}} { // one while it waits; the wait ends at 6100, the window at 11100
 		if got := g.Take(other, take(100), row.at, row.at).Granted; got != row.want {
 			t.Errorf("at %d: got %d tokens, want %d", row.at, got, row.want)
 		}
