--- a/cmd/zinniabench/scenarios/contention.go
+++ b/cmd/zinniabench/scenarios/contention.go
@@ -77,7 +77,7 @@
 	}, relayer.Dependencies{
 		Lock: &lock, Clock: c, Timer: timer.New(), Random: random, Capacity: capacity,
 		Names: relayer.HeaderNames{
-			RequestID: "X-Request-Id", PartStamps: "X-Parts", MissingParts: "X-Missing", Workspace: "X-Tenant", CredentialScheme: "Token",
+			RequestID: "X-Request-Id", PartStamps: "X-Parts", MissingParts: "X-Missing", Workspace: "X-Workspace", CredentialScheme: "Token",
 		},
 		NewPool: func(id zinniatide.BackendServerID, _ string, _ int) relayer.Pool {
 			servers[id] = &contentionServer{lock: &lock, random: random}
