Wait for the burst of a counting VM in the test of quotas

Cause: it took the first admitted request for the end of the wait, and since a VM that waits grants single tokens. It waits for five now, which only the bucket grants; its bounds are unchanged.

--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -78,13 +78,13 @@
 		}
 	}
 	admitted, exhausted := 0, 0
-	// A VM that has joined after the table was filed waits before it counts.
-	waitFor(t, "first admitted request", func() bool {
-		d := take(0)
-		if d.Admitted {
+	// A VM that has joined after the table was filed waits before it counts, grants single
+	// tokens meanwhile, and leaves out the burst for a window after that.
+	waitFor(t, "admitted burst", func() bool {
+		if take(0).Admitted {
 			admitted++
 		}
-		return d.Admitted
+		return admitted >= 5
 	})
 	for i := range 60 {
 		switch d := take(i); {
