Reject answers of backend servers with damaged lines

Callers got answers in whose header the name of a field held a blank: with the line passed on, with the blank removed, as part of the value before it, or with a body cut where "Content-Length : 21" said. "X-Not-Run : full" was taken for a statement that the request had not run, so a non-idempotent request ran twice, and callers got a 503 that promised that nothing ran.

Cause: the parser (fasthttp) accepts blanks in names, trims those before the colon and then takes the line for the field that it resembles. It also joins a line that begins with a blank to the one before, and ignores control bytes in the reason phrase. Control bytes in names and status 000 were rejected before; their rows stay as tests.

The parser gets a header or trailer only when package fieldscanner has checked all of its lines, so that what the VM reads for itself (ids, stamps, load, lengths, Connection, not-run) comes from whole lines. Both paths read answers through this one place.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/fieldscanner"
 )
 
 const (
@@ -25,11 +26,15 @@
 	smallAnswerBytes = 64 << 10
 )
 
-// Errors of Read.
+// Errors of invalid answers, besides those of package fieldscanner. None contains bytes of
+// an answer.
 var (
-	ErrTooLong    = errors.New("answer exceeds the limit of bytes")
-	ErrNoBudget   = errors.New("answers in progress exceed the memory for large answers")
-	ErrStatusLine = errors.New("status line is not one of an HTTP/1 answer")
+	ErrTooLong       = errors.New("answer exceeds the limit of bytes")
+	ErrNoBudget      = errors.New("answers in progress exceed the memory for large answers")
+	ErrStatusLine    = errors.New("status line is not one of an HTTP/1 answer")
+	ErrHeaderTooLong = errors.New("header or trailer exceeds the limit of bytes")
+	ErrFraming       = errors.New("header has no valid length or coding of the body")
+	ErrTrailer       = errors.New("trailer has a field that must not be there")
 )
 
 // Reader reads the answers of one connection. It must not be used concurrently.
@@ -87,21 +92,47 @@
 // Unread returns the number of bytes that were received but not read.
 func (r *Reader) Unread() int { return r.buffered.Buffered() }
 
-// ReadHeader reads the header of the final answer and skips interim answers.
+// ReadHeader reads the header of the final answer and skips interim answers. The parser
+// gets a header only when all of its lines have been checked.
 func (r *Reader) ReadHeader(h *fasthttp.ResponseHeader) error {
 	for {
 		if err := r.checkStatusLine(); err != nil {
 			return err
 		}
-		if err := h.Read(r.buffered); err != nil {
+		if err := r.checkLines(statusLength, fieldscanner.NewAfterStatus()); err != nil {
 			return err
 		}
+		if err := h.Read(r.buffered); err != nil {
+			return ErrFraming
+		}
 		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 	}
 }
 
+// checkLines checks the lines of a header or trailer without reading them. It leaves out
+// the first skip bytes, which have arrived.
+func (r *Reader) checkLines(skip int, scanner fieldscanner.Scanner) error {
+	for length := skip; !scanner.Ended(); {
+		if _, err := r.buffered.Peek(length + 1); errors.Is(err, bufio.ErrBufferFull) {
+			return ErrHeaderTooLong
+		} else if err != nil {
+			return err
+		}
+		arrived, err := r.buffered.Peek(r.buffered.Buffered())
+		if err != nil {
+			return err
+		}
+		n, err := scanner.Scan(arrived[length:])
+		if err != nil {
+			return err
+		}
+		length += n
+	}
+	return nil
+}
+
 // checkStatusLine checks the status line of the next answer before it is parsed: the
 // parser accepts any number as a status and reports 000 as 200. Each byte is checked
 // once it has arrived, so that an invalid answer ends without waiting for more.
@@ -138,6 +169,9 @@
 	}
 }
 
+// statusLength is the length of a status line up to the end of the status.
+const statusLength = len("HTTP/1.1 200")
+
 // statusLinePrefix are the checks of the bytes of a status line up to the end of the
 // status, for example "HTTP/1.1 200 ". HTTP defines statuses from 100 to 599.
 var statusLinePrefix = []func(byte) bool{
@@ -173,7 +207,13 @@
 	if err := answer.ReadBody(r.buffered, zinniatide.MaxBackendAnswer); err != nil || length != chunkedLength {
 		return err
 	}
-	return answer.Header.ReadTrailer(r.buffered)
+	if err := r.checkLines(0, fieldscanner.New()); err != nil {
+		return err
+	}
+	if err := answer.Header.ReadTrailer(r.buffered); err != nil {
+		return ErrTrailer
+	}
+	return nil
 }
 
 // chunkedLength is the content length that fasthttp reports for a chunked body.
--- /dev/null
+++ b/common/answerreader/fieldline_test.go
@@ -0,0 +1,132 @@
+package answerreader
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// damagedLines are lines that no header and no trailer may contain.
+var damagedLines = []string{
+	"X Odd: 1", "X-Odd : 1", "X-Odd\t: 1", "X-Odd \t : 1", "X\tOdd: 1", " X-Odd: 1", "\tX-Odd: 1", " : 1", ": 1", ":", " ", "X-Odd", "X", "X-Odd 1",
+	"X-\x00Odd: 1", "X-\x01Odd: 1", "X-\x0bOdd: 1", "X-\x1fOdd: 1", "\x7fX-Odd: 1", "X-\x7fOdd: 1", "X-\rOdd: 1", "\rX-Odd: 1", "X-Odd\r: 1", "X-\x80Odd: 1", "X-\xe9Odd: 1",
+	`X"Odd: 1`, "X(Odd: 1", "X)Odd: 1", "X,Odd: 1", "X/Odd: 1", "X;Odd: 1", "X<Odd: 1", "X=Odd: 1", "X>Odd: 1", "X?Odd: 1", "X@Odd: 1", "X[Odd: 1", `X\Odd: 1`, "X]Odd: 1", "X{Odd: 1", "X}Odd: 1",
+	"X-Odd: \x00", "X-Odd: 1\x01", "X-Odd: a\rb", "X-Odd: 1\r", "X-Odd: \x1b[2J", "X-Odd: \x7f", "X-Odd: a\r\n b", "X-Odd: a\r\n\tb",
+	"Content-Length : 2", "Content Length: 2", "Content-Length\t: 2", "Content-Length: 2\x00", "Content-Length:\r\n 2", "Transfer-Encoding : chunked", "Connection : close",
+	"X-Request-Id : r", "X-Not-Run : 1",
+}
+
+// Guards against damaged lines that are passed on, repaired or dropped. The parser takes
+// names with blanks, and reads the length of a body from them.
+func TestDamagedLinesAreErrors(t *testing.T) {
+	const rest = "X-A: b\r\nContent-Length: 2\r\n\r\n{}"
+	for _, line := range damagedLines {
+		for name, answer := range map[string]string{
+			"first":                   answerHead + line + "\r\n" + rest,
+			"last":                    answerHead + "X-A: b\r\nContent-Length: 2\r\n" + line + "\r\n\r\n{}",
+			"only":                    answerHead + line + "\r\n\r\n{}",
+			"in an interim answer":    "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + answerHead + rest,
+			"after an interim answer": "HTTP/1.1 103 Early Hints\r\n\r\n" + answerHead + line + "\r\n" + rest,
+			"in a trailer":            answerHead + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + line + "\r\n\r\n",
+			"last in a trailer":       answerHead + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-A: b\r\n" + line + "\r\n\r\n",
+			"without its end":         answerHead + line,
+		} {
+			if name == "without its end" && (line == "X" || line == "X-Odd") {
+				continue // may still become a whole line
+			}
+			for _, source := range []io.Reader{strings.NewReader(answer), singleBytes{strings.NewReader(answer)}} {
+				if a, err := readAnswer(New(source, bufferSize, NewBudget(1<<20))); err == nil || strings.Contains(err.Error(), "Odd") {
+					t.Errorf("%q, %s: got body %q, error %v, want an error without the line", line, name, a.Body(), err)
+				}
+			}
+		}
+	}
+}
+
+// Guards against an answer with a damaged line that ends only at the deadline of its
+// request, because the server sends no more.
+func TestDamagedLinesAreErrorsAtOnce(t *testing.T) {
+	for _, start := range []string{"X ", "X-\x01", " ", ":", "X: \x00", "X: a\r ", "X: a\r\n "} {
+		silent, w := io.Pipe()
+		go func() { _, _ = io.WriteString(w, answerHead+start) }()
+		deadline := time.AfterFunc(5*time.Second, func() { _ = w.CloseWithError(os.ErrDeadlineExceeded) })
+		if _, err := readAnswer(New(silent, bufferSize, NewBudget(1<<20))); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%q: got %v, want an error before the deadline", start, err)
+		}
+		deadline.Stop()
+		_ = silent.Close()
+	}
+}
+
+// Guards against refused answers that HTTP defines, and against fields that the parser
+// reads differently from what was checked.
+func TestWholeLinesAreAnswers(t *testing.T) {
+	for line, want := range map[string]string{
+		"X-A: b": "X-A: b", "X-A:b": "X-A: b", "X-A: \t b c\t ": "X-A: b c", "X-A:": "X-A: ", "X-A: \t": "X-A: ", "x-a: B": "X-A: B", "X-A: a:b : c": "X-A: a:b : c",
+		"!#$%&'*+-.^_`|~09az: b": "!#$%&'*+-.^_`|~09az: b", "_: b": "_: b", "9: b": "9: b", "X-A: caf\xc3\xa9 \xff\x80": "X-A: caf\xc3\xa9 \xff\x80", "X-A: \"a\\\" (b)\t;,=\"": "X-A: \"a\\\" (b)\t;,=\"",
+		"X-A: b\r\nX-A: c": "X-A: b, X-A: c", "Set-Cookie: a=b; c\r\nSet-Cookie: a=d": "Set-Cookie: a=b; c, Set-Cookie: a=d", "X-A: b\nX-B: c": "X-A: b, X-B: c",
+	} {
+		for name, answer := range map[string]string{
+			"length":                  answerHead + line + "\r\nContent-Length: 2\r\n\r\n{}",
+			"chunked":                 answerHead + line + "\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\n{}\r\n0\r\n\r\n",
+			"chunked with trailer":    answerHead + line + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n01\r\n}\r\n000\r\nX-T: \xe9\r\nX-U:\r\n\r\n",
+			"after an interim answer": "HTTP/1.1 100 Continue\r\nX-I: i\r\n\r\nHTTP/1.1 103\r\n\r\n" + answerHead + line + "\r\nContent-Length: 2\r\n\r\n{}",
+			"no length":               answerHead + line + "\r\n\r\n{}",
+		} {
+			for _, source := range []io.Reader{strings.NewReader(answer), singleBytes{strings.NewReader(answer)}} {
+				r := New(source, bufferSize, NewBudget(1<<20))
+				a, err := readAnswer(r)
+				if err != nil || string(a.Body()) != "{}" || r.Unread() != 0 {
+					t.Errorf("%q, %s: got body %q, %d bytes unread, error %v, want the answer", line, name, a.Body(), r.Unread(), err)
+				}
+				if got := passedFields(&a.Header); got != want {
+					t.Errorf("%q, %s: got fields %q, want %q", line, name, got, want)
+				}
+			}
+		}
+	}
+}
+
+// passedFields returns the fields that concern more than one connection, except those that
+// the parser adds.
+func passedFields(h *fasthttp.ResponseHeader) string {
+	var fields []string
+	for name, value := range h.All() {
+		if !slices.Contains([]string{"Content-Length", "Content-Type", "Transfer-Encoding", "Connection", "Trailer"}, string(name)) {
+			fields = append(fields, fmt.Sprintf("%s: %s", name, value))
+		}
+	}
+	return strings.Join(fields, ", ")
+}
+
+// BenchmarkReadAnswer measures the cost of reading an answer of ordinary size.
+func BenchmarkReadAnswer(b *testing.B) {
+	body := strings.Repeat("x", 512)
+	for name, answer := range map[string]string{
+		"length":  answerHead + "X-Request-Id: 9c41d07be2a35f68\r\nX-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Server-Load: 3,0,8\r\nContent-Type: application/json\r\nContent-Length: 512\r\n\r\n" + body,
+		"chunked": answerHead + "X-Request-Id: 9c41d07be2a35f68\r\nX-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nTransfer-Encoding: chunked\r\n\r\n200\r\n" + body + "\r\n0\r\n\r\n",
+	} {
+		b.Run(name, func(b *testing.B) {
+			r, a := New(&endless{rest: answer}, bufferSize, NewBudget(1<<20)), &fasthttp.Response{}
+			for b.Loop() {
+				a.ResetBody()
+				if err := r.Await(); err != nil {
+					b.Fatal(err)
+				}
+				if err := r.ReadHeader(&a.Header); err != nil {
+					b.Fatal(err)
+				}
+				if err := r.ReadBody(a); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/node/damagedanswer_test.go
@@ -0,0 +1,365 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/clock"
+	"zinniatide.example/zinniatide/journal"
+	"zinniatide.example/zinniatide/logkeeper"
+	"zinniatide.example/zinniatide/node"
+	"zinniatide.example/zinniatide/platform"
+	"zinniatide.example/zinniatide/querier"
+	"zinniatide.example/zinniatide/retrybudget"
+)
+
+// Bodies of whole and of damaged answers. On the relay path, each is a record of 16 bytes
+// and a remainder.
+const (
+	wholeBody   = `{"total":1,"hits":[]}`
+	damagedBody = `{"total":9,"hits":[]}`
+)
+
+const wholeAnswer = "HTTP/1.1 200 OK\r\nHEADX-Odd_`~|^: \xe9\r\nContent-Length: 21\r\n\r\nBODY"
+
+// damagedAnswers are answers that HTTP does not define. HEAD stands for the lines that the
+// protocols ask for.
+var damagedAnswers = map[string]string{
+	"blank in a name":             "HTTP/1.1 200 OK\r\nHEADX Odd: 1\r\nContent-Length: 21\r\n\r\nBODY",
+	"blank before a colon":        "HTTP/1.1 200 OK\r\nHEADX-Odd : 1\r\nContent-Length: 21\r\n\r\nBODY",
+	"blank before a name":         "HTTP/1.1 200 OK\r\nHEAD X-Odd: 1\r\nContent-Length: 21\r\n\r\nBODY",
+	"tab in a name":               "HTTP/1.1 200 OK\r\nHEADX\tOdd: 1\r\nContent-Length: 21\r\n\r\nBODY",
+	"control byte in a name":      "HTTP/1.1 200 OK\r\nHEADX-\x01Odd: 1\r\nContent-Length: 21\r\n\r\nBODY",
+	"damaged length":              "HTTP/1.1 200 OK\r\nHEADContent-Length : 21\r\n\r\nBODY",
+	"damaged coding":              "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding : chunked\r\n\r\n15\r\nBODY\r\n0\r\n\r\n",
+	"damaged claim of not run":    "HTTP/1.1 503 Full\r\nHEADX-Not-Run : full\r\nX-Outcome : not-run\r\nContent-Length: 0\r\n\r\n",
+	"damaged interim answer":      "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 21\r\n\r\nBODY",
+	"damage after interim answer": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nHEADX Odd: 1\r\nContent-Length: 21\r\n\r\nBODY",
+	"damaged trailer":             "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\nX Odd: 1\r\n\r\n",
+	"status 000":                  "HTTP/1.1 000 Odd\r\nHEADContent-Length: 21\r\n\r\nBODY",
+}
+
+// answerStep is an answer of a scriptedBackend and the delay before it.
+type answerStep struct {
+	delay time.Duration
+	raw   string
+}
+
+// scriptedBackend is a set of backend servers of either protocol. They answer the n-th
+// request with some id for a shard with the n-th step, and later ones with the last step.
+type scriptedBackend struct {
+	t     *testing.T
+	mu    sync.Mutex
+	steps []answerStep
+	seen  map[string]int // requests by shard and id
+}
+
+func newScriptedBackend(t *testing.T) *scriptedBackend {
+	return &scriptedBackend{t: t, steps: []answerStep{whole}, seen: map[string]int{}}
+}
+
+// listen starts a server of a shard and returns its address.
+func (b *scriptedBackend) listen(shard string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c, shard)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (b *scriptedBackend) serve(c net.Conn, shard string) {
+	defer func() { _ = c.Close() }()
+	for r := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		step, head, body := whole, "X-Incarnation: 1\r\n", wholeBody
+		if req.URL.Path != "/v1/cancel" {
+			step = b.next(shard+req.Header.Get("X-First-Key"), req.Header.Get("X-Request-Id"))
+		}
+		for _, name := range []string{"X-Request-Id", "X-Index-Version", "X-First-Key", "X-Last-Key"} {
+			if value := req.Header.Get(name); value != "" {
+				head += name + ": " + value + "\r\n"
+			}
+		}
+		if step.raw != wholeAnswer {
+			body = damagedBody
+		}
+		head += fmt.Sprintf("%s: %s%s\r\n", platform.HeaderServerStamp, shard, body[9:10])
+		time.Sleep(step.delay)
+		if _, err := io.WriteString(c, strings.NewReplacer("HEAD", head, "BODY", body).Replace(step.raw)); err != nil {
+			return
+		}
+	}
+}
+
+func (b *scriptedBackend) next(shard, id string) answerStep {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seen[shard+" "+id]++
+	return b.steps[min(b.seen[shard+" "+id], len(b.steps))-1]
+}
+
+// script sets the steps for the requests that follow and returns the number of requests
+// so far.
+func (b *scriptedBackend) script(steps []answerStep) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.steps = steps
+	return len(b.seen)
+}
+
+// requests returns the largest number of requests with the id that a shard got.
+func (b *scriptedBackend) requests(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := 0
+	for key, n := range b.seen {
+		if strings.HasSuffix(key, " "+id) {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// answerWay is a way on which answers travel. Steps without an answer are damaged.
+type answerWay struct {
+	path         string
+	steps        []answerStep
+	status       int
+	mostRequests int // for a shard
+}
+
+// wholeParts is what answers contain that are made of whole answers, by path.
+var wholeParts = map[string]string{
+	"plain": "\xe9\r\n", "once": "\xe9\r\n", "gather": wholeBody[:16] + wholeBody[:16], "remote": wholeBody[:16] + wholeBody[:16],
+	"search": `"total":2`, "execute": wholeBody,
+}
+
+// checkWays sends a request for each way and each damaged answer, and checks what its
+// caller receives.
+func (b *scriptedBackend) checkWays(ways map[string]answerWay, ask func(path, id string) (int, string)) {
+	for name, way := range ways {
+		for damage, raw := range damagedAnswers {
+			var steps []answerStep
+			for _, step := range way.steps {
+				steps = append(steps, answerStep{step.delay, cmp.Or(step.raw, raw)})
+			}
+			id := fmt.Sprintf("%d-%08d", time.Now().Add(time.Minute).UnixMilli(), b.script(steps))
+			status, answer := ask(way.path, id)
+			if status != way.status || status == 200 && !strings.Contains(answer, wholeParts[way.path]) {
+				b.t.Errorf("%s, %s: got status %d and %q, want status %d", name, damage, status, answer, way.status)
+			}
+			if got := b.requests(id); got > way.mostRequests {
+				b.t.Errorf("%s, %s: got %d requests for a shard, want at most %d", name, damage, got, way.mostRequests)
+			}
+		}
+	}
+}
+
+// exchange sends a request on a connection of its own and returns the status and all bytes
+// of the answer. The status is 0 if there is no complete answer.
+func exchange(address, request string) (int, string) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second))
+	if _, err := io.WriteString(c, request); err != nil {
+		return 0, err.Error()
+	}
+	var raw bytes.Buffer
+	resp, err := http.ReadResponse(bufio.NewReader(io.TeeReader(c, &raw)), nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, raw.String()
+}
+
+// Steps of a script. An empty answer stands for the damaged one.
+var (
+	damaged     = answerStep{}
+	whole       = answerStep{raw: wholeAnswer}
+	lateDamaged = answerStep{delay: 60 * time.Millisecond}
+	lateWhole   = answerStep{delay: 150 * time.Millisecond, raw: wholeAnswer}
+)
+
+// Guards against answers that HTTP does not define and that reach callers of a relay VM.
+func TestDamagedAnswersDoNotReachCallers(t *testing.T) {
+	t.Parallel()
+	seed := zinniatide.VMID(node.FreeAddress(t))
+	seeds := []zinniatide.ControlVM{{VM: seed, PeerAddress: string(seed)}}
+	_, control := startRolloutVM(t, node.RelayConfig{VM: seed, ControlAddress: "unused", DataFolder: t.TempDir(), FirstStart: true, Seeds: seeds}, nil)
+	callers, budget := node.FreeAddress(t), retrybudget.Config{Ratio: 1, Slack: 1000, Window: 10_000}
+	relay, _ := startRolloutVM(t, node.RelayConfig{VM: zinniatide.VMID(node.FreeAddress(t)), CallerAddress: callers, Seeds: seeds, Budget: budget}, nil)
+	delegate := zinniatide.VMID(node.FreeAddress(t))
+	startRolloutVM(t, node.RelayConfig{VM: delegate, Zone: "b", CallerAddress: node.FreeAddress(t), Seeds: seeds, Budget: budget}, nil)
+
+	b := newScriptedBackend(t)
+	const limit = 40 * time.Second // an order above what an idle machine needs
+	document := `{"version":1,"routes":[`
+	for path, rest := range map[string]string{
+		"plain":  `"kind":"idempotent","service":"s1"`,
+		"once":   `"kind":"non_idempotent","service":"s2"`,
+		"gather": `"kind":"idempotent","gather":["s3","s4"],"top_k":5,"min_version":1`,
+		"remote": `"kind":"idempotent","gather":["s5","s6"],"top_k":5,"min_version":1`,
+	} {
+		document += fmt.Sprintf(`{"name":%[1]q,"host":"h","path_prefix":"/%[1]s/","timeout_ms":5000,"target_latency_ms":100,"max_attempts":2,%[2]s},`, path, rest)
+	}
+	document = strings.TrimSuffix(document, ",") + `],"services":[`
+	for i := range 6 {
+		document += fmt.Sprintf(`{"name":"s%d","health_path":"/","max_conns":64},`, i+1)
+	}
+	document = strings.TrimSuffix(document, ",") + `],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+	awaitTrue(t, "routing table", limit, func() bool { return send(t, "POST", "http://"+control+"/v1/config/put", document) == 200 })
+	for i := range 12 {
+		service, zone := fmt.Sprint("s", i/2+1), "a"
+		if i >= 8 {
+			zone = "b"
+		}
+		heartbeat := fmt.Sprintf(`{"service":%q,"addr":%q,"zone":%q,"version":"1","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":1}`, service, b.listen(service), zone)
+		if got := send(t, "POST", fmt.Sprintf("http://%s/v1/instances/i%d/heartbeat", control, i), heartbeat); got != 200 {
+			t.Fatalf("got status %d for a heartbeat, want 200", got)
+		}
+	}
+	awaitTrue(t, "link to the delegate", limit, func() bool { return relay.Ready() && relay.Connected(delegate) })
+	ask := func(path, id string) (int, string) {
+		return exchange(callers, fmt.Sprintf("GET /%s/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\n\r\n", path, id))
+	}
+	for i, path := range []string{"plain", "once", "gather", "remote"} {
+		awaitTrue(t, "answer to "+path, limit, func() bool { status, _ := ask(path, "first"); return status == 200 })
+		for n := range 30 { // so that the VM hedges by measured latencies
+			if status, answer := ask(path, fmt.Sprintf("warm-%d-%d", i, n)); status != 200 || !strings.Contains(answer, wholeParts[path]) {
+				t.Fatalf("%s: got status %d and %q for whole answers, want them", path, status, answer)
+			}
+		}
+	}
+	b.checkWays(map[string]answerWay{
+		"first send":              {"plain", []answerStep{damaged, whole}, 200, 2},
+		"all sends":               {"plain", []answerStep{damaged}, 502, 2},
+		"non-idempotent":          {"once", []answerStep{damaged, whole}, 502, 1},
+		"hedge":                   {"plain", []answerStep{lateWhole, damaged}, 200, 2},
+		"late answer":             {"plain", []answerStep{lateDamaged, lateWhole}, 200, 2},
+		"part":                    {"gather", []answerStep{damaged, whole}, 200, 2},
+		"all parts":               {"gather", []answerStep{damaged}, 502, 2},
+		"hedged part":             {"gather", []answerStep{lateWhole, damaged}, 200, 2},
+		"late part":               {"gather", []answerStep{lateDamaged, lateWhole}, 200, 2},
+		"part of a delegate":      {"remote", []answerStep{damaged, whole}, 200, 2},
+		"all parts of a delegate": {"remote", []answerStep{damaged}, 502, 2},
+		"late part of a delegate": {"remote", []answerStep{lateDamaged, lateWhole}, 200, 2},
+	}, ask)
+}
+
+// Guards against answers that HTTP does not define and that reach callers of an entry VM.
+func TestDamagedAnswersDoNotReachCallersOfEntryVMs(t *testing.T) {
+	t.Parallel()
+	folder, control := t.TempDir(), zinniatide.ControlVM{VM: "e1", PeerAddress: node.FreeAddress(t)}
+	if err := logkeeper.Init(journal.OSFileSystem{}, folder, control.VM, []zinniatide.ControlVM{control}); err != nil {
+		t.Fatal(err)
+	}
+	query := querier.DefaultConfig()
+	query.HedgeFraction, query.RetryFraction, query.RetryBurst = 1, 1, 1000
+	var vms []*node.Node
+	var addresses []string
+	for i, peer := range []string{control.PeerAddress, node.FreeAddress(t)} {
+		addresses = append(addresses, node.FreeAddress(t))
+		n, err := node.New(node.Config{VM: zinniatide.VMID(fmt.Sprint("e", i+1)), Zone: "z", Entry: true, Control: i == 0, HTTPAddress: addresses[i],
+			PeerAddress: peer, DataFolder: folder, ControlVMs: []zinniatide.ControlVM{control}, Query: query}, clock.New(), prometheus.NewRegistry())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Kill)
+		vms = append(vms, n)
+	}
+	const limit = 40 * time.Second
+	ticket := `{"ticket":1,"availability-zones":{"z":{"state":"in"}},"services":{"search":{"versions":[{"version":1,"shard-count":2}],"slots":8,"connections":25,
+		"cold-start":{"initial-rate":1000,"double-after":1,"full-rate":1000},"classes":{"c":{"max-deadline-ms":3000,"weight":1}},"tenants":{"t":{"share":1}}}}}`
+	awaitTrue(t, "ticket", limit, func() bool { _, err := vms[0].Operator().FileTicket([]byte(ticket), false, 2000); return err == nil })
+
+	b := newScriptedBackend(t)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(stop); <-stopped })
+	var announcements [][]byte
+	for i := range 4 {
+		offer := zinniatide.ServiceOffer{Service: "search", Searchers: []zinniatide.Searcher{
+			{Version: 1, KeyRange: zinniatide.KeyRange{End: zinniatide.KeySpace / 2}}, {Version: 1, KeyRange: zinniatide.KeyRange{First: zinniatide.KeySpace / 2, End: zinniatide.KeySpace}}}}
+		raw, err := json.Marshal(zinniatide.Announcement{Server: zinniatide.BackendServerID(fmt.Sprint("s", i)), Incarnation: 1, Zone: "z",
+			Address: b.listen(""), Slots: 8, Connections: 25, Offers: []zinniatide.ServiceOffer{offer}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		announcements = append(announcements, raw)
+	}
+	go func() {
+		defer close(stopped)
+		for {
+			for _, raw := range announcements {
+				resp, err := http.Post("http://"+addresses[0]+"/v1/announce", "application/json", bytes.NewReader(raw)) //nolint:noctx // on loopback
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(zinniatide.AnnounceInterval.Duration()):
+			}
+		}
+	}()
+	askOf := func(address string) func(path, id string) (int, string) {
+		return func(path, id string) (int, string) {
+			body := fmt.Sprintf(`{"request-id":%q,"service":"search","tenant":"t","class":"c","deadline-ms":3000,"query":{}}`, id)
+			if path == "execute" {
+				body = strings.Replace(body, `"query":{}`, `"key":1,"body":{}`, 1)
+			}
+			return exchange(address, fmt.Sprintf("POST /v1/%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body))
+		}
+	}
+	for i, address := range addresses {
+		b.script([]answerStep{whole})
+		awaitTrue(t, "whole answer", limit, func() bool {
+			status, answer := askOf(address)("search", "first")
+			return status == 200 && strings.Contains(answer, wholeParts["search"]) && len(vms[i].Catalog().Servers) == len(announcements)
+		})
+		b.checkWays(map[string]answerWay{
+			"first send":     {"search", []answerStep{damaged, whole}, 200, 2},
+			"all sends":      {"search", []answerStep{damaged}, 502, 8},
+			"non-idempotent": {"execute", []answerStep{damaged, whole}, 502, 1},
+			"hedge":          {"search", []answerStep{lateWhole, damaged, whole}, 200, 3},
+			"late answer":    {"search", []answerStep{lateDamaged, lateWhole}, 200, 3},
+		}, askOf(address))
+	}
+}
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -63,8 +64,8 @@
 // VM that follows it.
 func startRolloutVM(t *testing.T, cfg node.RelayConfig, limits *rollouter.Config) (r *node.Relay, control string) {
 	t.Helper()
-	cfg.Zone, cfg.Voters, cfg.Rollouts = "a", 1, limits
-	cfg.Budget = retrybudget.Config{Ratio: 0.2, Slack: 52, Window: 10_000}
+	cfg.Zone, cfg.Voters, cfg.Rollouts = cmp.Or(cfg.Zone, "a"), 1, limits
+	cfg.Budget = cmp.Or(cfg.Budget, retrybudget.Config{Ratio: 0.2, Slack: 52, Window: 10_000})
 	cfg.CallerNames, cfg.RelayNames, cfg.BackendNames = platform.CallerHeaders(), platform.ResponseHeaders(), platform.BackendHeaders()
 	r, err := node.NewRelay(cfg, clock.New(), prometheus.NewRegistry())
 	if err != nil {
