Reject transfer codings in versions that do not define them

Callers got chunk sizes as part of the body of an answer with the version 1.0 and Transfer-Encoding: chunked, or a body cut by its Content-Length. Gathered answers had records made of chunk sizes.

Cause: the parser ignores transfer codings in every version but 1.1. RFC 9112, 6.1 has such a message treated as one with faulty framing.

The check looks at the lines that were checked before the parser got them, and only in answers of another version. Answers of HTTP/1.0 without a coding go on being passed on; rows beside the bad ones show it.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -100,9 +100,13 @@
 		if err := r.checkStatusLine(); err != nil {
 			return err
 		}
-		if err := r.checkLines(statusLength, fieldscanner.NewAfterStatus()); err != nil {
+		header, err := r.checkLines(statusLength, fieldscanner.NewAfterStatus())
+		if err != nil {
 			return err
 		}
+		if !bytes.HasPrefix(header, []byte("HTTP/1.1")) && hasCoding(header) {
+			return ErrFraming
+		}
 		if err := h.Read(r.buffered); err != nil {
 			return ErrFraming
 		}
@@ -112,26 +116,39 @@
 	}
 }
 
-// checkLines checks the lines of a header or trailer without reading them. It leaves out
-// the first skip bytes, which have arrived.
-func (r *Reader) checkLines(skip int, scanner fieldscanner.Scanner) error {
-	for length := skip; !scanner.Ended(); {
+// hasCoding reports whether the body of an answer has a transfer coding. Only HTTP/1.1
+// defines them: in other versions the parser would take the coding for part of the body
+// (RFC 9112, 6.1).
+func hasCoding(header []byte) bool {
+	for line := range bytes.Lines(header) {
+		if name, _, _ := bytes.Cut(line, []byte(":")); bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkLines checks the lines of a header or trailer and returns them without reading
+// them. It leaves out the first skip bytes, which have arrived.
+func (r *Reader) checkLines(skip int, scanner fieldscanner.Scanner) ([]byte, error) {
+	length := skip
+	for !scanner.Ended() {
 		if _, err := r.buffered.Peek(length + 1); errors.Is(err, bufio.ErrBufferFull) {
-			return ErrHeaderTooLong
+			return nil, ErrHeaderTooLong
 		} else if err != nil {
-			return err
+			return nil, err
 		}
 		arrived, err := r.buffered.Peek(r.buffered.Buffered())
 		if err != nil {
-			return err
+			return nil, err
 		}
 		n, err := scanner.Scan(arrived[length:])
 		if err != nil {
-			return err
+			return nil, err
 		}
 		length += n
 	}
-	return nil
+	return r.buffered.Peek(length)
 }
 
 // checkStatusLine checks the status line of the next answer before it is parsed: the
@@ -214,7 +231,7 @@
 // skipTrailer reads a trailer and drops its fields, which must not be taken for fields of
 // the header (RFC 9112, 7.1.2).
 func (r *Reader) skipTrailer() error {
-	if err := r.checkLines(0, fieldscanner.New()); err != nil {
+	if _, err := r.checkLines(0, fieldscanner.New()); err != nil {
 		return err
 	}
 	r.trailer.Reset()
--- a/common/answerreader/fieldline_test.go
+++ b/common/answerreader/fieldline_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// Guards against a body that contains the coding of a version that does not define it.
+func TestCodingsOfOtherVersionsAreErrors(t *testing.T) {
+	for _, version := range []string{"0", "2", "9"} {
+		for _, fields := range []string{"Transfer-Encoding: chunked", "transfer-ENCODING:chunked", "Content-Length: 2\r\nTransfer-Encoding: chunked", "Transfer-Encoding: x"} {
+			answer := "HTTP/1." + version + " 200 OK\r\n" + fields + "\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+			if a, err := readAnswer(New(strings.NewReader(answer), bufferSize, NewBudget(1<<20))); err == nil {
+				t.Errorf("HTTP/1.%s, %q: got body %q, want an error", version, fields, a.Body())
+			}
+		}
+	}
+}
+
 // Guards against refused answers that HTTP defines, and against fields that the parser
 // reads differently from what was checked.
 func TestWholeLinesAreAnswers(t *testing.T) {
@@ -78,6 +90,8 @@
 			"chunked":                 answerHead + line + "\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\n{}\r\n0\r\n\r\n",
 			"chunked with trailer":    answerHead + line + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n01\r\n}\r\n000\r\nX-T: \xe9\r\nX-U:\r\n\r\n",
 			"after an interim answer": "HTTP/1.1 100 Continue\r\nX-I: i\r\n\r\nHTTP/1.1 103\r\n\r\n" + answerHead + line + "\r\nContent-Length: 2\r\n\r\n{}",
+			"length in HTTP/1.0":      "HTTP/1.0 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\n{}",
+			"no length in HTTP/1.0":   "HTTP/1.0 200 OK\r\n" + line + "\r\n\r\n{}",
 			"no length":               answerHead + line + "\r\n\r\n{}",
 		} {
 			for _, source := range []io.Reader{strings.NewReader(answer), singleBytes{strings.NewReader(answer)}} {
