Take chunk sizes from whole lines only

Callers got bodies whose length came from a damaged line: with a blank after the chunk size, a control byte or half an extension. Answers with a blank before a chunk extension, which HTTP defines, got 502.

Cause: the parser reads the digits and skips the rest of the line.

The tests at callers also have the way "hedge of a delegate" now.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"zinniatide.example/zinniatide"
+	"zinniatide.example/zinniatide/common/chunkreader"
 	"zinniatide.example/zinniatide/common/fieldscanner"
 )
 
@@ -209,6 +210,12 @@
 func (r *Reader) ReadBody(answer *fasthttp.Response) error {
 	length := answer.Header.ContentLength()
 	switch {
+	case length == chunkedLength:
+		answer.ResetBody()
+		if err := chunkreader.Read(r.buffered, zinniatide.MaxBackendAnswer, answer.AppendBody); err != nil {
+			return err
+		}
+		return r.skipTrailer()
 	case length > zinniatide.MaxBackendAnswer:
 		return fasthttp.ErrBodyTooLarge
 	case length > smallAnswerBytes:
@@ -222,10 +229,7 @@
 		answer.SetBodyRaw(body.Bytes())
 		return nil
 	}
-	if err := answer.ReadBody(r.buffered, zinniatide.MaxBackendAnswer); err != nil || length != chunkedLength {
-		return err
-	}
-	return r.skipTrailer()
+	return answer.ReadBody(r.buffered, zinniatide.MaxBackendAnswer)
 }
 
 // skipTrailer reads a trailer and drops its fields, which must not be taken for fields of
--- a/node/damagedanswer_test.go
+++ b/node/damagedanswer_test.go
@@ -49,6 +49,8 @@
 	"damaged interim answer":      "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nHEADContent-Length: 21\r\n\r\nBODY",
 	"damage after interim answer": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nHEADX Odd: 1\r\nContent-Length: 21\r\n\r\nBODY",
 	"damaged trailer":             "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\nX Odd: 1\r\n\r\n",
+	"blank after a chunk size":    "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n15 \r\nBODY\r\n0\r\n\r\n",
+	"control byte after a size":   "HTTP/1.1 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n15;\x01\r\nBODY\r\n0\r\n\r\n",
 	"ids in a trailer":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\nHEAD\r\n",
 	"coding in HTTP/1.0":          "HTTP/1.0 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\n\r\n",
 	"coding and length in 1.0":    "HTTP/1.0 200 OK\r\nHEADContent-Length: 21\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\n\r\n",
@@ -220,9 +222,10 @@
 	whole       = answerStep{raw: wholeAnswer}
 	lateDamaged = answerStep{delay: 60 * time.Millisecond}
 	lateWhole   = answerStep{delay: 150 * time.Millisecond, raw: wholeAnswer}
-	// laterDamaged comes after the hedge of a query to another zone. A delegate answers a
-	// hedge before the cutoff of the query or not at all.
-	laterDamaged = answerStep{delay: 250 * time.Millisecond}
+	// These come after the hedge of a query to another zone. A delegate answers a hedge
+	// before the cutoff of the query or not at all.
+	laterDamaged = answerStep{delay: 200 * time.Millisecond}
+	laterWhole   = answerStep{delay: 200 * time.Millisecond, raw: wholeAnswer}
 )
 
 // Guards against answers that HTTP does not define and that reach callers of a relay VM.
@@ -288,6 +291,7 @@
 		"part of a delegate":      {"remote", []answerStep{damaged, whole}, 200, 2},
 		"all parts of a delegate": {"remote", []answerStep{damaged}, 502, 2},
 		"late part of a delegate": {"remote", []answerStep{laterDamaged, whole}, 200, 2},
+		"hedge of a delegate":     {"remote", []answerStep{laterWhole, damaged}, 200, 2},
 	}, ask)
 }
 
