Do not add a Content-Type to answers of backend servers

Callers of the relay path got "Content-Type: text/plain; charset=utf-8" with each answer whose server had sent none, whatever its body was.

Cause: the parser has a default for the field, and the relay passes on what the parser lists. Evidence: before the change the whole answers of TestDamagedAnswersDoNotReachCallers had the field, and the rows of TestWholeLinesAreAnswers that lack it failed. Both pass now.

The reader turns the default off, so that only fields of the server are listed.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -97,6 +97,7 @@
 // ReadHeader reads the header of the final answer and skips interim answers. The parser
 // gets a header only when all of its lines have been checked.
 func (r *Reader) ReadHeader(h *fasthttp.ResponseHeader) error {
+	h.SetNoDefaultContentType(true) // fields that the server has not sent are not passed on
 	for {
 		if err := r.checkStatusLine(); err != nil {
 			return err
--- a/common/answerreader/fieldline_test.go
+++ b/common/answerreader/fieldline_test.go
@@ -83,7 +83,7 @@
 	for line, want := range map[string]string{
 		"X-A: b": "X-A: b", "X-A:b": "X-A: b", "X-A: \t b c\t ": "X-A: b c", "X-A:": "X-A: ", "X-A: \t": "X-A: ", "x-a: B": "X-A: B", "X-A: a:b : c": "X-A: a:b : c",
 		"!#$%&'*+-.^_`|~09az: b": "!#$%&'*+-.^_`|~09az: b", "_: b": "_: b", "9: b": "9: b", "X-A: caf\xc3\xa9 \xff\x80": "X-A: caf\xc3\xa9 \xff\x80", "X-A: \"a\\\" (b)\t;,=\"": "X-A: \"a\\\" (b)\t;,=\"",
-		"X-A: b\r\nX-A: c": "X-A: b, X-A: c", "Set-Cookie: a=b; c\r\nSet-Cookie: a=d": "Set-Cookie: a=b; c, Set-Cookie: a=d", "X-A: b\nX-B: c": "X-A: b, X-B: c",
+		"X-A: b\r\nX-A: c": "X-A: b, X-A: c", "Content-Type: a/b; c=d": "Content-Type: a/b; c=d", "Set-Cookie: a=b; c\r\nSet-Cookie: a=d": "Set-Cookie: a=b; c, Set-Cookie: a=d", "X-A: b\nX-B: c": "X-A: b, X-B: c",
 	} {
 		for name, answer := range map[string]string{
 			"length":                  answerHead + line + "\r\nContent-Length: 2\r\n\r\n{}",
@@ -108,12 +108,11 @@
 	}
 }
 
-// passedFields returns the fields that concern more than one connection, except those that
-// the parser adds.
+// passedFields returns the fields that concern more than one connection.
 func passedFields(h *fasthttp.ResponseHeader) string {
 	var fields []string
 	for name, value := range h.All() {
-		if !slices.Contains([]string{"Content-Length", "Content-Type", "Transfer-Encoding", "Connection", "Trailer"}, string(name)) {
+		if !slices.Contains([]string{"Content-Length", "Transfer-Encoding", "Connection", "Trailer"}, string(name)) {
 			fields = append(fields, fmt.Sprintf("%s: %s", name, value))
 		}
 	}
--- a/node/damagedanswer_test.go
+++ b/node/damagedanswer_test.go
@@ -326,8 +326,8 @@
 	for i, path := range []string{"plain", "once", "gather", "remote"} {
 		awaitTrue(t, "answer to "+path, limit, func() bool { status, _ := ask(path, "first"); return status == 200 })
 		for n := range 30 { // so that the VM hedges by measured latencies
-			if status, answer := ask(path, fmt.Sprintf("warm-%d-%d", i, n)); status != 200 || !strings.Contains(answer, wholeParts[path]) {
-				t.Fatalf("%s: got status %d and %q for whole answers, want them", path, status, answer)
+			if status, answer := ask(path, fmt.Sprintf("warm-%d-%d", i, n)); status != 200 || !strings.Contains(answer, wholeParts[path]) || strings.Contains(answer, "Content-Type") {
+				t.Fatalf("%s: got status %d and %q for whole answers, want them and no other field", path, status, answer)
 			}
 		}
 	}
