Accept chunk sizes with many leading zeros

HTTP sets no bound to the digits of a chunk size, and a size of 16 digits or more got 502 even if it was small: the reader counted digits, as the parser before it did. The value is bounded now instead, far below an overflow.

--- a/common/chunkreader/chunkreader.go
+++ b/common/chunkreader/chunkreader.go
@@ -17,7 +17,7 @@
 )
 
 // extensions are the extensions of a chunk (RFC 9112, 7.1.1), up to the end of the line.
-// They have no meaning here, but a line with others is damaged.
+// They have no meaning here, but a line with others is malformed.
 var extensions = regexp.MustCompile(`^(?:` + blanks + `;` + blanks + token + `(?:` + blanks + `=` + blanks + `(?:` + token + `|` + quoted + `))?)*\r\n$`)
 
 const (
@@ -44,9 +44,8 @@
 	}
 }
 
-// maxSizeDigits is the number of digits of the largest size that can be represented, less
-// one.
-const maxSizeDigits = 15
+// maxSize is above every limit and far below the largest int, so that no size overflows.
+const maxSize = 1 << 40
 
 func readSize(source *bufio.Reader) (int, error) {
 	line, err := source.ReadSlice('\n')
@@ -61,10 +60,10 @@
 		if digit < 0 {
 			break
 		}
-		size = size<<4 | digit
+		size = min(size<<4|digit, maxSize)
 	}
 	rest := line[digits:]
-	if digits == 0 || digits > maxSizeDigits || string(rest) != "\r\n" && !extensions.Match(rest) {
+	if digits == 0 || string(rest) != "\r\n" && !extensions.Match(rest) {
 		return 0, ErrSize
 	}
 	return size, nil
