Reject answers whose fields contradict each other

What callers saw: an answer with the id of its request and then another id reached them, on the relay path with both lines, as a part of a gathered answer, and as hits through entry VMs. Of two different Content-Type lines they got the last. "X-Not-Run: 1" with an empty line of that name, or "X-Outcome: not-run" with "X-Outcome: unknown", made a request run again. Found while looking for what the reader of answers drops; not reported.

Cause: VMs read the first line of a field with Peek, and the parser keeps the last Content-Type, while HTTP gives such a field one value (RFC 9110, 5.3).

The fix checks this where all lines of an answer are checked, before the parser has dropped one. The protocols name their fields when they make the reader. Equal lines are still accepted, and so are contradicting hints (load, pauses), which choose a server and do not change an answer.

The benchmark now names the fields that the relay path names.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -35,6 +35,7 @@
 	ErrStatusLine    = errors.New("status line is not one of an HTTP/1 answer")
 	ErrHeaderTooLong = errors.New("header or trailer exceeds the limit of bytes")
 	ErrFraming       = errors.New("header has no valid length or coding of the body")
+	ErrRepeated      = errors.New("header has different values of a field that has one")
 	ErrTrailer       = errors.New("trailer has a field that must not be there")
 )
 
@@ -43,6 +44,7 @@
 	source   io.Reader
 	buffered *bufio.Reader
 	budget   *Budget
+	single   singleFields
 	trailer  fasthttp.ResponseHeader // of the last chunked answer
 	received int                     // bytes of the current answer
 	reserved int                     // bytes of the current answer that count towards the budget
@@ -50,9 +52,10 @@
 
 // New returns a Reader of the connection source whose buffer has bufferSize bytes,
 // which is also the maximum size of a header. The Budget is shared by the
-// connections of a VM.
-func New(source io.Reader, bufferSize int, budget *Budget) *Reader {
-	r := &Reader{source: source, budget: budget}
+// connections of a VM. An answer with different values of one of the single fields is
+// invalid.
+func New(source io.Reader, bufferSize int, budget *Budget, single ...string) *Reader {
+	r := &Reader{source: source, budget: budget, single: newSingleFields(single)}
 	r.buffered = bufio.NewReaderSize(limitedSource{r}, bufferSize)
 	return r
 }
@@ -109,6 +112,9 @@
 		if !bytes.HasPrefix(header, []byte("HTTP/1.1")) && hasCoding(header) {
 			return ErrFraming
 		}
+		if err := r.single.check(header); err != nil {
+			return err
+		}
 		if err := h.Read(r.buffered); err != nil {
 			return ErrFraming
 		}
--- a/common/answerreader/fieldline_test.go
+++ b/common/answerreader/fieldline_test.go
@@ -77,12 +77,27 @@
 	}
 }
 
+// Guards against an answer of which one line is used and another one, which contradicts
+// it, is passed on or dropped.
+func TestContradictingLinesAreErrors(t *testing.T) {
+	for _, lines := range []string{
+		"Content-Type: a/b\r\nContent-Type: c/d", "Content-Type: a/b\r\nX-A: b\r\ncontent-type: a/B", "Content-Type: a/b\r\nContent-Type:", "Content-Type: \t\r\nContent-Type: a/b",
+		"X-Id: b\r\nX-Id: c", "x-id:b\r\nX-A: b\r\nX-ID: b c", "X-Id: b\r\nX-Id: b\r\nX-Id: c", "X-Id:\nX-Id: b",
+	} {
+		r := New(strings.NewReader(answerHead+lines+"\r\nContent-Length: 2\r\n\r\n{}"), bufferSize, NewBudget(1<<20), "X-Other", "", "X-Id")
+		if a, err := readAnswer(r); !errors.Is(err, ErrRepeated) {
+			t.Errorf("%q: got fields %q, error %v, want %v", lines, passedFields(&a.Header), err, ErrRepeated)
+		}
+	}
+}
+
 // Guards against refused answers that HTTP defines, and against fields that the parser
 // reads differently from what was checked.
 func TestValidLinesAreAnswers(t *testing.T) {
 	for line, want := range map[string]string{
 		"X-A: b": "X-A: b", "X-A:b": "X-A: b", "X-A: \t b c\t ": "X-A: b c", "X-A:": "X-A: ", "X-A: \t": "X-A: ", "x-a: B": "X-A: B", "X-A: a:b : c": "X-A: a:b : c",
 		"!#$%&'*+-.^_`|~09az: b": "!#$%&'*+-.^_`|~09az: b", "_: b": "_: b", "9: b": "9: b", "X-A: caf\xc3\xa9 \xff\x80": "X-A: caf\xc3\xa9 \xff\x80", "X-A: \"a\\\" (b)\t;,=\"": "X-A: \"a\\\" (b)\t;,=\"",
+		"Content-Type: a/b\r\nContent-type:a/b ": "Content-Type: a/b", "Content-Type:\r\nContent-Type:": "", "X-Id: b\r\nX-A: c\r\nx-id: b": "X-Id: b, X-A: c, X-Id: b",
 		"X-A: b\r\nX-A: c": "X-A: b, X-A: c", "Content-Type: a/b; c=d": "Content-Type: a/b; c=d", "Set-Cookie: a=b; c\r\nSet-Cookie: a=d": "Set-Cookie: a=b; c, Set-Cookie: a=d", "X-A: b\nX-B: c": "X-A: b, X-B: c",
 	} {
 		for name, answer := range map[string]string{
@@ -95,7 +110,7 @@
 			"no length":               answerHead + line + "\r\n\r\n{}",
 		} {
 			for _, source := range []io.Reader{strings.NewReader(answer), singleBytes{strings.NewReader(answer)}} {
-				r := New(source, bufferSize, NewBudget(1<<20))
+				r := New(source, bufferSize, NewBudget(1<<20), "X-Id")
 				a, err := readAnswer(r)
 				if err != nil || string(a.Body()) != "{}" || r.Unread() != 0 {
 					t.Errorf("%q, %s: got body %q, %d bytes unread, error %v, want the answer", line, name, a.Body(), r.Unread(), err)
@@ -127,7 +142,8 @@
 		"chunked": answerHead + "X-Request-Id: 9c41d07be2a35f68\r\nX-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nTransfer-Encoding: chunked\r\n\r\n200\r\n" + body + "\r\n0\r\n\r\n",
 	} {
 		b.Run(name, func(b *testing.B) {
-			r, a := New(&endless{rest: answer}, bufferSize, NewBudget(1<<20)), &fasthttp.Response{}
+			r := New(&endless{rest: answer}, bufferSize, NewBudget(1<<20), "X-Request-Id", "X-Server-Stamp", "X-Not-Run")
+			a := &fasthttp.Response{}
 			for b.Loop() {
 				a.ResetBody()
 				if err := r.Await(); err != nil {
--- a/common/answerreader/reason.go
+++ b/common/answerreader/reason.go
@@ -20,6 +20,7 @@
 	{fieldscanner.ErrLineEnd, "line-end"},
 	{ErrHeaderTooLong, "header-too-long"},
 	{ErrFraming, "framing"},
+	{ErrRepeated, "repeated-field"},
 	{chunkreader.ErrSize, "chunk-size"},
 	{chunkreader.ErrEnd, "chunk-end"},
 	{ErrTrailer, "trailer"},
--- a/connector/conn.go
+++ b/connector/conn.go
@@ -50,7 +50,8 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	return &conn{pool: p, netConn: nc, reader: answerreader.New(nc, readBufferSize, p.options.AnswerBudget), codec: newCodec(p.options.Address), writer: trywriter.New(nc)}
+	reader := answerreader.New(nc, readBufferSize, p.options.AnswerBudget, singleHeaders...)
+	return &conn{pool: p, netConn: nc, reader: reader, codec: newCodec(p.options.Address), writer: trywriter.New(nc)}
 }
 
 // startExchange writes x without blocking, and leaves what the socket does not
--- a/connector/exchange.go
+++ b/connector/exchange.go
@@ -72,6 +72,11 @@
 	outcomeNotRun     = []byte(zinniatide.OutcomeNotRun)
 )
 
+// singleHeaders must not have different values in one response.
+var singleHeaders = []string{
+	string(headerRequestID), string(headerVersion), string(headerFirstKey), string(headerLastKey), string(headerIncarnation), string(headerOutcome),
+}
+
 // HasValidHeaderIDs reports whether the ids of a request can be sent unchanged
 // as HTTP header values: they must consist of 1 to MaxIDLength visible ASCII
 // characters.
--- a/node/malformedanswer_test.go
+++ b/node/malformedanswer_test.go
@@ -62,6 +62,8 @@
 	"ids in a trailer":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\nHEAD\r\n",
 	"coding in HTTP/1.0":         "HTTP/1.0 200 OK\r\nHEADTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\n\r\n",
 	"coding and length in 1.0":   "HTTP/1.0 200 OK\r\nHEADContent-Length: 21\r\nTransfer-Encoding: chunked\r\n\r\n15\r\nBODY\r\n0\r\n\r\n",
+	"id of another request":      "HTTP/1.1 200 OK\r\nHEADX-Request-Id: another\r\nContent-Length: 21\r\n\r\nBODY",
+	"two content types":          "HTTP/1.1 200 OK\r\nHEADContent-Type: a/b\r\nContent-Type: c/d\r\nContent-Length: 21\r\n\r\nBODY",
 	"status 000":                 "HTTP/1.1 000 Odd\r\nHEADContent-Length: 21\r\n\r\nBODY",
 }
 
@@ -287,7 +289,7 @@
 // Guards against answers that HTTP does not define and that reach callers of a relay VM.
 func TestMalformedAnswersDoNotReachCallers(t *testing.T) {
 	t.Parallel()
-	check := checkReports(t, "relay", "status-line", "field-name", "framing", "chunk-size", "other-request")
+	check := checkReports(t, "relay", "status-line", "field-name", "repeated-field", "framing", "chunk-size", "other-request")
 	seed := zinniatide.VMID(node.FreeAddress(t))
 	seeds := []zinniatide.ControlVM{{VM: seed, PeerAddress: string(seed)}}
 	_, control := startRolloutVM(t, node.RelayConfig{VM: seed, ControlAddress: "unused", DataFolder: t.TempDir(), FirstStart: true, Seeds: seeds}, nil)
@@ -332,8 +334,10 @@
 		b.script([]answerStep{valid})
 		awaitTrue(t, "answer to "+path, limit, func() bool { status, _ := ask(path, "first"); return status == 200 })
 		for n := range 32 { // so that the VM hedges by measured latencies
-			b.script([]answerStep{{raw: validAnswers[n%len(validAnswers)], body: validBody}})
-			if status, answer := ask(path, fmt.Sprintf("warm-%d-%d", i, n)); status != 200 || !strings.Contains(answer, validContent[path]) || strings.Contains(answer, "Content-Type") {
+			raw := validAnswers[n%len(validAnswers)]
+			b.script([]answerStep{{raw: raw, body: validBody}})
+			status, answer := ask(path, fmt.Sprintf("warm-%d-%d", i, n))
+			if status != 200 || !strings.Contains(answer, validContent[path]) || strings.Contains(answer, "Content-Type") {
 				t.Errorf("%s: got status %d and %q for valid answers, want them and no other field", path, status, answer)
 			}
 		}
@@ -359,7 +363,7 @@
 // Guards against answers that HTTP does not define and that reach callers of an entry VM.
 func TestMalformedAnswersDoNotReachCallersOfEntryVMs(t *testing.T) {
 	t.Parallel()
-	check := checkReports(t, "dispatch", "status-line", "field-name", "framing", "no-length")
+	check := checkReports(t, "dispatch", "status-line", "field-name", "repeated-field", "framing", "no-length")
 	folder, control := t.TempDir(), zinniatide.ControlVM{VM: "e1", PeerAddress: node.FreeAddress(t)}
 	if err := logkeeper.Init(journal.OSFileSystem{}, folder, control.VM, []zinniatide.ControlVM{control}); err != nil {
 		t.Fatal(err)
--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -52,7 +52,8 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	return &conn{pool: p, netConn: nc, reader: answerreader.New(nc, readBufferSize, p.transporter.answerBudget), writer: trywriter.New(nc),
+	reader := answerreader.New(nc, readBufferSize, p.transporter.answerBudget, p.transporter.deps.Names.single()...)
+	return &conn{pool: p, netConn: nc, reader: reader, writer: trywriter.New(nc),
 		writeBuffer: make([]byte, 0, writeBufferSize), keepAliveTimeout: defaultKeepAliveTimeout}
 }
 
--- a/transporter/names.go
+++ b/transporter/names.go
@@ -23,3 +23,6 @@
 	// empty, no answer says so.
 	Leaving string
 }
+
+// single returns the names that must not have different values in one answer.
+func (n *HeaderNames) single() []string { return []string{n.RequestID, n.Stamp, n.NotRun} }
