Pass on content codings that are in several lines

What callers saw: of the Content-Encoding lines of an answer they got the last, or none if that was empty, and so a body that they could not decode. Found while looking for what the reader of answers drops; not reported.

Cause: the parser keeps one value of this field and overwrites it with each line, though a list may be spread over several lines (RFC 9110, 5.3).

The fix joins the lines to one list before the parser drops any of them, which HTTP defines to be the same.

--- a/common/answerreader/answerreader.go
+++ b/common/answerreader/answerreader.go
@@ -115,9 +115,13 @@
 		if err := r.single.check(header); err != nil {
 			return err
 		}
+		codings := joinCodings(header)
 		if err := h.Read(r.buffered); err != nil {
 			return ErrFraming
 		}
+		if codings != nil {
+			h.SetContentEncodingBytes(codings)
+		}
 		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
--- a/common/answerreader/fieldline_test.go
+++ b/common/answerreader/fieldline_test.go
@@ -98,6 +98,8 @@
 		"X-A: b": "X-A: b", "X-A:b": "X-A: b", "X-A: \t b c\t ": "X-A: b c", "X-A:": "X-A: ", "X-A: \t": "X-A: ", "x-a: B": "X-A: B", "X-A: a:b : c": "X-A: a:b : c",
 		"!#$%&'*+-.^_`|~09az: b": "!#$%&'*+-.^_`|~09az: b", "_: b": "_: b", "9: b": "9: b", "X-A: caf\xc3\xa9 \xff\x80": "X-A: caf\xc3\xa9 \xff\x80", "X-A: \"a\\\" (b)\t;,=\"": "X-A: \"a\\\" (b)\t;,=\"",
 		"Content-Type: a/b\r\nContent-type:a/b ": "Content-Type: a/b", "Content-Type:\r\nContent-Type:": "", "X-Id: b\r\nX-A: c\r\nx-id: b": "X-Id: b, X-A: c, X-Id: b",
+		"Content-Encoding: a, b\r\ncontent-ENCODING:c ": "Content-Encoding: a, b, c", "Content-Encoding: a\r\nX-A: b\r\nContent-Encoding:": "Content-Encoding: a, X-A: b",
+		"Content-Encoding:\r\nContent-Encoding: a": "Content-Encoding: a", "Content-Encoding: a": "Content-Encoding: a", "Content-Encoding:\r\nContent-Encoding:": "",
 		"X-A: b\r\nX-A: c": "X-A: b, X-A: c", "Content-Type: a/b; c=d": "Content-Type: a/b; c=d", "Set-Cookie: a=b; c\r\nSet-Cookie: a=d": "Set-Cookie: a=b; c, Set-Cookie: a=d", "X-A: b\nX-B: c": "X-A: b, X-B: c",
 	} {
 		for name, answer := range map[string]string{
--- a/common/answerreader/repeated.go
+++ b/common/answerreader/repeated.go
@@ -44,3 +44,27 @@
 	}
 	return nil
 }
+
+// joinCodings returns the list of the content codings of header if they are in several
+// lines, of which the parser keeps the last (RFC 9110, 5.3).
+func joinCodings(header []byte) []byte {
+	var codings []byte
+	lines := 0
+	for line := range bytes.Lines(header) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if !bytes.EqualFold(name, []byte(fasthttp.HeaderContentEncoding)) {
+			continue
+		}
+		lines++
+		if value = bytes.Trim(value, " \t\r\n"); len(value) > 0 {
+			if len(codings) > 0 {
+				codings = append(codings, ", "...)
+			}
+			codings = append(codings, value...)
+		}
+	}
+	if lines < 2 {
+		return nil
+	}
+	return codings
+}
--- a/node/malformedanswer_test.go
+++ b/node/malformedanswer_test.go
@@ -40,7 +40,7 @@
 var validAnswers = []string{
 	"HTTP/1.1 200 OK\r\nHEADX-Odd_`~|^: \xe9\r\nContent-Length: 21\r\n\r\nBODY",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nHEADX-Odd_`~|^: \xe9\r\nContent-Length: 21\r\n\r\nBODY",
-	"HTTP/1.0 200 OK\r\nHEADX-Odd_`~|^: \xe9\r\nContent-Length: 21\r\n\r\nBODY",
+	"HTTP/1.0 200 OK\r\nHEADContent-Encoding: a\r\nContent-Encoding: b\r\nX-Odd_`~|^: \xe9\r\nContent-Length: 21\r\n\r\nBODY",
 	"HTTP/1.1 200 OK\r\nHEADX-Odd_`~|^: \xe9\r\nTransfer-Encoding: chunked\r\n\r\n15 ;a=\"b\"\r\nBODY\r\n00\r\nX-T: 1\r\n\r\n",
 }
 
@@ -340,6 +340,10 @@
 			if status != 200 || !strings.Contains(answer, validContent[path]) || strings.Contains(answer, "Content-Type") {
 				t.Errorf("%s: got status %d and %q for valid answers, want them and no other field", path, status, answer)
 			}
+			coded := i < 2 && strings.Contains(raw, "Content-Encoding")
+			if coded && !strings.Contains(answer, "Content-Encoding: a, b\r\n") {
+				t.Errorf("%s: got %q, want both codings", path, answer)
+			}
 		}
 	}
 	b.checkScenarios(map[string]scenario{
