--- a/node/malformedanswer_test.go
+++ b/node/malformedanswer_test.go
@@ -347,19 +347,20 @@
 		}
 	}
 	b.checkScenarios(map[string]scenario{
-		"first send":              {"plain", []answerStep{malformed, valid}, 200, 2},
-		"all sends":               {"plain", []answerStep{malformed}, 502, 2},
-		"non-idempotent":          {"once", []answerStep{malformed, valid}, 502, 1},
-		"hedge":                   {"plain", []answerStep{lateValid, malformed}, 200, 2},
-		"late answer":             {"plain", []answerStep{lateMalformed, lateValid}, 200, 2},
-		"part":                    {"gather", []answerStep{malformed, valid}, 200, 2},
-		"all parts":               {"gather", []answerStep{malformed}, 502, 2},
-		"hedged part":             {"gather", []answerStep{lateValid, malformed}, 200, 2},
-		"late part":               {"gather", []answerStep{lateMalformed, lateValid}, 200, 2},
-		"part of a delegate":      {"remote", []answerStep{malformed, valid}, 200, 2},
-		"all parts of a delegate": {"remote", []answerStep{malformed}, 502, 2},
-		"late part of a delegate": {"remote", []answerStep{laterMalformed, valid}, 200, 2},
-		"hedge of a delegate":     {"remote", []answerStep{laterValid, malformed}, 200, 2},
+		"first send":               {"plain", []answerStep{malformed, valid}, 200, 2},
+		"all sends":                {"plain", []answerStep{malformed}, 502, 2},
+		"non-idempotent":           {"once", []answerStep{malformed, valid}, 502, 1},
+		"hedge":                    {"plain", []answerStep{lateValid, malformed}, 200, 2},
+		"late answer":              {"plain", []answerStep{lateMalformed, lateValid}, 200, 2},
+		"part":                     {"gather", []answerStep{malformed, valid}, 200, 2},
+		"all parts":                {"gather", []answerStep{malformed}, 502, 2},
+		"hedged part":              {"gather", []answerStep{lateValid, malformed}, 200, 2},
+		"late part":                {"gather", []answerStep{lateMalformed, lateValid}, 200, 2},
+		"part of a delegate":       {"remote", []answerStep{malformed, valid}, 200, 2},
+		"all parts of a delegate":  {"remote", []answerStep{malformed}, 502, 2},
+		"late part of a delegate":  {"remote", []answerStep{laterMalformed, valid}, 200, 2},
+		"late parts of a delegate": {"remote", []answerStep{laterMalformed}, 502, 2},
+		"hedge of a delegate":      {"remote", []answerStep{laterValid, malformed}, 200, 2},
 	}, ask)
 	check(registries...)
 }
