End exchanges whose answer arrives on a connection just closed

Cause: the read loop reads an answer without the lock. If the deadline closed the connection before the answer was handled, handleAnswer returned without ending the exchange, and so did the read loop, which ends those of closed connections. A failed request keeps its place in the limit until its attempts have ended, so the place was lost. Here two late requests had lowered the limit to 2, and both places were lost.

TestAnswerOnClosedConnectionEndsExchange fails on that code in 3 of 3 runs ("exchange did not end"). The code is as old as the relay path.

The fix handles the answer, which is complete, and only keeps the closed connection from being reused, as connector does.

--- a/transporter/conn.go
+++ b/transporter/conn.go
@@ -168,12 +168,13 @@
 	return c.exchange == nil, c.exchange != nil && c.exchange.IsHEAD
 }
 
-// handleAnswer ends the current exchange with the answer just read. It closes the
-// connection if there is data after the answer, if the request was not written
-// completely, or if there is no exchange. The caller holds the lock.
+// handleAnswer ends the current exchange with the answer just read, even if the
+// connection was closed in the meantime. It closes the connection if there is data after
+// the answer, if the request was not written completely, or if there is no exchange. The
+// caller holds the lock.
 func (c *conn) handleAnswer() {
 	x := c.exchange
-	if x == nil || c.closed {
+	if x == nil {
 		c.close()
 		return
 	}
@@ -184,7 +185,7 @@
 	// A second copy of a refusal could not be distinguished from the answer to a new attempt
 	// with the same request id.
 	refused := x.NonIdempotent && !a.Result.MayHaveRun()
-	reusable := a.Result != InvalidAnswer && !refused && !identity && !h.ConnectionClose() && !c.flushing && c.reader.Unread() == 0
+	reusable := !c.closed && a.Result != InvalidAnswer && !refused && !identity && !h.ConnectionClose() && !c.flushing && c.reader.Unread() == 0
 	c.exchange, c.bytesWritten = nil, 0
 	x.conn = nil
 	c.reused = true
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -247,6 +247,34 @@
 	}
 }
 
+// Guards against an exchange that never ends because its connection was closed when
+// its answer had arrived but was not handled yet, as after a pause of the process.
+func TestAnswerOnClosedConnectionEndsExchange(t *testing.T) {
+	b := newBackend(t, func(int) (string, bool) { return plainAnswer, false })
+	c := newClient(t, b.listener.Addr().String())
+	for range 5 {
+		c.send(5000, nil) // leaves an idle connection
+		done := make(chan Result, 1)
+		x := &Exchange{Head: []byte("GET /a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"), RequestID: "r",
+			Deadline: c.pool.transporter.deps.Clock.Now() + 5000, Done: func(a Answer) { done <- a.Result }}
+		c.lock.Lock()
+		c.pool.Send(x)
+		time.Sleep(20 * time.Millisecond) // the answer arrives while the lock is held
+		if x.conn != nil {
+			x.conn.close()
+		}
+		c.lock.Unlock()
+		select {
+		case got := <-done:
+			if got != Answered && got != ConnectionLost {
+				t.Errorf("got %s, want %s, or %s if the answer had not arrived", got, Answered, ConnectionLost)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("exchange did not end")
+		}
+	}
+}
+
 // Guards against reporting that a request may have run although it was never
 // written.
 func TestUnreachableServerIsNotSent(t *testing.T) {
