--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -39,10 +39,15 @@
 
 // send sends one attempt and waits for its end.
 func (c *client) send(method, path, body string, wait time.Duration) result {
-	return c.sendID(newID(), method, path, body, wait)
+	return c.sendID(newID(), method, path, body, wait, wait)
 }
 
-func (c *client) sendID(id, method, path, body string, wait time.Duration) result {
+// sendFor sends a GET with a deadline, but leaves after wait.
+func (c *client) sendFor(id, path string, deadline, wait time.Duration) result {
+	return c.sendID(id, "GET", path, "", deadline, wait)
+}
+
+func (c *client) sendID(id, method, path, body string, deadline, wait time.Duration) result {
 	started := time.Now()
 	r := result{id: id}
 	finish := func(err error) result {
@@ -64,7 +69,7 @@
 	}
 	_ = c.conn.SetDeadline(started.Add(wait))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, host, r.id, wait.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, host, r.id, deadline.Milliseconds())
 	if body != "" || method == "POST" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
@@ -104,7 +109,8 @@
 	ends map[string]int
 }
 
-// startTraffic starts n clients on each front. Each sends a request every interval.
+// startTraffic starts n clients on each front. Each sends a request every interval. A star in
+// path stands for the id of the request.
 func (s *stand) startTraffic(fronts []*node, n int, interval, wait time.Duration, method, path, body string) *traffic {
 	t := &traffic{s: s, stop: make(chan struct{}), ends: map[string]int{}}
 	for _, f := range fronts {
@@ -121,7 +127,8 @@
 						return
 					case <-time.After(time.Until(next)):
 					}
-					r := c.send(method, path, body, wait)
+					id := newID()
+					r := c.sendID(id, method, strings.ReplaceAll(path, "*", id), body, wait, wait)
 					t.mu.Lock()
 					t.ends[fmt.Sprintf("%s %d", f.name, r.status)]++
 					t.mu.Unlock()
