--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -18,6 +18,7 @@
 type client struct {
 	s       *stand
 	front   string
+	headers string // further header lines
 	conn    net.Conn
 	reader  *bufio.Reader
 	idle    time.Duration
@@ -73,7 +74,7 @@
 	if body != "" || method == "POST" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
-	b.WriteString("\r\n" + body)
+	b.WriteString(c.headers + "\r\n" + body)
 	if _, err := io.WriteString(c.conn, b.String()); err != nil {
 		return finish(err)
 	}
