--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -23,6 +23,7 @@
 	slots                 chan struct{}
 	mu                    sync.Mutex
 	born                  int64
+	clockAhead            time.Duration // of the clock of its machine
 	seq                   int
 	state                 string
 	coldUntil, countsFrom time.Time
@@ -57,7 +58,7 @@
 // begin registers the server and then serves. cold is how long it is cold.
 func (v *server) begin(cold time.Duration) {
 	v.mu.Lock()
-	v.born, v.seq, v.state = time.Now().UnixMilli(), 0, "ready"
+	v.born, v.seq, v.state = time.Now().Add(v.clockAhead).UnixMilli(), 0, "ready"
 	v.coldUntil = time.Now().Add(cold)
 	v.stopBeats = make(chan struct{})
 	v.mu.Unlock()
--- a/review/stand-3/wake.go
+++ b/review/stand-3/wake.go
@@ -13,7 +13,7 @@
 
 // coldServerAtWake turns a server cold while one front machine stands still.
 func coldServerAtWake(s *stand) []string {
-	const coldPerS = 5.0
+	const coldPerS = 3.0
 	s.deploy(threeZones, []string{"nbo-a", "nbo-a", "nbo-a", "nbo-b", "nbo-b", "nbo-c"})
 	var servers []*server
 	for i, zone := range threeZones {
@@ -30,7 +30,8 @@
 	s.awaitReady(20 * time.Second)
 	time.Sleep(2 * time.Second)
 	fronts := s.class("front")
-	t := s.startTraffic(fronts, 16, 400*time.Millisecond, 5*time.Second, "GET", "/view/1", "")
+	t := s.startTraffic(fronts[:1], 30, 500*time.Millisecond, 5*time.Second, "GET", "/view/1", "")
+	others := s.startTraffic(fronts[1:], 6, 300*time.Millisecond, 5*time.Second, "GET", "/view/1", "")
 	time.Sleep(5 * time.Second)
 	if s.trouble {
 		victim := fronts[0]
@@ -41,6 +42,7 @@
 	servers[0].turnCold(3 * time.Second)
 	time.Sleep(6 * time.Second)
 	t.end()
+	others.end()
 	limit := int(math.Floor(1.5*coldPerS + 5)) // cold_overshoot and cold_slack
 	var broken []string
 	for _, v := range servers {
