--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -18,10 +18,8 @@
 type client struct {
 	s       *stand
 	front   string
-	headers string // further header lines
 	conn    net.Conn
 	reader  *bufio.Reader
-	idle    time.Duration
 	lastUse time.Time
 }
 
@@ -74,7 +72,7 @@
 	if body != "" || method == "POST" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
-	b.WriteString(c.headers + "\r\n" + body)
+	b.WriteString("\r\n" + body)
 	if _, err := io.WriteString(c.conn, b.String()); err != nil {
 		return finish(err)
 	}
--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -34,18 +34,15 @@
 	stopBeats             chan struct{}
 	arrivals              []arrival
 	onRequest             func(w http.ResponseWriter, r *http.Request) bool // true if it has answered
-	leavingHeader, silent bool
 	count                 int
 }
 
-// arrival is a request that the server has run or rejected.
+// arrival is a request that the server has run.
 type arrival struct {
-	at       time.Duration
-	id       string
-	path     string
-	cold     bool
-	notRun   bool
-	deadline int
+	at   time.Duration
+	id   string
+	path string
+	cold bool
 }
 
 func (s *stand) newServer(n int, id, service, zone string, work time.Duration) *server {
@@ -203,11 +200,8 @@
 	v.mu.Lock()
 	v.count++
 	stamp := fmt.Sprintf("%s.%d.%s", v.id, v.count, id)
-	if v.leavingHeader {
-		h.Set("Server-Leaving", "1")
-	}
 	v.mu.Unlock()
-	v.note(arrival{at: v.s.now(), id: id, path: r.URL.RequestURI(), deadline: deadline})
+	v.note(arrival{at: v.s.now(), id: id, path: r.URL.RequestURI()})
 	select {
 	case v.slots <- struct{}{}:
 	case <-time.After(time.Duration(deadline) * time.Millisecond):
