--- a/review/stand-3/poison.go
+++ b/review/stand-3/poison.go
@@ -105,8 +105,12 @@
 	time.Sleep(retryInterval - r.took)
 }
 
+// settle is how long after a kill or a start of most of the core no machine counts as in
+// touch. The rules ask for contact_ms, and for twice that after a final fault.
+const settle = 2 * contact
+
 // judge counts the retries that reached servers later than contact_ms after the third crash.
-// Those within contact_ms after a time in notInTouch do not count.
+// Those within settle after a time in notInTouch do not count.
 func (k *crashing) judge(notInTouch ...time.Duration) []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -117,7 +121,7 @@
 	for _, a := range k.reached {
 		counts := a.at > k.crashes[2]+contact
 		for _, from := range notInTouch {
-			counts = counts && (a.at < from || a.at > from+contact)
+			counts = counts && (a.at < from || a.at > from+settle)
 		}
 		if counts {
 			late[a.id] = true
@@ -168,7 +172,9 @@
 			}
 			kills = append(kills, s.now()-time.Second, s.now())
 		}
-		time.Sleep(contact + time.Second)
+		if round < 2 {
+			time.Sleep(settle + time.Second)
+		}
 	}
 	t.end()
 	return k.judge(kills...)
